Start with core, configuration, telemetry, platform, rpc and gossip

The parts that every process shares, each a library with its own tests: clock, digests, supervisor tree and mailbox; settings and both tables with every finding by line and column; logs, metrics and spans; the platform's semantics in memory; JSON-RPC text codec; SWIM failure detection with rumors and anti-entropy in virtual time.

--- /dev/null
+++ b/libs/core/include/core/digest.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace trefoil {
+
+/// 128-bit non-cryptographic digest (XXH3). Collisions are negligible by accident; nothing that an
+/// adversary could gain from is keyed by it alone (callers' keys use SHA-256).
+struct digest128
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const digest128 &) const = default;
+};
+
+/// Returns the digest of @p bytes, chained to @p seed: equal results mean an equal seed and equal
+/// bytes. Thread-safe; does not allocate.
+digest128 digestOf(std::string_view bytes, digest128 seed = {});
+
+/// Returns a 64-bit hash of @p bytes under @p seed. Stable across builds and machines, because
+/// instances compare the results. Thread-safe.
+std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
+
+/// Returns @p digest as 32 lower-case hexadecimal digits. Thread-safe.
+std::string toHex(digest128 digest);
+
+/// Parses what toHex() wrote into @p digest. Returns false, leaving it as it was, on any other
+/// text. Thread-safe.
+bool fromHex(std::string_view text, digest128 &digest);
+
+} // namespace trefoil
+
+/// Lets digests be keys of hashed containers; the digest's own bits are already uniform.
+template <>
+struct std::hash<trefoil::digest128>
+{
+    std::size_t operator()(const trefoil::digest128 &digest) const noexcept
+    {
+        return static_cast<std::size_t>(digest.low);
+    }
+};
--- /dev/null
+++ b/libs/core/include/core/error.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include <tl/expected.hpp>
+
+namespace trefoil {
+
+/// Error with a fixed machine-readable code and a sentence that names the thing at fault.
+struct error
+{
+    /// Short identifier in kebab case, for example "unknown-team".
+    std::string code;
+    /// Sentence for people.
+    std::string message;
+};
+
+/// Result of an operation that can fail with an error.
+template <typename Value>
+using result = tl::expected<Value, error>;
+
+/// Returns a failed result. Thread-safe.
+inline tl::unexpected<error> failure(std::string code, std::string message)
+{
+    return tl::unexpected<error>(error { .code = std::move(code), .message = std::move(message) });
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/core/src/json.cpp
@@ -0,0 +1,52 @@
+#include <core/json.h>
+
+#include <memory>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+namespace trefoil {
+
+result<Json::Value> parseJson(std::string_view text, std::string_view what)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    // Strict mode refuses scalars at the root, which peers and the platform may send.
+    builder.settings_["strictRoot"] = false;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string problems;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, &problems))
+        return failure("bad-json", std::string(what) + " is not valid JSON: " + problems);
+    return value;
+}
+
+std::string writeJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+std::string textOr(const Json::Value &object, const char *name, std::string_view fallback)
+{
+    if (object.isObject() && object[name].isString())
+        return object[name].asString();
+    return std::string(fallback);
+}
+
+std::uint64_t integerOr(const Json::Value &object, const char *name, std::uint64_t fallback)
+{
+    if (object.isObject() && object[name].isUInt64())
+        return object[name].asUInt64();
+    return fallback;
+}
+
+double numberOr(const Json::Value &object, const char *name, double fallback)
+{
+    if (object.isObject() && object[name].isNumeric())
+        return object[name].asDouble();
+    return fallback;
+}
+
+} // namespace trefoil
