--- a/libs/configuration/src/settings.cpp
+++ b/libs/configuration/src/settings.cpp
@@ -38,14 +38,15 @@
     endpoint place;
     const std::string text = map.text(name);
     if (!text.empty() && !parseEndpoint(text, place))
-        map.fault(name, "field \"" + map.pathOf(name)
-                          + "\" must be a numeric address and port, not \"" + text + "\"");
+        map.fault(name,
+                  "field \"" + map.pathOf(name) + "\" must be a numeric address and port, not \""
+                      + text + "\"");
     return place;
 }
 
 void readListeners(const YAML::Node &node, settings &into, finding_sink &sink)
 {
-    yaml_map map(node, "listeners", { "callers", "peers", "operators" }, sink);
+    yaml_map map(node, "listeners", {"callers", "peers", "operators"}, sink);
     into.callers = readEndpoint(map, "callers");
     into.peers = readEndpoint(map, "peers");
     into.operators = readEndpoint(map, "operators");
@@ -53,14 +54,14 @@
 
 void readLog(const YAML::Node &node, settings &into, finding_sink &sink)
 {
-    yaml_map map(node, "log", { "level", "format" }, sink);
-    into.logLevel = map.choice("level", { "debug", "info", "warning", "error" }, "info");
-    into.logAsJson = map.choice("format", { "text", "json" }, "text") == "json";
+    yaml_map map(node, "log", {"level", "format"}, sink);
+    into.logLevel = map.choice("level", {"debug", "info", "warning", "error"}, "info");
+    into.logAsJson = map.choice("format", {"text", "json"}, "text") == "json";
 }
 
 void readTrace(const YAML::Node &node, settings &into, finding_sink &sink)
 {
-    yaml_map map(node, "trace", { "file", "endpoint" }, sink);
+    yaml_map map(node, "trace", {"file", "endpoint"}, sink);
     into.traceFile = map.textOr("file", "");
     into.traceEndpoint = map.textOr("endpoint", "");
 }
@@ -68,19 +69,18 @@
 void readTraffic(const YAML::Node &node, settings &into, finding_sink &sink)
 {
     yaml_map map(node, "traffic",
-                 { "threads", "max_body_bytes", "caller_timeout_seconds",
-                   "drain_timeout_seconds" },
+                 {"threads", "max_body_bytes", "caller_timeout_seconds", "drain_timeout_seconds"},
                  sink);
-    into.callerThreads = static_cast<int>(
-            map.integerOr("threads", { 4, maxCallerThreads }, into.callerThreads));
-    into.maxBodyBytes = map.integerOr("max_body_bytes", { leastBodyBytes, mostBodyBytes },
-                                      into.maxBodyBytes);
-    into.callerTimeout = std::chrono::seconds(
-            map.integerOr("caller_timeout_seconds", { 1, maxTimeoutSeconds },
-                          into.callerTimeout / std::chrono::seconds(1)));
-    into.drainTimeout = std::chrono::seconds(
-            map.integerOr("drain_timeout_seconds", { 0, maxTimeoutSeconds },
-                          into.drainTimeout / std::chrono::seconds(1)));
+    into.callerThreads =
+        static_cast<int>(map.integerOr("threads", {4, maxCallerThreads}, into.callerThreads));
+    into.maxBodyBytes =
+        map.integerOr("max_body_bytes", {leastBodyBytes, mostBodyBytes}, into.maxBodyBytes);
+    into.callerTimeout =
+        std::chrono::seconds(map.integerOr("caller_timeout_seconds", {1, maxTimeoutSeconds},
+                                           into.callerTimeout / std::chrono::seconds(1)));
+    into.drainTimeout =
+        std::chrono::seconds(map.integerOr("drain_timeout_seconds", {0, maxTimeoutSeconds},
+                                           into.drainTimeout / std::chrono::seconds(1)));
 }
 
 void readSeeds(yaml_map &map, settings &into)
@@ -96,10 +96,10 @@
 
 void readPlatform(const YAML::Node &node, settings &into, finding_sink &sink)
 {
-    yaml_map map(node, "platform", { "address", "calls_per_second" }, sink);
+    yaml_map map(node, "platform", {"address", "calls_per_second"}, sink);
     into.platform = readEndpoint(map, "address");
-    into.platformCallsPerSecond = static_cast<int>(map.integerOr(
-            "calls_per_second", { 1, maxPlatformCalls }, into.platformCallsPerSecond));
+    into.platformCallsPerSecond = static_cast<int>(
+        map.integerOr("calls_per_second", {1, maxPlatformCalls}, into.platformCallsPerSecond));
 }
 
 } // namespace
@@ -115,7 +115,7 @@
     const std::from_chars_result result = std::from_chars(portText.data(), end, port);
     if (result.ec != std::errc() || result.ptr != end || port == 0)
         return false;
-    parsed = { .host = std::string(text.substr(0, colon)), .port = port };
+    parsed = {.host = std::string(text.substr(0, colon)), .port = port};
     return true;
 }
 
@@ -133,8 +133,8 @@
     if (!document)
         return tl::unexpected(found);
     yaml_map map(*document, "",
-                 { "name", "zone", "region", "listeners", "platform", "seeds", "peer_secret",
-                   "log", "trace", "traffic" },
+                 {"name", "zone", "region", "listeners", "platform", "seeds", "peer_secret", "log",
+                  "trace", "traffic"},
                  sink);
     parsed.name = map.text("name");
     parsed.zone = map.text("zone");
--- a/libs/configuration/src/tables.cpp
+++ b/libs/configuration/src/tables.cpp
@@ -20,7 +20,7 @@
 {
     const auto allowed = [](char c) {
         return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
-                || c == '-' || c == '_' || c == '.' || c == '/';
+            || c == '-' || c == '_' || c == '.' || c == '/';
     };
     return !text.empty() && std::all_of(text.begin(), text.end(), allowed);
 }
@@ -32,8 +32,9 @@
     if (name.empty())
         return name;
     if (!isName(name))
-        map.fault("name", std::string(what) + " name \"" + name
-                            + "\" may hold only letters, digits and - _ . /");
+        map.fault("name",
+                  std::string(what) + " name \"" + name
+                      + "\" may hold only letters, digits and - _ . /");
     if (!taken.insert(name).second)
         map.fault("name", std::string(what) + " \"" + name + "\" stands twice");
     return name;
@@ -42,11 +43,11 @@
 team readTeam(const YAML::Node &node, const std::string &path, std::set<std::string> &names,
               finding_sink &sink)
 {
-    yaml_map map(node, path, { "name", "rate", "burst" }, sink);
+    yaml_map map(node, path, {"name", "rate", "burst"}, sink);
     team parsed;
     parsed.name = readName(map, names, "team");
-    parsed.rate = map.integer("rate", { 1, maxTokenRate });
-    parsed.burst = map.integer("burst", { 1, maxTokenBurst });
+    parsed.rate = map.integer("rate", {1, maxTokenRate});
+    parsed.burst = map.integer("burst", {1, maxTokenBurst});
     return parsed;
 }
 
@@ -57,8 +58,9 @@
         return;
     }
     if (!parsed.path.empty() && (parsed.path.front() != '/' || parsed.path.size() < 2))
-        map.fault("path", "route \"" + parsed.name + "\": path \"" + parsed.path
-                            + "\" must start with / and name something");
+        map.fault("path",
+                  "route \"" + parsed.name + "\": path \"" + parsed.path
+                      + "\" must start with / and name something");
     if (parsed.path == "/v1" || parsed.path.starts_with("/v1/"))
         map.fault("path", "route \"" + parsed.name + "\": paths under /v1 belong to the system");
     const std::string &target = parsed.model.empty() ? parsed.path : parsed.model;
@@ -75,8 +77,8 @@
         map.fault("name", "route \"" + parsed.name + "\" needs \"teams\" or \"open: true\"");
     for (const std::string &name : parsed.teams) {
         if (!teamNames.contains(name))
-            map.fault("teams", "route \"" + parsed.name + "\": team \"" + name
-                                 + "\" does not exist");
+            map.fault("teams",
+                      "route \"" + parsed.name + "\": team \"" + name + "\" does not exist");
     }
 }
 
@@ -84,10 +86,10 @@
                 std::set<std::string> &targets, const std::set<std::string> &teamNames,
                 finding_sink &sink)
 {
-    yaml_map map(node, path,
-                 { "name", "model", "path", "pool", "teams", "open", "idempotent",
-                   "max_answer_tokens" },
-                 sink);
+    yaml_map map(
+        node, path,
+        {"name", "model", "path", "pool", "teams", "open", "idempotent", "max_answer_tokens"},
+        sink);
     route parsed;
     parsed.name = readName(map, names, "route");
     parsed.model = map.textOr("model", "");
@@ -96,8 +98,8 @@
     parsed.teams = map.texts("teams");
     parsed.open = map.flagOr("open", false);
     parsed.idempotent = map.flagOr("idempotent", true);
-    parsed.maxAnswerTokens = map.integerOr("max_answer_tokens", { 1, maxAnswerTokens },
-                                           parsed.maxAnswerTokens);
+    parsed.maxAnswerTokens =
+        map.integerOr("max_answer_tokens", {1, maxAnswerTokens}, parsed.maxAnswerTokens);
     checkTarget(map, parsed, targets);
     checkTeams(map, parsed, teamNames);
     return parsed;
@@ -107,7 +109,7 @@
                           std::set<std::string> &names, std::set<std::string> &addresses,
                           finding_sink &sink)
 {
-    yaml_map map(node, path, { "name", "address", "zone", "version", "leaving" }, sink);
+    yaml_map map(node, path, {"name", "address", "zone", "version", "leaving"}, sink);
     backend_server parsed;
     parsed.name = readName(map, names, "backend server");
     parsed.zone = map.text("zone");
@@ -115,21 +117,23 @@
     parsed.leaving = map.flagOr("leaving", false);
     const std::string address = map.text("address");
     if (!address.empty() && !parseEndpoint(address, parsed.address))
-        map.fault("address", "backend server \"" + parsed.name + "\": \"" + address
-                               + "\" is not a numeric address and port");
+        map.fault("address",
+                  "backend server \"" + parsed.name + "\": \"" + address
+                      + "\" is not a numeric address and port");
     else if (!address.empty() && !addresses.insert(address).second)
-        map.fault("address", "backend server \"" + parsed.name + "\": address \"" + address
-                               + "\" belongs to another");
+        map.fault("address",
+                  "backend server \"" + parsed.name + "\": address \"" + address
+                      + "\" belongs to another");
     return parsed;
 }
 
 rollout_order readRollout(const YAML::Node &node, const std::string &path, finding_sink &sink)
 {
-    yaml_map map(node, path, { "from", "to", "deadline" }, sink);
+    yaml_map map(node, path, {"from", "to", "deadline"}, sink);
     rollout_order parsed;
     parsed.from = map.text("from");
     parsed.to = map.text("to");
-    parsed.deadline = map.integer("deadline", { 1, maxUnixSeconds });
+    parsed.deadline = map.integer("deadline", {1, maxUnixSeconds});
     if (!parsed.to.empty() && parsed.from == parsed.to)
         map.fault("to", "\"" + path + "\" moves from \"" + parsed.to + "\" to itself");
     return parsed;
@@ -141,10 +145,11 @@
         return std::any_of(parsed.servers.begin(), parsed.servers.end(),
                            [&](const backend_server &each) { return each.version == version; });
     };
-    for (const std::string &version : { parsed.rollout->from, parsed.rollout->to }) {
+    for (const std::string &version : {parsed.rollout->from, parsed.rollout->to}) {
         if (!version.empty() && !runs(version))
-            map.fault("rollout", "pool \"" + parsed.name + "\": no backend server runs version \""
-                                   + version + "\"");
+            map.fault("rollout",
+                      "pool \"" + parsed.name + "\": no backend server runs version \"" + version
+                          + "\"");
     }
 }
 
@@ -153,19 +158,19 @@
               finding_sink &sink)
 {
     yaml_map map(node, path,
-                 { "name", "kind", "model", "credential", "fenced", "response_timeout_seconds",
-                   "servers", "rollout" },
+                 {"name", "kind", "model", "credential", "fenced", "response_timeout_seconds",
+                  "servers", "rollout"},
                  sink);
     pool parsed;
     parsed.name = readName(map, names, "pool");
-    const std::string kind = map.choice("kind", { "engine", "service" }, "engine");
+    const std::string kind = map.choice("kind", {"engine", "service"}, "engine");
     parsed.kind = kind == "engine" ? pool_kind::Engine : pool_kind::Service;
     parsed.model = map.textOr("model", "");
     parsed.credential = map.textOr("credential", "");
     parsed.fenced = map.flagOr("fenced", false);
-    parsed.responseTimeout = std::chrono::seconds(
-            map.integerOr("response_timeout_seconds", { 1, maxResponseSeconds },
-                          parsed.responseTimeout / std::chrono::seconds(1)));
+    parsed.responseTimeout =
+        std::chrono::seconds(map.integerOr("response_timeout_seconds", {1, maxResponseSeconds},
+                                           parsed.responseTimeout / std::chrono::seconds(1)));
     map.each("servers", true, [&](const YAML::Node &item, const std::string &itemPath) {
         parsed.servers.push_back(readServer(item, itemPath, serverNames, addresses, sink));
     });
@@ -194,8 +199,8 @@
     for (const route &each : routes) {
         if (each.path.empty() || !path.starts_with(each.path))
             continue;
-        const bool wholeSegment = path.size() == each.path.size()
-                || path[each.path.size()] == '/' || path[each.path.size()] == '?';
+        const bool wholeSegment = path.size() == each.path.size() || path[each.path.size()] == '/'
+            || path[each.path.size()] == '?';
         if (wholeSegment && (!best || each.path.size() > best->path.size()))
             best = &each;
     }
@@ -227,7 +232,7 @@
     std::set<std::string> teamNames;
     std::set<std::string> routeNames;
     std::set<std::string> targets;
-    yaml_map map(*document, "", { "teams", "routes" }, sink);
+    yaml_map map(*document, "", {"teams", "routes"}, sink);
     map.each("teams", false, [&](const YAML::Node &node, const std::string &path) {
         parsed.teams.push_back(readTeam(node, path, teamNames, sink));
     });
@@ -251,7 +256,7 @@
     std::set<std::string> poolNames;
     std::set<std::string> serverNames;
     std::set<std::string> addresses;
-    yaml_map map(*document, "", { "pools" }, sink);
+    yaml_map map(*document, "", {"pools"}, sink);
     map.each("pools", true, [&](const YAML::Node &node, const std::string &path) {
         parsed.pools.push_back(readPool(node, path, poolNames, serverNames, addresses, sink));
     });
@@ -265,7 +270,7 @@
 {
     findings found;
     const auto add = [&](std::string message) {
-        found.push_back({ .file = std::string(file), .message = std::move(message) });
+        found.push_back({.file = std::string(file), .message = std::move(message)});
     };
     for (const route &each : routes.routes) {
         const pool *target = pools.poolNamed(each.pool);
--- a/libs/configuration/src/yaml_reader.cpp
+++ b/libs/configuration/src/yaml_reader.cpp
@@ -8,15 +8,15 @@
 
 void finding_sink::add(const YAML::Mark &mark, std::string message)
 {
-    m_items.push_back({ .file = m_file,
-                        .line = mark.line + 1,
-                        .column = mark.column + 1,
-                        .message = std::move(message) });
+    m_items.push_back({.file = m_file,
+                       .line = mark.line + 1,
+                       .column = mark.column + 1,
+                       .message = std::move(message)});
 }
 
 yaml_map::yaml_map(const YAML::Node &node, std::string path,
-                   std::initializer_list<std::string_view> known, finding_sink &sink) :
-    m_node(node), m_path(std::move(path)), m_sink(sink)
+                   std::initializer_list<std::string_view> known, finding_sink &sink)
+    : m_node(node), m_path(std::move(path)), m_sink(sink)
 {
     if (!node.IsMap()) {
         const std::string what = m_path.empty() ? "the document" : "\"" + m_path + "\"";
@@ -30,8 +30,9 @@
         const YAML::Mark mark = it->first.Mark();
         const bool isNew = firstLines.emplace(name, mark.line + 1).second;
         if (!isNew) {
-            m_sink.add(mark, "field \"" + pathOf(name) + "\" stands twice, first on line "
-                               + std::to_string(firstLines[name]));
+            m_sink.add(mark,
+                       "field \"" + pathOf(name) + "\" stands twice, first on line "
+                           + std::to_string(firstLines[name]));
         } else if (std::find(known.begin(), known.end(), name) == known.end()) {
             m_sink.add(mark, "unknown field \"" + pathOf(name) + "\"");
         }
@@ -102,8 +103,8 @@
     std::string list;
     for (const std::string_view item : choices)
         list += (list.empty() ? "" : ", ") + std::string(item);
-    fault(name, "field \"" + pathOf(name) + "\" must be one of " + list + ", not \"" + value
-                  + "\"");
+    fault(name,
+          "field \"" + pathOf(name) + "\" must be one of " + list + ", not \"" + value + "\"");
     return std::string(fallback);
 }
 
@@ -125,14 +126,14 @@
     const char *end = value->data() + value->size();
     const std::from_chars_result parsed = std::from_chars(value->data(), end, number);
     if (parsed.ec != std::errc() || parsed.ptr != end) {
-        fault(name, "field \"" + pathOf(name) + "\" must be a whole number, not \"" + *value
-                      + "\"");
+        fault(name,
+              "field \"" + pathOf(name) + "\" must be a whole number, not \"" + *value + "\"");
         return fallback;
     }
     if (number < range.least || number > range.most) {
-        fault(name, "field \"" + pathOf(name) + "\" must lie between "
-                      + std::to_string(range.least) + " and " + std::to_string(range.most)
-                      + ", not " + *value);
+        fault(name,
+              "field \"" + pathOf(name) + "\" must lie between " + std::to_string(range.least)
+                  + " and " + std::to_string(range.most) + ", not " + *value);
         return fallback;
     }
     return number;
@@ -144,8 +145,7 @@
     if (!value)
         return fallback;
     if (*value != "true" && *value != "false")
-        fault(name, "field \"" + pathOf(name) + "\" must be true or false, not \"" + *value
-                      + "\"");
+        fault(name, "field \"" + pathOf(name) + "\" must be true or false, not \"" + *value + "\"");
     return *value == "true";
 }
 
--- a/libs/configuration/tests/settings_test.cpp
+++ b/libs/configuration/tests/settings_test.cpp
@@ -6,13 +6,13 @@
 
 TEST(Settings, ReadsACompleteDocument)
 {
-    const tl::expected<settings, findings> read = readSettings(
-            "name: entry-1\nzone: a\n"
-            "listeners: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: "
-            "'127.0.0.1:3'}\n"
-            "platform: {address: '127.0.0.2:9', calls_per_second: 7}\n"
-            "seeds: ['127.0.0.3:2']\n",
-            "s.yaml");
+    const tl::expected<settings, findings> read =
+        readSettings("name: entry-1\nzone: a\n"
+                     "listeners: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: "
+                     "'127.0.0.1:3'}\n"
+                     "platform: {address: '127.0.0.2:9', calls_per_second: 7}\n"
+                     "seeds: ['127.0.0.3:2']\n",
+                     "s.yaml");
     ASSERT_TRUE(read.has_value()) << toString(read.error());
     EXPECT_EQ(read->peers.port, 2);
     EXPECT_EQ(read->platformCallsPerSecond, 7);
@@ -22,9 +22,9 @@
 TEST(Settings, ReportsEveryFault)
 {
     const tl::expected<settings, findings> read = readSettings(
-            "zone: a\nlisteners: {callers: 'localhost:1', peers: '127.0.0.1:2'}\nlog: {level: "
-            "loud}\nplatform: {address: '127.0.0.2:9'}\n",
-            "s.yaml");
+        "zone: a\nlisteners: {callers: 'localhost:1', peers: '127.0.0.1:2'}\nlog: {level: "
+        "loud}\nplatform: {address: '127.0.0.2:9'}\n",
+        "s.yaml");
     ASSERT_FALSE(read.has_value());
     EXPECT_EQ(toString(read.error()),
               "s.yaml:1:1: field \"name\" is missing\n"
--- a/libs/configuration/tests/tables_test.cpp
+++ b/libs/configuration/tests/tables_test.cpp
@@ -31,10 +31,10 @@
 
 TEST(Tables, DuplicateFieldIsAFault)
 {
-    const tl::expected<pool_table, findings> read = readPools(
-            "pools:\n  - name: a\n    name: b\n    servers: [{name: s, zone: a, address: "
-            "'127.0.0.1:80'}]\n",
-            "pools.yaml");
+    const tl::expected<pool_table, findings> read =
+        readPools("pools:\n  - name: a\n    name: b\n    servers: [{name: s, zone: a, address: "
+                  "'127.0.0.1:80'}]\n",
+                  "pools.yaml");
     ASSERT_FALSE(read.has_value());
     EXPECT_EQ(toString(read.error()),
               "pools.yaml:3:5: field \"pools[0].name\" stands twice, first on line 2\n");
@@ -42,7 +42,7 @@
 
 TEST(Tables, JoinNamesWhatIsMissing)
 {
-    const route_table routes { .routes = { { .name = "r", .model = "m", .pool = "nowhere" } } };
+    const route_table routes {.routes = {{.name = "r", .model = "m", .pool = "nowhere"}}};
     const findings found = checkJoin(routes, {}, "routes.yaml");
     ASSERT_EQ(found.size(), 1u);
     EXPECT_EQ(found[0].message, "route \"r\": pool \"nowhere\" does not exist");
@@ -50,8 +50,8 @@
 
 TEST(Tables, PathsMatchWholeSegmentsAndTheLongestWins)
 {
-    const route_table table { .routes = { { .name = "a", .path = "/ledger" },
-                                          { .name = "b", .path = "/ledger/loans" } } };
+    const route_table table {
+        .routes = {{.name = "a", .path = "/ledger"}, {.name = "b", .path = "/ledger/loans"}}};
     EXPECT_EQ(table.byPath("/ledger/loans/7")->name, "b");
     EXPECT_EQ(table.byPath("/ledger?x=1")->name, "a");
     EXPECT_EQ(table.byPath("/ledgers"), nullptr);
--- a/libs/core/include/core/clock.h
+++ b/libs/core/include/core/clock.h
@@ -26,10 +26,7 @@
 using timestamp = boot_clock::time_point;
 
 /// Returns @p time in seconds. Thread-safe.
-constexpr double toSeconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
+constexpr double toSeconds(duration time) { return std::chrono::duration<double>(time).count(); }
 
 /// Returns a duration of @p seconds. Precondition: the result fits 63 bits of nanoseconds.
 /// Thread-safe.
--- a/libs/core/include/core/error.h
+++ b/libs/core/include/core/error.h
@@ -23,7 +23,7 @@
 /// Returns a failed result. Thread-safe.
 inline tl::unexpected<error> failure(std::string code, std::string message)
 {
-    return tl::unexpected<error>(error { .code = std::move(code), .message = std::move(message) });
+    return tl::unexpected<error>(error {.code = std::move(code), .message = std::move(message)});
 }
 
 } // namespace trefoil
--- a/libs/core/src/clock.cpp
+++ b/libs/core/src/clock.cpp
@@ -14,10 +14,10 @@
 
 std::uint64_t wallMilliseconds()
 {
-    const std::chrono::system_clock::duration sinceEpoch
-            = std::chrono::system_clock::now().time_since_epoch();
+    const std::chrono::system_clock::duration sinceEpoch =
+        std::chrono::system_clock::now().time_since_epoch();
     return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
 } // namespace trefoil
--- a/libs/core/src/rendezvous.cpp
+++ b/libs/core/src/rendezvous.cpp
@@ -20,7 +20,7 @@
     for (const std::string &candidate : candidates)
         weights.push_back(rendezvousWeight(key, candidate));
     std::vector<std::size_t> order(candidates.size());
-    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::iota(order.begin(), order.end(), std::size_t {0});
     std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
         if (weights[a] != weights[b])
             return weights[a] > weights[b];
--- a/libs/core/src/supervisor.cpp
+++ b/libs/core/src/supervisor.cpp
@@ -80,10 +80,9 @@
 class supervision
 {
 public:
-    supervision(const supervisor_options &options) :
-        m_options(options), m_states(options.children.size())
-    {
-    }
+    supervision(const supervisor_options &options)
+        : m_options(options), m_states(options.children.size())
+    { }
 
     result<void> run(const std::stop_token &stop)
     {
@@ -110,7 +109,7 @@
         state.restartAt.reset();
         const child_body &body = m_options.children[child].body;
         state.thread = std::jthread([this, child, &body](std::stop_token stop) {
-            m_exits.post({ .child = child, .outcome = runGuarded(body, std::move(stop)) });
+            m_exits.post({.child = child, .outcome = runGuarded(body, std::move(stop))});
         });
     }
 
@@ -157,8 +156,7 @@
         if (state.failures.size() > static_cast<std::size_t>(spec.maxRestarts)) {
             state.done = true;
             return failure("child-failed",
-                           m_options.name + "/" + spec.name + ": "
-                                   + exit.outcome.error().message);
+                           m_options.name + "/" + spec.name + ": " + exit.outcome.error().message);
         }
         state.restartAt = now + backoff(state.failures.size());
         return {};
@@ -199,7 +197,7 @@
         assert(isNew);
     }
     return [shared = std::make_shared<const supervisor_options>(std::move(options))](
-                   const std::stop_token &stop) { return supervision(*shared).run(stop); };
+               const std::stop_token &stop) { return supervision(*shared).run(stop); };
 }
 
 } // namespace trefoil
--- a/libs/core/tests/digest_test.cpp
+++ b/libs/core/tests/digest_test.cpp
@@ -6,10 +6,10 @@
 
 TEST(Digest, DependsOnBothHalvesOfTheSeed)
 {
-    const digest128 plain = digestOf("text", { .high = 1, .low = 2 });
-    EXPECT_NE(plain, digestOf("text", { .high = 9, .low = 2 }));
-    EXPECT_NE(plain, digestOf("text", { .high = 1, .low = 9 }));
-    EXPECT_EQ(plain, digestOf("text", { .high = 1, .low = 2 }));
+    const digest128 plain = digestOf("text", {.high = 1, .low = 2});
+    EXPECT_NE(plain, digestOf("text", {.high = 9, .low = 2}));
+    EXPECT_NE(plain, digestOf("text", {.high = 1, .low = 9}));
+    EXPECT_EQ(plain, digestOf("text", {.high = 1, .low = 2}));
 }
 
 TEST(Digest, HexRoundTrip)
--- a/libs/core/tests/rendezvous_test.cpp
+++ b/libs/core/tests/rendezvous_test.cpp
@@ -8,8 +8,8 @@
 
 TEST(Rendezvous, RemovingACandidateMovesOnlyItsOwnKeys)
 {
-    const std::vector<std::string> all { "a", "b", "c", "d", "e" };
-    const std::vector<std::string> fewer { "a", "b", "c", "d" };
+    const std::vector<std::string> all {"a", "b", "c", "d", "e"};
+    const std::vector<std::string> fewer {"a", "b", "c", "d"};
     int moved = 0;
     for (int i = 0; i < 1000; ++i) {
         const std::string key = "key-" + std::to_string(i);
--- a/libs/core/tests/supervisor_test.cpp
+++ b/libs/core/tests/supervisor_test.cpp
@@ -17,15 +17,15 @@
 TEST(Supervisor, RestartsAFailingChildAndEndsWhenAllAreDone)
 {
     std::atomic<int> runs = 0;
-    const child_body root = supervise(
-            { .name = "root",
-              .children = { { .name = "flaky",
-                              .body = [&](const std::stop_token &) -> result<void> {
-                                  if (++runs < 3)
-                                      return failure("test", "not yet");
-                                  return {};
-                              } } },
-              .firstBackoff = shortBackoff });
+    const child_body root =
+        supervise({.name = "root",
+                   .children = {{.name = "flaky",
+                                 .body = [&](const std::stop_token &) -> result<void> {
+                                     if (++runs < 3)
+                                         return failure("test", "not yet");
+                                     return {};
+                                 }}},
+                   .firstBackoff = shortBackoff});
     std::stop_source source;
     EXPECT_TRUE(root(source.get_token()).has_value());
     EXPECT_EQ(runs, 3);
@@ -33,26 +33,26 @@
 
 TEST(Supervisor, EscalatesThroughTheTreeWithThePathOfTheChild)
 {
-    const child_body inner = supervise(
-            { .name = "inner",
-              .children = { { .name = "broken",
-                              .body = [](const std::stop_token &) -> result<void> {
-                                  throw std::runtime_error("always");
-                              },
-                              .maxRestarts = 1 } },
-              .firstBackoff = shortBackoff });
+    const child_body inner =
+        supervise({.name = "inner",
+                   .children = {{.name = "broken",
+                                 .body = [](const std::stop_token &) -> result<void> {
+                                     throw std::runtime_error("always");
+                                 },
+                                 .maxRestarts = 1}},
+                   .firstBackoff = shortBackoff});
     std::atomic<bool> neighbourStopped = false;
-    const child_body root = supervise(
-            { .name = "root",
-              .children = { { .name = "neighbour",
-                              .body = [&](std::stop_token stop) -> result<void> {
-                                  while (!stop.stop_requested())
-                                      std::this_thread::yield();
-                                  neighbourStopped = true;
-                                  return {};
-                              } },
-                            { .name = "inner", .body = inner, .maxRestarts = 0 } },
-              .firstBackoff = shortBackoff });
+    const child_body root =
+        supervise({.name = "root",
+                   .children = {{.name = "neighbour",
+                                 .body = [&](std::stop_token stop) -> result<void> {
+                                     while (!stop.stop_requested())
+                                         std::this_thread::yield();
+                                     neighbourStopped = true;
+                                     return {};
+                                 }},
+                                {.name = "inner", .body = inner, .maxRestarts = 0}},
+                   .firstBackoff = shortBackoff});
     std::stop_source source;
     const result<void> end = root(source.get_token());
     ASSERT_FALSE(end.has_value());
--- a/libs/gossip/src/membership.cpp
+++ b/libs/gossip/src/membership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <utility>
 
 #include <core/json.h>
 
@@ -35,18 +36,17 @@
     if (about.info.leaving)
         payload["l"] = true;
     const std::uint64_t state = static_cast<std::uint64_t>(about.state);
-    return { .topic = membership::memberTopic,
-             .key = about.info.name,
-             .version = about.info.incarnation * statesPerIncarnation + state,
-             .payload = writeJson(payload) };
+    return {.topic = membership::memberTopic,
+            .key = about.info.name,
+            .version = about.info.incarnation * statesPerIncarnation + state,
+            .payload = writeJson(payload)};
 }
 
 std::optional<member> memberFromRumor(const rumor &item)
 {
     const result<Json::Value> payload = parseJson(item.payload, "a member rumor");
     const std::uint64_t state = item.version % statesPerIncarnation;
-    if (!payload || !payload->isObject()
-        || state > static_cast<std::uint64_t>(member_state::Dead))
+    if (!payload || !payload->isObject() || state > static_cast<std::uint64_t>(member_state::Dead))
         return std::nullopt;
     member about;
     about.info.name = item.key;
@@ -60,8 +60,8 @@
     return about;
 }
 
-membership::membership(membership_options options) :
-    m_options(std::move(options)), m_random(m_options.randomSeed)
+membership::membership(membership_options options)
+    : m_options(std::move(options)), m_random(m_options.randomSeed)
 {
     assert(!m_options.self.name.empty());
     assert(m_options.period > duration::zero());
@@ -82,8 +82,8 @@
         sendUrgent(now, calls);
     for (const std::pair<std::uint64_t, std::string> &relay : m_relayQueue) {
         calls.push_back(call(now, relay.second,
-                             gossip_ping { .from = m_options.self.name, .rumors = {} },
-                             { .kind = open_call::purpose::RelayTarget, .relayId = relay.first }));
+                             gossip_ping {.from = m_options.self.name, .rumors = {}},
+                             {.kind = open_call::purpose::RelayTarget, .relayId = relay.first}));
     }
     m_relayQueue.clear();
     return calls;
@@ -103,12 +103,11 @@
     if (target.empty())
         return;
     const std::string address = m_members.find(target)->second.info.peers;
-    m_probes[target] = { .name = target,
-                         .address = address,
-                         .deadline = now + m_options.period / directShare };
+    m_probes[target] = {
+        .name = target, .address = address, .deadline = now + m_options.period / directShare};
     calls.push_back(call(now, address,
-                         gossip_ping { .from = m_options.self.name, .rumors = pickRumors() },
-                         { .kind = open_call::purpose::Probe, .name = target }));
+                         gossip_ping {.from = m_options.self.name, .rumors = pickRumors()},
+                         {.kind = open_call::purpose::Probe, .name = target}));
 }
 
 std::string membership::nextTarget()
@@ -126,8 +125,8 @@
         const std::string name = std::move(m_ring.back());
         m_ring.pop_back();
         const auto found = m_members.find(name);
-        const bool probeable = found != m_members.end()
-                && found->second.state != member_state::Dead && !m_probes.contains(name);
+        const bool probeable = found != m_members.end() && found->second.state != member_state::Dead
+            && !m_probes.contains(name);
         if (probeable)
             return name;
         if (m_ring.empty() && m_probes.size() + 1 >= m_members.size())
@@ -149,22 +148,19 @@
     if (address.empty() || address == m_options.self.peers)
         return;
     calls.push_back(call(
-            now, address,
-            gossip_sync { .from = m_options.self.name, .hashes = m_rumors.hashes() }, {}));
+        now, address, gossip_sync {.from = m_options.self.name, .hashes = m_rumors.hashes()}, {}));
     calls.push_back(call(now, address,
-                         gossip_ping { .from = m_options.self.name,
-                                       .rumors = { *m_rumors.find(memberTopic,
-                                                                  m_options.self.name) } },
+                         gossip_ping {.from = m_options.self.name,
+                                      .rumors = {*m_rumors.find(memberTopic, m_options.self.name)}},
                          {}));
 }
 
 void membership::sendUrgent(timestamp now, std::vector<gossip_call> &calls)
 {
     m_urgent = false;
-    for (const member &peer :
-         randomPeers(static_cast<std::size_t>(m_options.urgentFanout), {})) {
+    for (const member &peer : randomPeers(static_cast<std::size_t>(m_options.urgentFanout), {})) {
         calls.push_back(call(now, peer.info.peers,
-                             gossip_ping { .from = m_options.self.name, .rumors = pickRumors() },
+                             gossip_ping {.from = m_options.self.name, .rumors = pickRumors()},
                              {}));
     }
 }
@@ -176,15 +172,15 @@
         if (pending.relayed || now < pending.deadline)
             continue;
         pending.relayed = true;
-        const std::vector<member> relays
-                = randomPeers(static_cast<std::size_t>(m_options.relays), pending.name);
+        const std::vector<member> relays =
+            randomPeers(static_cast<std::size_t>(m_options.relays), pending.name);
         pending.openRelays = static_cast<int>(relays.size());
         pending.deadline = now + m_options.period;
         for (const member &relay : relays) {
-            calls.push_back(call(now, relay.info.peers,
-                                 gossip_relay { .from = m_options.self.name,
-                                                .target = pending.address },
-                                 { .kind = open_call::purpose::Relay, .name = pending.name }));
+            calls.push_back(
+                call(now, relay.info.peers,
+                     gossip_relay {.from = m_options.self.name, .target = pending.address},
+                     {.kind = open_call::purpose::Relay, .name = pending.name}));
         }
     }
     std::vector<std::string> failed;
@@ -270,7 +266,7 @@
     const std::uint64_t id = m_nextId++;
     purpose.deadline = now + m_options.period;
     m_calls[id] = std::move(purpose);
-    return { .id = id, .to = std::move(to), .request = std::move(request) };
+    return {.id = id, .to = std::move(to), .request = std::move(request)};
 }
 
 std::vector<rumor> membership::pickRumors()
@@ -283,7 +279,7 @@
 {
     if (const gossip_ping *ping = std::get_if<gossip_ping>(&request)) {
         mergeAll(now, ping->rumors);
-        return gossip_ack { .rumors = pickRumors() };
+        return gossip_ack {.rumors = pickRumors()};
     }
     if (const gossip_relay *relay = std::get_if<gossip_relay>(&request)) {
         m_relayQueue.emplace_back(relayId, relay->target);
@@ -300,7 +296,7 @@
             differing.push_back(i);
     }
     const std::size_t emptyBuckets = static_cast<std::size_t>(
-            std::count(sync.hashes.begin(), sync.hashes.end(), std::uint64_t { 0 }));
+        std::count(sync.hashes.begin(), sync.hashes.end(), std::uint64_t {0}));
     const bool newcomer = emptyBuckets + 2 >= rumorBuckets;
     std::shuffle(differing.begin(), differing.end(), m_random);
     if (!newcomer && differing.size() > maxBuckets)
@@ -368,10 +364,7 @@
     return true;
 }
 
-std::vector<rumor> membership::takeNews()
-{
-    return std::exchange(m_news, {});
-}
+std::vector<rumor> membership::takeNews() { return std::exchange(m_news, {}); }
 
 void membership::mergeAll(timestamp now, const std::vector<rumor> &rumors)
 {
@@ -390,8 +383,8 @@
         return;
     if (about->info.name == m_options.self.name) {
         const bool contradicts = about->info.incarnation > m_options.self.incarnation
-                || (about->info.incarnation == m_options.self.incarnation
-                    && about->state != member_state::Alive);
+            || (about->info.incarnation == m_options.self.incarnation
+                && about->state != member_state::Alive);
         if (contradicts) {
             m_options.self.incarnation = about->info.incarnation + 1;
             publishSelf();
@@ -431,7 +424,7 @@
 
 void membership::publishSelf()
 {
-    const member about { .info = m_options.self, .state = member_state::Alive };
+    const member about {.info = m_options.self, .state = member_state::Alive};
     m_members[m_options.self.name] = about;
     m_rumors.merge(toRumor(about));
 }
--- a/libs/gossip/src/rumor_store.cpp
+++ b/libs/gossip/src/rumor_store.cpp
@@ -31,7 +31,7 @@
 
 bool rumor_store::merge(const rumor &item)
 {
-    const entry_key key { item.topic, item.key };
+    const entry_key key {item.topic, item.key};
     const auto found = m_entries.find(key);
     if (found != m_entries.end()) {
         if (item.version <= found->second.item.version)
@@ -42,7 +42,7 @@
         m_hashes[found->second.bucket] ^= hashOf(item);
     } else {
         const std::size_t bucket = bucketOf(item.topic, item.key);
-        m_entries[key] = { .item = item, .sends = 0, .bucket = bucket };
+        m_entries[key] = {.item = item, .sends = 0, .bucket = bucket};
         m_hashes[bucket] ^= hashOf(item);
     }
     m_pending[0].push_back(key);
@@ -51,7 +51,7 @@
 
 void rumor_store::erase(std::string_view topic, std::string_view key)
 {
-    const auto found = m_entries.find({ std::string(topic), std::string(key) });
+    const auto found = m_entries.find({std::string(topic), std::string(key)});
     if (found == m_entries.end())
         return;
     m_hashes[found->second.bucket] ^= hashOf(found->second.item);
@@ -60,14 +60,14 @@
 
 const rumor *rumor_store::find(std::string_view topic, std::string_view key) const
 {
-    const auto found = m_entries.find({ std::string(topic), std::string(key) });
+    const auto found = m_entries.find({std::string(topic), std::string(key)});
     return found == m_entries.end() ? nullptr : &found->second.item;
 }
 
 std::vector<rumor> rumor_store::all(std::string_view topic) const
 {
     std::vector<rumor> found;
-    const entry_key first { std::string(topic), "" };
+    const entry_key first {std::string(topic), ""};
     for (auto it = m_entries.lower_bound(first); it != m_entries.end(); ++it) {
         if (it->first.first != topic)
             break;
--- a/libs/gossip/tests/membership_test.cpp
+++ b/libs/gossip/tests/membership_test.cpp
@@ -23,16 +23,16 @@
     void start(int index, std::uint64_t incarnation)
     {
         const std::string name = nameOf(index);
-        m_nodes[name] = std::make_unique<membership>(membership_options {
-                .self = { .name = name,
-                          .zone = "a",
-                          .region = "r",
-                          .callers = name,
-                          .peers = name,
-                          .incarnation = incarnation },
-                .seeds = { nameOf(0), nameOf(1) },
-                .randomSeed = static_cast<std::uint64_t>(index) + 1,
-                .urgentTopics = { "config" } });
+        m_nodes[name] = std::make_unique<membership>(
+            membership_options {.self = {.name = name,
+                                         .zone = "a",
+                                         .region = "r",
+                                         .callers = name,
+                                         .peers = name,
+                                         .incarnation = incarnation},
+                                .seeds = {nameOf(0), nameOf(1)},
+                                .randomSeed = static_cast<std::uint64_t>(index) + 1,
+                                .urgentTopics = {"config"}});
     }
 
     void stop(int index) { m_nodes.erase(nameOf(index)); }
@@ -49,8 +49,8 @@
     }
 
     /// Returns whether the link is up; replaced by tests that cut it.
-    std::function<bool(const std::string &, const std::string &)> link
-            = [](const std::string &, const std::string &) { return true; };
+    std::function<bool(const std::string &, const std::string &)> link =
+        [](const std::string &, const std::string &) { return true; };
     std::set<std::string> frozen;
     std::size_t messages = 0;
 
@@ -81,12 +81,12 @@
         if (!link(from, call.to) || frozen.contains(call.to))
             return; // silence: the sender times out by itself
         const std::uint64_t relayId = m_nextRelay++;
-        const std::optional<gossip_answer> answer
-                = target->second->onRequest(m_now, call.request, relayId);
+        const std::optional<gossip_answer> answer =
+            target->second->onRequest(m_now, call.request, relayId);
         if (answer)
             m_nodes[from]->onAnswer(m_now, call.id, *answer);
         else
-            m_relays[relayId] = { from, call.id };
+            m_relays[relayId] = {from, call.id};
     }
 
     void answerRelay(const std::pair<std::uint64_t, bool> &relayed)
@@ -94,7 +94,7 @@
         const std::pair<std::string, std::uint64_t> asker = m_relays[relayed.first];
         if (m_nodes.contains(asker.first))
             m_nodes[asker.first]->onAnswer(m_now, asker.second,
-                                           gossip_relayed { .reached = relayed.second });
+                                           gossip_relayed {.reached = relayed.second});
     }
 
     timestamp m_now {};
@@ -127,7 +127,7 @@
     all.run(std::chrono::seconds(15));
     all.stop(3);
     all.run(std::chrono::seconds(20));
-    for (const int i : { 0, 1, 2, 4, 5, 6, 7 })
+    for (const int i : {0, 1, 2, 4, 5, 6, 7})
         EXPECT_EQ(aliveSeenBy(all, i), 7u) << i;
     all.start(3, 2);
     all.run(std::chrono::seconds(15));
@@ -182,7 +182,7 @@
 {
     fleet all(40);
     all.run(std::chrono::seconds(40));
-    all.node(7).publish({ .topic = "config", .key = "routes", .version = 9 });
+    all.node(7).publish({.topic = "config", .key = "routes", .version = 9});
     all.run(std::chrono::seconds(1));
     for (int i = 0; i < 40; ++i)
         EXPECT_NE(all.node(i).rumors().find("config", "routes"), nullptr) << i;
--- a/libs/gossip/tests/rumor_store_test.cpp
+++ b/libs/gossip/tests/rumor_store_test.cpp
@@ -7,9 +7,9 @@
 TEST(RumorStore, OlderVersionsAreIgnored)
 {
     rumor_store store;
-    EXPECT_TRUE(store.merge({ .topic = "config", .key = "routes", .version = 5 }));
-    EXPECT_FALSE(store.merge({ .topic = "config", .key = "routes", .version = 4 }));
-    EXPECT_FALSE(store.merge({ .topic = "config", .key = "routes", .version = 5 }));
+    EXPECT_TRUE(store.merge({.topic = "config", .key = "routes", .version = 5}));
+    EXPECT_FALSE(store.merge({.topic = "config", .key = "routes", .version = 4}));
+    EXPECT_FALSE(store.merge({.topic = "config", .key = "routes", .version = 5}));
     EXPECT_EQ(store.find("config", "routes")->version, 5u);
 }
 
@@ -17,7 +17,7 @@
 {
     rumor_store store;
     for (int i = 0; i < 10; ++i)
-        store.merge({ .topic = "t", .key = std::to_string(i), .version = 1, .payload = "x" });
+        store.merge({.topic = "t", .key = std::to_string(i), .version = 1, .payload = "x"});
     const std::vector<rumor> first = store.pick(27 * 4, 2);
     ASSERT_EQ(first.size(), 4u);
     std::size_t total = first.size();
@@ -31,12 +31,12 @@
     rumor_store a;
     rumor_store b;
     for (int i = 0; i < 100; ++i) {
-        const rumor item { .topic = "t", .key = std::to_string(i), .version = 1 };
+        const rumor item {.topic = "t", .key = std::to_string(i), .version = 1};
         a.merge(item);
         b.merge(item);
     }
     EXPECT_EQ(a.hashes(), b.hashes());
-    a.merge({ .topic = "t", .key = "7", .version = 2 });
+    a.merge({.topic = "t", .key = "7", .version = 2});
     int differing = 0;
     for (std::size_t i = 0; i < rumorBuckets; ++i) {
         if (a.hashes()[i] == b.hashes()[i])
--- a/libs/platform/include/platform/object_store.h
+++ b/libs/platform/include/platform/object_store.h
@@ -61,12 +61,10 @@
     /// Writes @p value if the object's version is @p expected, 0 meaning that it must not exist.
     /// Returns the new version. Errors: conflict, unknown-outcome.
     virtual result<std::uint64_t> put(const std::string &name, const std::string &value,
-                                      std::uint64_t expected)
-            = 0;
+                                      std::uint64_t expected) = 0;
     /// Waits up to @p patience for changes under @p prefix past version @p from.
     virtual result<object_changes> watch(const std::string &prefix, std::uint64_t from,
-                                         duration patience)
-            = 0;
+                                         duration patience) = 0;
     /// Reads the lagging list of live and leaving instances.
     virtual result<std::vector<listed_instance>> instances() = 0;
 };
--- a/libs/platform/src/call_budget.cpp
+++ b/libs/platform/src/call_budget.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-call_budget::call_budget(double callsPerSecond) :
-    m_rate(callsPerSecond), m_level(callsPerSecond * burstSeconds)
+call_budget::call_budget(double callsPerSecond)
+    : m_rate(callsPerSecond), m_level(callsPerSecond * burstSeconds)
 {
     assert(callsPerSecond > 0);
 }
--- a/libs/platform/src/object_table.cpp
+++ b/libs/platform/src/object_table.cpp
@@ -29,15 +29,15 @@
     if (current != expected)
         return failure(platform_errors::conflict,
                        "object \"" + name + "\" has version " + std::to_string(current) + ", not "
-                               + std::to_string(expected));
+                           + std::to_string(expected));
     ++m_version;
-    m_objects[name] = { .name = name, .version = m_version, .value = value };
+    m_objects[name] = {.name = name, .version = m_version, .value = value};
     return m_version;
 }
 
 object_changes object_table::changesSince(std::string_view prefix, std::uint64_t from) const
 {
-    object_changes changes { .changed = {}, .upTo = m_version };
+    object_changes changes {.changed = {}, .upTo = m_version};
     for (const object &each : list(prefix)) {
         if (each.version > from)
             changes.changed.push_back(each);
--- a/libs/platform/tests/object_table_test.cpp
+++ b/libs/platform/tests/object_table_test.cpp
@@ -32,7 +32,7 @@
 TEST(CallBudget, RefusesPastTheRate)
 {
     call_budget budget(10);
-    const timestamp start { std::chrono::seconds(100) };
+    const timestamp start {std::chrono::seconds(100)};
     int allowed = 0;
     for (int i = 0; i < 100; ++i)
         allowed += budget.take(start) ? 1 : 0;
--- a/libs/rpc/src/rpc.cpp
+++ b/libs/rpc/src/rpc.cpp
@@ -48,9 +48,9 @@
                                    public jsonrpc::AbstractServer<rpc_server::implementation>
 {
 public:
-    explicit implementation(rpc_handler handler) :
-        jsonrpc::AbstractServer<implementation>(static_cast<text_connector &>(*this)),
-        m_handler(std::move(handler))
+    explicit implementation(rpc_handler handler)
+        : jsonrpc::AbstractServer<implementation>(static_cast<text_connector &>(*this)),
+          m_handler(std::move(handler))
     {
         const jsonrpc::Procedure procedure(methodName, jsonrpc::PARAMS_BY_NAME,
                                            jsonrpc::JSON_OBJECT, parameterName,
@@ -74,10 +74,9 @@
     rpc_handler m_handler;
 };
 
-rpc_server::rpc_server(rpc_handler handler) :
-    m_implementation(new implementation(std::move(handler)))
-{
-}
+rpc_server::rpc_server(rpc_handler handler)
+    : m_implementation(new implementation(std::move(handler)))
+{ }
 
 rpc_server::~rpc_server() = default;
 
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -22,7 +22,7 @@
 
 namespace logging = boost::log;
 
-constexpr std::array<const char *, 4> levelNames { "debug", "info", "warning", "error" };
+constexpr std::array<const char *, 4> levelNames {"debug", "info", "warning", "error"};
 
 /// What startLog() was given; written before other threads start.
 struct log_state
@@ -67,9 +67,9 @@
 
 void startLog(const log_options &options)
 {
-    state() = { .least = options.least,
-                .asJson = options.asJson,
-                .instance = std::string(options.instance) };
+    state() = {.least = options.least,
+               .asJson = options.asJson,
+               .instance = std::string(options.instance)};
     using backend = logging::sinks::text_ostream_backend;
     const boost::shared_ptr<backend> stream = boost::make_shared<backend>();
     stream->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
@@ -94,9 +94,8 @@
     if (level < state().least)
         return;
     thread_local logging::sources::severity_logger<log_level> logger;
-    BOOST_LOG_SEV(logger, level)
-            << (state().asJson ? formatJson(level, part, sentence)
-                               : formatText(level, part, sentence));
+    BOOST_LOG_SEV(logger, level) << (state().asJson ? formatJson(level, part, sentence)
+                                                    : formatText(level, part, sentence));
 }
 
 } // namespace trefoil
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -15,7 +15,7 @@
 
 namespace acc = boost::accumulators;
 
-constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
+constexpr std::array<double, 3> quantiles {0.5, 0.95, 0.99};
 
 std::string braced(std::string_view labels)
 {
@@ -33,7 +33,7 @@
 Metric &findOrCreate(std::map<std::pair<std::string, std::string>, std::unique_ptr<Metric>> &all,
                      std::string_view name, std::string_view labels)
 {
-    std::unique_ptr<Metric> &slot = all[{ std::string(name), std::string(labels) }];
+    std::unique_ptr<Metric> &slot = all[{std::string(name), std::string(labels)}];
     if (!slot)
         slot = std::make_unique<Metric>();
     return *slot;
@@ -59,11 +59,10 @@
 /// The Boost accumulator, hidden so that users of the header don't compile it.
 struct timing::accumulator
 {
-    using set = acc::accumulator_set<
-            double,
-            acc::stats<acc::tag::count, acc::tag::sum,
-                       acc::tag::extended_p_square_quantile(acc::linear)>>;
-    set values { acc::tag::extended_p_square::probabilities = quantiles };
+    using set = acc::accumulator_set<double,
+                                     acc::stats<acc::tag::count, acc::tag::sum,
+                                                acc::tag::extended_p_square_quantile(acc::linear)>>;
+    set values {acc::tag::extended_p_square::probabilities = quantiles};
 };
 
 timing::timing() : m_accumulator(std::make_unique<accumulator>()) { }
@@ -85,10 +84,10 @@
     constexpr std::size_t leastForQuantiles = 8;
     if (count >= leastForQuantiles) {
         for (const double quantile : quantiles) {
-            const double value = acc::quantile(m_accumulator->values,
-                                               acc::quantile_probability = quantile);
+            const double value =
+                acc::quantile(m_accumulator->values, acc::quantile_probability = quantile);
             text += base + "{" + std::string(labels) + separator + "quantile=\"" + number(quantile)
-                    + "\"} " + number(value) + "\n";
+                + "\"} " + number(value) + "\n";
         }
     }
     text += base + "_sum" + braced(labels) + " " + number(acc::sum(m_accumulator->values)) + "\n";
--- a/libs/telemetry/src/span.cpp
+++ b/libs/telemetry/src/span.cpp
@@ -21,7 +21,7 @@
 std::uint64_t randomBits()
 {
     // Seeded from the system: identifiers of traces decide nothing, so they need no fixed seed.
-    thread_local std::mt19937_64 generator { std::random_device {}() };
+    thread_local std::mt19937_64 generator {std::random_device {}()};
     std::uint64_t bits = 0;
     while (bits == 0)
         bits = generator();
@@ -83,12 +83,12 @@
 std::string toTraceparent(const trace_context &context)
 {
     return "00-" + toHex(context.traceId) + "-" + hex64(context.spanId)
-            + (context.sampled ? "-01" : "-00");
+        + (context.sampled ? "-01" : "-00");
 }
 
 trace_context newTrace()
 {
-    return { .traceId = { .high = randomBits(), .low = randomBits() }, .spanId = randomBits() };
+    return {.traceId = {.high = randomBits(), .low = randomBits()}, .spanId = randomBits()};
 }
 
 trace_context childOf(const trace_context &parent)
@@ -107,7 +107,7 @@
     Json::Value resource(Json::objectValue);
     resource["resource"]["attributes"].append(attribute("service.name", "trefoilrouter"));
     resource["resource"]["attributes"].append(
-            attribute("service.instance.id", std::string(instance)));
+        attribute("service.instance.id", std::string(instance)));
     resource["scopeSpans"].append(scope);
     Json::Value request(Json::objectValue);
     request["resourceSpans"].append(resource);
--- a/libs/telemetry/tests/span_test.cpp
+++ b/libs/telemetry/tests/span_test.cpp
@@ -16,11 +16,11 @@
 
 TEST(Span, OtlpCarriesParentAndAttributes)
 {
-    const trace_context context { .traceId = { .high = 1, .low = 2 }, .spanId = 3 };
-    const std::string json = toOtlpJson({ { .context = context,
-                                            .parentSpanId = 4,
-                                            .name = "attempt",
-                                            .attributes = { { "server", "w1" } } } },
+    const trace_context context {.traceId = {.high = 1, .low = 2}, .spanId = 3};
+    const std::string json = toOtlpJson({{.context = context,
+                                          .parentSpanId = 4,
+                                          .name = "attempt",
+                                          .attributes = {{"server", "w1"}}}},
                                         "entry-1");
     EXPECT_NE(json.find("\"parentSpanId\":\"0000000000000004\""), std::string::npos);
     EXPECT_NE(json.find("{\"key\":\"server\",\"value\":{\"stringValue\":\"w1\"}}"),
