--- a/libs/lease/include/lease/lease_keeper.h
+++ b/libs/lease/include/lease/lease_keeper.h
@@ -116,6 +116,18 @@
     int successors = 2;
 };
 
+/// Answers who holds a right: what users of rights depend on, whatever way they are kept.
+class right_holder
+{
+public:
+    virtual ~right_holder() = default;
+
+    /// Returns whether this instance may act on the right of @p key at @p now.
+    virtual bool holds(timestamp now, std::string_view key) const = 0;
+    /// Returns the record known of @p key, or nothing.
+    virtual std::optional<lease_record> record(std::string_view key) const = 0;
+};
+
 /// Keeps a set of rights on one instance: a pure state machine.
 ///
 ///     lease_keeper keeper({ .self = "entry-1", .zone = "a", .keys = { "limits/0" } }, now);
@@ -126,7 +138,7 @@
 ///         act();
 ///
 /// holds() must be asked after any work that may block, directly before the act. Not thread-safe.
-class lease_keeper
+class lease_keeper : public right_holder
 {
 public:
     /// Precondition: names of keys differ. @p now is the start of the process: for the length of a
@@ -164,10 +176,10 @@
     /// @name Asking
     /// @{
 
-    /// Returns whether this instance may act on the right at @p now.
-    bool holds(timestamp now, std::string_view key) const;
-    /// Returns the record known of @p key, or nothing.
-    std::optional<lease_record> record(std::string_view key) const;
+    /// See right_holder::holds().
+    bool holds(timestamp now, std::string_view key) const override;
+    /// See right_holder::record().
+    std::optional<lease_record> record(std::string_view key) const override;
     /// Returns whether no right of this instance is left or on its way to a successor.
     bool released() const;
 
