--- /dev/null
+++ b/libs/routing/tests/placement_test.cpp
@@ -0,0 +1,91 @@
+#include <routing/placement.h>
+
+#include <gtest/gtest.h>
+
+namespace trefoil {
+
+namespace {
+
+prefix_chain chainOf(const std::string &text)
+{
+    prefix_chain_builder builder("reef", "m");
+    builder.add(text);
+    return builder.finish();
+}
+
+std::vector<placement_server> threeServers()
+{
+    return {{.name = "w1", .zone = "a", .version = "v1"},
+            {.name = "w2", .zone = "b", .version = "v1"},
+            {.name = "w3", .zone = "c", .version = "v2"}};
+}
+
+const timestamp now {std::chrono::seconds(100)};
+
+} // namespace
+
+TEST(Placement, ReturnsToTheServerThatHoldsThePrefix)
+{
+    placement pool({.randomSeed = 1});
+    pool.setServers(threeServers());
+    const prefix_chain chain = chainOf(std::string(64000, 'a'));
+    const std::string first = pool.choose(now, {.chain = &chain})->server;
+    pool.noteSent(now, first, chain, 0);
+    pool.noteFirstToken(now, first, chain, 0, 0);
+    const std::optional<placement_choice> again =
+        pool.choose(now + std::chrono::seconds(1), {.chain = &chain});
+    EXPECT_EQ(again->server, first);
+    EXPECT_EQ(again->believedBlocks, 4u);
+}
+
+TEST(Placement, LeavesAHolderWhoseQueueCostsMoreThanComputingAnew)
+{
+    placement pool({.randomSeed = 1});
+    pool.setServers(threeServers());
+    const prefix_chain chain = chainOf(std::string(64000, 'a'));
+    const std::string first = pool.choose(now, {.chain = &chain})->server;
+    pool.noteSent(now, first, chain, 0);
+    pool.noteFirstToken(now, first, chain, 0, 0);
+    pool.noteLoad(now, first, {.incarnation = 0, .queuedTokens = 100000});
+    EXPECT_NE(pool.choose(now, {.chain = &chain})->server, first);
+}
+
+TEST(Placement, NeverPicksALeavingExcludedOrOtherVersionsServer)
+{
+    placement pool({.randomSeed = 1});
+    std::vector<placement_server> servers = threeServers();
+    servers[0].leaving = true;
+    pool.setServers(servers);
+    const prefix_chain chain = chainOf("short");
+    for (int i = 0; i < 50; ++i)
+        EXPECT_NE(pool.choose(now, {.chain = &chain})->server, "w1");
+    EXPECT_EQ(pool.choose(now, {.chain = &chain, .excluded = {"w2"}})->server, "w3");
+    EXPECT_EQ(pool.choose(now, {.chain = &chain, .version = "v1"})->server, "w2");
+    EXPECT_FALSE(
+        pool.choose(now, {.chain = &chain, .excluded = {"w2"}, .version = "v1"}).has_value());
+}
+
+TEST(Placement, AServerMarkedDownIsTheLastChoice)
+{
+    placement pool({.randomSeed = 1});
+    pool.setServers(threeServers());
+    pool.setDown("w1", now + std::chrono::seconds(5));
+    pool.setDown("w2", now + std::chrono::seconds(5));
+    const prefix_chain chain = chainOf("short");
+    EXPECT_EQ(pool.choose(now, {.chain = &chain})->server, "w3");
+    EXPECT_TRUE(pool.choose(now, {.chain = &chain, .excluded = {"w3"}}).has_value());
+}
+
+TEST(Placement, ANewIncarnationHoldsNothing)
+{
+    placement pool({.randomSeed = 1});
+    pool.setServers({{.name = "w1", .zone = "a", .version = "v1"}});
+    const prefix_chain chain = chainOf(std::string(64000, 'a'));
+    pool.noteLoad(now, "w1", {.incarnation = 1});
+    pool.noteSent(now, "w1", chain, 0);
+    EXPECT_EQ(pool.choose(now, {.chain = &chain})->believedBlocks, 4u);
+    pool.noteLoad(now, "w1", {.incarnation = 2});
+    EXPECT_EQ(pool.choose(now, {.chain = &chain})->believedBlocks, 0u);
+}
+
+} // namespace trefoil
