--- /dev/null
+++ b/libs/delivery/src/claim.cpp
@@ -0,0 +1,94 @@
+#include <delivery/claim.h>
+
+#include <core/digest.h>
+#include <core/json.h>
+
+namespace trefoil {
+
+namespace {
+
+/// Reads of a claim whose creation has an unknown outcome.
+constexpr int maxReads = 3;
+
+// The platform's error codes, repeated here because this library does not depend on its client.
+constexpr const char *conflictCode = "conflict";
+constexpr const char *unknownCode = "unknown-outcome";
+
+} // namespace
+
+std::string toText(const claim_record &record)
+{
+    Json::Value value(Json::objectValue);
+    value["claimant"] = record.claimant;
+    value["body"] = record.body;
+    if (record.answered) {
+        value["status"] = record.status;
+        value["content_type"] = record.contentType;
+        value["answer"] = record.answer;
+    }
+    return writeJson(value);
+}
+
+std::optional<claim_record> claimFromText(std::string_view text)
+{
+    const result<Json::Value> value = parseJson(text, "a claim");
+    if (!value || !value->isObject() || textOr(*value, "claimant").empty())
+        return std::nullopt;
+    claim_record record;
+    record.claimant = textOr(*value, "claimant");
+    record.body = textOr(*value, "body");
+    record.answered = (*value)["status"].isInt();
+    record.status = record.answered ? (*value)["status"].asInt() : 0;
+    record.contentType = textOr(*value, "content_type");
+    record.answer = textOr(*value, "answer");
+    return record;
+}
+
+std::string claimName(std::string_view team, std::string_view key)
+{
+    return "claims/" + std::string(team) + "/" + toHex(digestOf(key, digestOf(team)));
+}
+
+claim::claim(std::string claimant, std::string body)
+{
+    m_own.claimant = std::move(claimant);
+    m_own.body = std::move(body);
+}
+
+std::string claim::text() const { return toText(m_own); }
+
+void claim::onCreated(const result<std::uint64_t> &outcome)
+{
+    if (outcome)
+        m_step = claim_step::Send;
+    else if (outcome.error().code == conflictCode || outcome.error().code == unknownCode)
+        m_step = claim_step::Read;
+    else
+        m_step = claim_step::RefuseNotRun;
+}
+
+void claim::onRead(const result<std::string> &outcome)
+{
+    if (!outcome) {
+        // Not found, or no answer: the creation may still take effect. Nothing was sent.
+        ++m_reads;
+        m_step = m_reads < maxReads ? claim_step::Read : claim_step::RefuseNotRun;
+        return;
+    }
+    const std::optional<claim_record> found = claimFromText(*outcome);
+    if (!found) {
+        m_step = claim_step::RefuseUnknown;
+        return;
+    }
+    if (found->claimant == m_own.claimant)
+        m_step = claim_step::Send; // our creation took effect, only its answer was lost
+    else if (found->body != m_own.body)
+        m_step = claim_step::RefuseMismatch;
+    else if (found->answered)
+        m_step = claim_step::Replay;
+    else
+        m_step = claim_step::RefuseUnknown;
+    m_recorded = *found;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/libs/delivery/tests/stream_assembler_test.cpp
@@ -0,0 +1,94 @@
+#include <delivery/stream_assembler.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace trefoil {
+
+namespace {
+
+server_event token(std::string_view id) { return {.id = id, .data = "{}"}; }
+
+const server_event endMarker {.id = "", .data = streamEnd};
+
+} // namespace
+
+TEST(EventParser, JoinsPiecesAndLines)
+{
+    event_parser parser;
+    std::vector<std::string> seen;
+    const auto collect = [&](const server_event &event) {
+        seen.push_back(std::string(event.id) + "=" + std::string(event.data));
+    };
+    EXPECT_TRUE(parser.feed("id: 0\r\nda", collect));
+    EXPECT_TRUE(parser.feed("ta: a\n\n: comment\ndata: b\ndata: c\n\n", collect));
+    EXPECT_EQ(seen, (std::vector<std::string> {"0=a", "=b\nc"}));
+    EXPECT_FALSE(parser.feed(std::string(event_parser::maxLineBytes + 1, 'x'), collect));
+}
+
+TEST(StreamAssembler, ResumesWithoutLossOrRepetition)
+{
+    stream_assembler stream;
+    const std::uint64_t first = stream.begin();
+    EXPECT_EQ(stream.take(first, token("0")), stream_step::Deliver);
+    EXPECT_EQ(stream.take(first, token("1")), stream_step::Deliver);
+    const std::uint64_t second = stream.begin();
+    EXPECT_EQ(stream.next(), 2u);
+    EXPECT_EQ(stream.take(first, token("2")), stream_step::Stale);
+    EXPECT_EQ(stream.take(second, token("1")), stream_step::Repeated);
+    EXPECT_EQ(stream.take(second, token("2")), stream_step::Deliver);
+    EXPECT_EQ(stream.take(second, endMarker), stream_step::Complete);
+    EXPECT_EQ(stream.take(second, endMarker), stream_step::Stale);
+}
+
+TEST(StreamAssembler, NoticesGapsAndEmptyAnswers)
+{
+    stream_assembler stream;
+    std::uint64_t attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, endMarker), stream_step::Empty);
+    attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("1")), stream_step::Gap);
+    EXPECT_EQ(stream.take(attempt, token("x")), stream_step::Gap);
+    EXPECT_FALSE(stream.isComplete());
+}
+
+TEST(StreamAssembler, CountsEventsWithoutNumbers)
+{
+    stream_assembler stream;
+    std::uint64_t attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("")), stream_step::Deliver);
+    attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("")), stream_step::Deliver);
+    EXPECT_EQ(stream.next(), 2u);
+}
+
+/// Whatever is cut, repeated, crossed or late, the caller sees 0, 1, 2, ... once each.
+TEST(StreamAssembler, AnyMixOfAttemptsGivesOneOrderedStream)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        std::mt19937_64 random(seed);
+        stream_assembler stream;
+        std::vector<std::uint64_t> attempts {stream.begin()};
+        std::uint64_t delivered = 0;
+        std::uint64_t source = 0;
+        for (int step = 0; step < 500 && !stream.isComplete(); ++step) {
+            const std::uint64_t attempt = attempts[random() % attempts.size()];
+            const std::uint64_t number = random() % 4 == 0 ? random() % (source + 3) : source;
+            const std::string id = std::to_string(number);
+            const stream_step taken = stream.take(attempt, token(id));
+            if (taken == stream_step::Deliver) {
+                ASSERT_EQ(number, delivered) << "seed " << seed;
+                ++delivered;
+            }
+            source = stream.next();
+            if (taken == stream_step::Gap || random() % 20 == 0)
+                attempts.push_back(stream.begin());
+        }
+        EXPECT_EQ(delivered, stream.next());
+    }
+}
+
+} // namespace trefoil
