--- /dev/null
+++ b/libs/control/src/configuration_store.cpp
@@ -0,0 +1,134 @@
+#include <control/configuration_store.h>
+
+#include <algorithm>
+
+#include <Poco/DigestEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <core/json.h>
+
+namespace trefoil {
+
+std::string keyDigest(std::string_view key)
+{
+    Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+    engine.update(key.data(), key.size());
+    return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+std::string keyObjectName(std::string_view digest)
+{
+    return config_names::keysPrefix + std::string(digest.substr(0, 1));
+}
+
+std::string keysToText(const std::vector<key_entry> &keys)
+{
+    Json::Value list(Json::arrayValue);
+    for (const key_entry &each : keys) {
+        Json::Value entry(Json::objectValue);
+        entry["digest"] = each.digest;
+        entry["team"] = each.team;
+        entry["name"] = each.name;
+        list.append(std::move(entry));
+    }
+    return writeJson(list);
+}
+
+result<std::vector<key_entry>> keysFromText(std::string_view text)
+{
+    const result<Json::Value> list = parseJson(text, "a key object");
+    if (!list)
+        return tl::unexpected(list.error());
+    if (!list->isArray())
+        return failure("bad-keys", "a key object must be a list");
+    std::vector<key_entry> keys;
+    for (const Json::Value &entry : *list) {
+        const key_entry each {.digest = textOr(entry, "digest"),
+                              .team = textOr(entry, "team"),
+                              .name = textOr(entry, "name")};
+        if (each.digest.size() != 64 || each.team.empty())
+            return failure("bad-keys", "a key entry needs a SHA-256 digest and a team");
+        keys.push_back(each);
+    }
+    return keys;
+}
+
+configuration_store::configuration_store()
+    : m_view(std::make_shared<const configuration_view>()) { }
+
+bool configuration_store::take(const object &item)
+{
+    if (item.version <= versionOf(item.name))
+        return false;
+    m_objects[item.name] = item;
+    findings &faults = m_faults[item.name];
+    faults.clear();
+    bool sound = false;
+    if (item.name == config_names::routes) {
+        tl::expected<route_table, findings> read = readRoutes(item.value, item.name);
+        sound = read.has_value();
+        if (sound) {
+            m_routes = std::move(*read);
+            m_routesVersion = item.version;
+        } else {
+            faults = read.error();
+        }
+    } else if (item.name == config_names::pools) {
+        tl::expected<pool_table, findings> read = readPools(item.value, item.name);
+        sound = read.has_value();
+        if (sound) {
+            m_pools = std::move(*read);
+            m_poolsVersion = item.version;
+        } else {
+            faults = read.error();
+        }
+    } else if (item.name.starts_with(config_names::keysPrefix)) {
+        result<std::vector<key_entry>> read = keysFromText(item.value);
+        sound = read.has_value();
+        if (sound)
+            m_keys[item.name] = std::move(*read);
+        else
+            faults.push_back({.file = item.name, .message = read.error().message});
+    }
+    rebuild();
+    return sound;
+}
+
+const object *configuration_store::find(std::string_view name) const
+{
+    const auto found = m_objects.find(name);
+    return found == m_objects.end() ? nullptr : &found->second;
+}
+
+std::uint64_t configuration_store::versionOf(std::string_view name) const
+{
+    const object *item = find(name);
+    return item ? item->version : 0;
+}
+
+void configuration_store::rebuild()
+{
+    configuration_view next;
+    if (m_routes)
+        next.routes = *m_routes;
+    if (m_pools)
+        next.pools = *m_pools;
+    next.routesVersion = m_routesVersion;
+    next.poolsVersion = m_poolsVersion;
+    for (auto it = m_keys.begin(); it != m_keys.end(); ++it) {
+        for (const key_entry &each : it->second)
+            next.keys[each.digest] = each;
+        next.keysVersion = std::max(next.keysVersion, versionOf(it->first));
+    }
+    m_refused.clear();
+    for (auto it = m_faults.begin(); it != m_faults.end(); ++it)
+        m_refused.insert(m_refused.end(), it->second.begin(), it->second.end());
+    // The tables arrive one by one, so a name that does not join yet is reported, and the requests
+    // that need it are refused, but neither table waits for the other.
+    if (m_routes && m_pools) {
+        const findings dangling = checkJoin(*m_routes, *m_pools, config_names::routes);
+        m_refused.insert(m_refused.end(), dangling.begin(), dangling.end());
+    }
+    m_view = std::make_shared<const configuration_view>(std::move(next));
+}
+
+} // namespace trefoil
