--- /dev/null
+++ b/trefoilrouter/src/backend_client.cpp
@@ -0,0 +1,244 @@
+#include "backend_client.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <core/json.h>
+
+namespace trefoil {
+
+namespace {
+
+constexpr duration connectTimeout = std::chrono::seconds(1);
+
+/// How long a new connection is tried to tell a crashed server from a cut connection.
+constexpr duration probeTimeout = std::chrono::milliseconds(200);
+
+/// Between two looks at whether the caller is still there.
+constexpr duration callerCheckPeriod = std::chrono::milliseconds(100);
+
+constexpr duration stateTimeout = std::chrono::milliseconds(800);
+constexpr duration orderTimeout = std::chrono::seconds(2);
+constexpr duration cancelTimeout = std::chrono::milliseconds(500);
+
+constexpr std::size_t maxIdleSessions = 32;
+
+bool refusesConnections(const endpoint &place)
+{
+    try {
+        Poco::Net::StreamSocket probe;
+        probe.connect(Poco::Net::SocketAddress(place.host, place.port), toTimespan(probeTimeout));
+        return false;
+    } catch (const Poco::Net::ConnectionRefusedException &) {
+        return true;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+std::vector<digest128> digestsOf(const Json::Value &list)
+{
+    std::vector<digest128> digests;
+    if (!list.isArray())
+        return digests;
+    for (const Json::Value &item : list) {
+        digest128 digest;
+        if (item.isString() && fromHex(item.asString(), digest))
+            digests.push_back(digest);
+    }
+    return digests;
+}
+
+std::vector<std::pair<std::string, std::string>> authorization(const std::string &credential)
+{
+    if (credential.empty())
+        return {};
+    return { { "Authorization", "Bearer " + credential } };
+}
+
+} // namespace
+
+backend_exchange::backend_exchange(backend_client &client, endpoint place, session_ptr session) :
+    m_client(client), m_place(std::move(place)), m_session(std::move(session))
+{
+}
+
+backend_exchange::~backend_exchange()
+{
+    if (m_finished && m_response.getKeepAlive())
+        m_client.keep(m_place, std::move(m_session));
+}
+
+tl::unexpected<error> backend_exchange::brokenBy(const std::string &message) const
+{
+    const bool isCrash = refusesConnections(m_place);
+    return failure(isCrash ? backend_errors::crashed : backend_errors::cut, message);
+}
+
+result<void> backend_exchange::start(const backend_request &request)
+{
+    bool connected = m_session->connected();
+    try {
+        Poco::Net::HTTPRequest head(request.method, request.path,
+                                    Poco::Net::HTTPMessage::HTTP_1_1);
+        head.setKeepAlive(true);
+        std::size_t size = 0;
+        for (const std::string_view piece : request.body)
+            size += piece.size();
+        head.setContentType(request.contentType);
+        head.setContentLength64(static_cast<Poco::Int64>(size));
+        for (const std::pair<std::string, std::string> &header : request.headers)
+            head.set(header.first, header.second);
+        std::ostream &out = m_session->sendRequest(head);
+        connected = true;
+        for (const std::string_view piece : request.body)
+            out.write(piece.data(), static_cast<std::streamsize>(piece.size()));
+        out.flush();
+        const timestamp deadline = boot_clock::now() + request.timeout;
+        while (!m_session->socket().poll(toTimespan(callerCheckPeriod),
+                                         Poco::Net::Socket::SELECT_READ)) {
+            if (request.callerIsGone && request.callerIsGone())
+                return failure(backend_errors::callerGone, "the caller went away");
+            if (boot_clock::now() >= deadline)
+                return failure(backend_errors::timeout, "no answer came in time");
+        }
+        m_body = &m_session->receiveResponse(m_response);
+        return {};
+    } catch (const Poco::TimeoutException &problem) {
+        return failure(connected ? backend_errors::timeout : backend_errors::notSent,
+                       problem.displayText());
+    } catch (const Poco::Exception &problem) {
+        if (!connected)
+            return failure(backend_errors::notSent, problem.displayText());
+        return brokenBy(problem.displayText());
+    }
+}
+
+result<std::size_t> backend_exchange::read(std::span<char> room)
+{
+    try {
+        // One byte waits for data; the rest is what has come with it.
+        const int first = m_body->get();
+        if (first == std::char_traits<char>::eof()) {
+            const bool isWhole = m_session->networkException() == nullptr;
+            return isWhole ? result<std::size_t>(0) : brokenBy("the connection broke");
+        }
+        room[0] = static_cast<char>(first);
+        const std::streamsize more
+                = m_body->readsome(room.data() + 1, static_cast<std::streamsize>(room.size() - 1));
+        return 1 + static_cast<std::size_t>(std::max<std::streamsize>(more, 0));
+    } catch (const Poco::TimeoutException &problem) {
+        return failure(backend_errors::timeout, problem.displayText());
+    } catch (const Poco::Exception &problem) {
+        return brokenBy(problem.displayText());
+    }
+}
+
+backend_client::session_ptr backend_client::takeIdle(const endpoint &place)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<session_ptr> &idle = m_idle[toString(place)];
+    while (!idle.empty()) {
+        session_ptr session = std::move(idle.back());
+        idle.pop_back();
+        // An idle connection that has something to read was closed by the server.
+        const bool isUsable = session->connected()
+                && !session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+        if (isUsable)
+            return session;
+    }
+    return nullptr;
+}
+
+void backend_client::keep(const endpoint &place, session_ptr session)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<session_ptr> &idle = m_idle[toString(place)];
+    if (idle.size() < maxIdleSessions)
+        idle.push_back(std::move(session));
+}
+
+std::unique_ptr<backend_exchange> backend_client::open(const endpoint &place, bool mayReuse,
+                                                       duration timeout)
+{
+    session_ptr session = mayReuse ? takeIdle(place) : nullptr;
+    if (!session) {
+        session = std::make_unique<Poco::Net::HTTPClientSession>(place.host, place.port);
+        session->setKeepAlive(true);
+    }
+    session->setTimeout(toTimespan(connectTimeout), toTimespan(timeout), toTimespan(timeout));
+    return std::make_unique<backend_exchange>(*this, place, std::move(session));
+}
+
+result<server_state_report> backend_client::readState(const server_poll &poll)
+{
+    session_ptr session = takeIdle(poll.address);
+    if (!session) {
+        session = std::make_unique<Poco::Net::HTTPClientSession>(poll.address.host,
+                                                                 poll.address.port);
+        session->setKeepAlive(true);
+    }
+    session->setTimeout(toTimespan(stateTimeout), toTimespan(stateTimeout),
+                        toTimespan(stateTimeout));
+    const result<http_answer> answer = httpCall(
+            *session, { .path = "/state?from=" + std::to_string(poll.fromSequence),
+                        .headers = authorization(poll.credential) });
+    if (!answer)
+        return tl::unexpected(answer.error());
+    keep(poll.address, std::move(session));
+    const result<Json::Value> value = parseJson(answer->body, "an engine's state");
+    if (!value || !value->isObject())
+        return failure("bad-state", "engine \"" + poll.server + "\" sent a malformed state");
+    server_state_report report;
+    report.version = textOr(*value, "version");
+    report.load = { .incarnation = integerOr(*value, "incarnation"),
+                    .running = static_cast<int>(integerOr(*value, "running")),
+                    .queued = static_cast<int>(integerOr(*value, "queued")),
+                    .queuedTokens = numberOr(*value, "queued_tokens"),
+                    .prefillRate = numberOr(*value, "prefill_rate") };
+    report.nextSequence = integerOr(*value, "next_sequence");
+    for (const Json::Value &entry : (*value)["events"])
+        report.events.push_back({ .sequence = integerOr(entry, "sequence"),
+                                  .stored = digestsOf(entry["stored"]),
+                                  .evicted = digestsOf(entry["evicted"]) });
+    return report;
+}
+
+result<void> backend_client::orderLoad(const server_order &order)
+{
+    Json::Value body(Json::objectValue);
+    body["version"] = order.order.version;
+    body["epoch"] = Json::UInt64(order.order.epoch);
+    const result<http_answer> answer = httpCallOnce(order.address,
+                                                    { .method = "POST",
+                                                      .path = "/orders/load",
+                                                      .body = writeJson(body),
+                                                      .headers = authorization(order.credential) },
+                                                    orderTimeout);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    constexpr int conflict = 409;
+    if (answer->status == conflict)
+        return failure("stale-epoch", "backend server \"" + order.order.worker
+                                              + "\" refused an old fencing number");
+    if (answer->status >= 300)
+        return failure("refused", "backend server \"" + order.order.worker
+                                          + "\" refused an order with status "
+                                          + std::to_string(answer->status));
+    return {};
+}
+
+void backend_client::cancel(const endpoint &place, const std::string &credential,
+                            const std::string &attempt)
+{
+    Json::Value body(Json::objectValue);
+    body["attempt"] = attempt;
+    static_cast<void>(httpCallOnce(place,
+                                   { .method = "POST",
+                                     .path = "/cancel",
+                                     .body = writeJson(body),
+                                     .headers = authorization(credential) },
+                                   cancelTimeout));
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/chat_request.cpp
@@ -0,0 +1,142 @@
+#include "chat_request.h"
+
+#include <simdjson.h>
+
+#include <core/json.h>
+
+namespace trefoil {
+
+namespace {
+
+namespace ondemand = simdjson::ondemand;
+
+static_assert(requestPadding >= simdjson::SIMDJSON_PADDING);
+
+/// Returns @p token without the white space that may follow it.
+std::string_view trimmed(std::string_view token)
+{
+    const std::size_t end = token.find_last_not_of(" \t\r\n");
+    return token.substr(0, end == std::string_view::npos ? 0 : end + 1);
+}
+
+/// Adds the text of a message's content: a string, or a list of parts with text.
+void addContent(ondemand::value content, chat_request &request)
+{
+    const ondemand::json_type type = content.type();
+    if (type == ondemand::json_type::string) {
+        request.prompt.push_back(trimmed(content.raw_json_token()));
+        return;
+    }
+    if (type != ondemand::json_type::array)
+        return;
+    for (ondemand::value part : content.get_array()) {
+        if (part.type() != ondemand::json_type::object)
+            continue;
+        for (ondemand::field field : part.get_object()) {
+            const std::string_view key = field.unescaped_key();
+            ondemand::value value = field.value();
+            if (key == "text" && value.type() == ondemand::json_type::string)
+                request.prompt.push_back(trimmed(value.raw_json_token()));
+        }
+    }
+}
+
+void addMessages(ondemand::value messages, chat_request &request)
+{
+    for (ondemand::value message : messages.get_array()) {
+        for (ondemand::field field : message.get_object()) {
+            const std::string_view key = field.unescaped_key();
+            ondemand::value value = field.value();
+            if (key == "content")
+                addContent(value, request);
+            else if (key == "role")
+                request.prompt.push_back(trimmed(value.raw_json_token()));
+        }
+    }
+}
+
+void takeField(std::string_view key, ondemand::value value, chat_request &request)
+{
+    if (key == "model") {
+        request.modelToken = trimmed(value.raw_json_token());
+        request.model = std::string(std::string_view(value.get_string()));
+    } else if (key == "stream") {
+        request.stream = bool(value.get_bool());
+    } else if (key == "max_tokens" || key == "max_completion_tokens") {
+        if (value.type() == ondemand::json_type::number)
+            request.maxTokens = std::int64_t(value.get_int64());
+    } else if (key == "messages") {
+        addMessages(value, request);
+    } else if (key == "prompt") {
+        addContent(value, request);
+    }
+}
+
+} // namespace
+
+result<chat_request> readChatRequest(const std::string &body)
+{
+    chat_request request;
+    thread_local ondemand::parser parser;
+    try {
+        ondemand::document document
+                = parser.iterate(body.data(), body.size(), body.size() + requestPadding);
+        for (ondemand::field field : document.get_object()) {
+            const std::string_view key = field.unescaped_key();
+            takeField(key, field.value(), request);
+        }
+        // Past the end of the document there is no location.
+        if (document.current_location().error() != simdjson::OUT_OF_BOUNDS)
+            return failure("bad-json", "the body has something behind its JSON object");
+    } catch (const simdjson::simdjson_error &problem) {
+        return failure("bad-json", std::string("the body can't be read: ") + problem.what());
+    }
+    if (request.model.empty())
+        return failure("bad-request", "field \"model\" is missing");
+    if (request.prompt.empty())
+        return failure("bad-request", "field \"messages\" or \"prompt\" is missing");
+    if (request.maxTokens < 0)
+        return failure("bad-request", "field \"max_tokens\" must not be negative");
+    return request;
+}
+
+std::size_t body_pieces::size() const
+{
+    std::size_t sum = 0;
+    for (const std::string_view piece : pieces)
+        sum += piece.size();
+    return sum;
+}
+
+void makeBackendBody(const std::string &body, const chat_request &request, std::string_view model,
+                     std::int64_t maxTokens, body_pieces &pieces)
+{
+    pieces.pieces.clear();
+    std::string_view rest(body);
+    if (request.maxTokens == 0) {
+        const std::size_t brace = rest.find('{');
+        pieces.limit = "\"max_tokens\":" + std::to_string(maxTokens) + ",";
+        pieces.pieces.push_back(rest.substr(0, brace + 1));
+        pieces.pieces.push_back(pieces.limit);
+        rest.remove_prefix(brace + 1);
+    }
+    if (!model.empty() && model != request.model) {
+        pieces.model = writeJson(Json::Value(std::string(model)));
+        const std::size_t at
+                = static_cast<std::size_t>(request.modelToken.data() - rest.data());
+        pieces.pieces.push_back(rest.substr(0, at));
+        pieces.pieces.push_back(pieces.model);
+        rest.remove_prefix(at + request.modelToken.size());
+    }
+    pieces.pieces.push_back(rest);
+}
+
+prefix_chain chainOf(const chat_request &request, std::string_view team)
+{
+    prefix_chain_builder builder(team, request.model);
+    for (const std::string_view piece : request.prompt)
+        builder.add(piece);
+    return builder.finish();
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/control_thread.cpp
@@ -0,0 +1,246 @@
+#include "control_thread.h"
+
+#include <telemetry/log.h>
+
+namespace trefoil {
+
+namespace {
+
+/// How often time passes for control when no message comes.
+constexpr duration tickPeriod = std::chrono::milliseconds(10);
+
+/// Longest wait of a traffic thread for a decision: admission waits half a second at most, a claim
+/// a few calls to the platform.
+constexpr std::chrono::seconds decisionTimeout(8);
+
+/// Longest wait for an answer to a peer, who has given up by then.
+constexpr std::chrono::seconds peerReplyTimeout(1);
+
+constexpr std::chrono::seconds statusTimeout(2);
+
+} // namespace
+
+control_thread::control_thread(control_options options) : m_options(std::move(options)) { }
+
+child_body control_thread::body(control_outlet &outlet)
+{
+    return [this, &outlet](const std::stop_token &stop) { return run(stop, outlet); };
+}
+
+std::shared_ptr<const traffic_snapshot> control_thread::snapshot() const
+{
+    const std::lock_guard<std::mutex> lock(m_snapshotMutex);
+    return m_snapshot;
+}
+
+traffic_decision control_thread::await(std::uint64_t id, std::future<traffic_decision> decision)
+{
+    if (decision.wait_for(decisionTimeout) == std::future_status::ready)
+        return decision.get();
+    m_mailbox.post(traffic_end { .id = id });
+    // Whether a claim was made is not known, but nothing was sent after this.
+    return { .id = id,
+             .what = traffic_refuse { .status = 503,
+                                      .code = "no-decision",
+                                      .message = "no decision came in time",
+                                      .retryAfter = std::chrono::seconds(1) } };
+}
+
+traffic_decision control_thread::begin(traffic_begin request)
+{
+    const std::uint64_t id = request.id;
+    const auto reply = std::make_shared<std::promise<traffic_decision>>();
+    std::future<traffic_decision> decision = reply->get_future();
+    m_mailbox.post(begin_message { .request = std::move(request), .reply = reply });
+    return await(id, std::move(decision));
+}
+
+traffic_decision control_thread::failed(const traffic_failed &report)
+{
+    const auto reply = std::make_shared<std::promise<traffic_decision>>();
+    std::future<traffic_decision> decision = reply->get_future();
+    m_mailbox.post(failed_message { .report = report, .reply = reply });
+    traffic_decision next = await(report.id, std::move(decision));
+    traffic_refuse *refusal = std::get_if<traffic_refuse>(&next.what);
+    if (refusal && refusal->code == "no-decision")
+        refusal->mayHaveRun = true;
+    return next;
+}
+
+void control_thread::postPeerAnswer(std::uint64_t id, peer_answer answer)
+{
+    m_mailbox.post(peer_answer_message { .id = id, .answer = std::move(answer) });
+}
+
+void control_thread::postPeerFailure(std::uint64_t id, bool connectionRefused)
+{
+    m_mailbox.post(peer_failure_message { .id = id, .connectionRefused = connectionRefused });
+}
+
+void control_thread::postPlatformAnswer(std::uint64_t id, platform_answer answer)
+{
+    m_mailbox.post(platform_answer_message { .id = id, .answer = std::move(answer) });
+}
+
+void control_thread::postServerState(std::string server, std::optional<server_state_report> report)
+{
+    m_mailbox.post(
+            server_state_message { .server = std::move(server), .report = std::move(report) });
+}
+
+void control_thread::postOrderDone(std::uint64_t id, bool accepted)
+{
+    m_mailbox.post(order_done_message { .id = id, .accepted = accepted });
+}
+
+std::optional<peer_answer> control_thread::askPeerRequest(const peer_request &request)
+{
+    const auto reply = std::make_shared<std::promise<peer_answer>>();
+    std::future<peer_answer> answer = reply->get_future();
+    m_mailbox.post(peer_request_message { .request = request, .reply = reply });
+    if (answer.wait_for(peerReplyTimeout) != std::future_status::ready)
+        return std::nullopt;
+    return answer.get();
+}
+
+bool control_thread::askHolds(const std::string &key)
+{
+    const auto reply = std::make_shared<std::promise<bool>>();
+    std::future<bool> answer = reply->get_future();
+    m_mailbox.post(holds_message { .key = key, .reply = reply });
+    return answer.wait_for(peerReplyTimeout) == std::future_status::ready && answer.get();
+}
+
+std::optional<Json::Value> control_thread::askStatus()
+{
+    const auto reply = std::make_shared<std::promise<Json::Value>>();
+    std::future<Json::Value> answer = reply->get_future();
+    m_mailbox.post(status_message { .reply = reply });
+    if (answer.wait_for(statusTimeout) != std::future_status::ready)
+        return std::nullopt;
+    return answer.get();
+}
+
+/// Hands each kind of message to the node. The time is read when the message is handled, after any
+/// pause of the thread.
+struct control_thread::dispatcher
+{
+    control_thread &owner;
+
+    control_node &node() { return *owner.m_node; }
+
+    void operator()(begin_message &message)
+    {
+        owner.m_decisions[message.request.id] = std::move(message.reply);
+        node().begin(boot_clock::now(), std::move(message.request));
+    }
+    void operator()(failed_message &message)
+    {
+        owner.m_decisions[message.report.id] = std::move(message.reply);
+        node().onFailed(boot_clock::now(), message.report);
+    }
+    void operator()(const traffic_first_token &report)
+    {
+        node().onFirstToken(boot_clock::now(), report);
+    }
+    void operator()(const traffic_end &report)
+    {
+        owner.m_decisions.erase(report.id);
+        node().onEnd(boot_clock::now(), report);
+    }
+    void operator()(peer_request_message &message)
+    {
+        const std::uint64_t token = owner.m_nextToken++;
+        const std::optional<peer_answer> answer
+                = node().onPeerRequest(boot_clock::now(), token, message.request);
+        if (answer)
+            message.reply->set_value(*answer);
+        else
+            owner.m_peerReplies[token] = std::move(message.reply);
+    }
+    void operator()(const peer_answer_message &message)
+    {
+        node().onPeerAnswer(boot_clock::now(), message.id, message.answer);
+    }
+    void operator()(const peer_failure_message &message)
+    {
+        node().onPeerFailure(boot_clock::now(), message.id, message.connectionRefused);
+    }
+    void operator()(const platform_answer_message &message)
+    {
+        node().onPlatformAnswer(boot_clock::now(), message.id, message.answer);
+    }
+    void operator()(const server_state_message &message)
+    {
+        node().onServerState(boot_clock::now(), message.server, message.report);
+    }
+    void operator()(const order_done_message &message)
+    {
+        node().onOrderDone(boot_clock::now(), message.id, message.accepted);
+    }
+    void operator()(const holds_message &message)
+    {
+        message.reply->set_value(node().holds(boot_clock::now(), message.key));
+    }
+    void operator()(const status_message &message)
+    {
+        message.reply->set_value(node().status(boot_clock::now()));
+    }
+    void operator()(const leave_message &) { node().leave(boot_clock::now()); }
+};
+
+result<void> control_thread::run(const std::stop_token &stop, control_outlet &outlet)
+{
+    m_node = std::make_unique<control_node>(m_options, boot_clock::now());
+    dispatcher dispatch { *this };
+    timestamp nextTick = boot_clock::now();
+    while (!stop.stop_requested()) {
+        const duration patience
+                = std::max<duration>(duration::zero(), nextTick - boot_clock::now());
+        std::optional<message> next = m_mailbox.take(patience);
+        if (next)
+            std::visit(dispatch, *next);
+        const timestamp now = boot_clock::now();
+        if (now >= nextTick) {
+            nextTick = now + tickPeriod;
+            m_node->tick(now, wallMilliseconds());
+        }
+        carryOut(outlet);
+        m_openRequests.store(m_node->openRequests());
+        m_released.store(m_node->released());
+    }
+    return {};
+}
+
+void control_thread::carryOut(control_outlet &outlet)
+{
+    for (control_action &action : m_node->takeActions()) {
+        if (peer_send *send = std::get_if<peer_send>(&action)) {
+            outlet.send(std::move(*send));
+        } else if (platform_call *call = std::get_if<platform_call>(&action)) {
+            outlet.call(std::move(*call));
+        } else if (server_poll *poll = std::get_if<server_poll>(&action)) {
+            outlet.poll(std::move(*poll));
+        } else if (server_order_call *order = std::get_if<server_order_call>(&action)) {
+            outlet.order(std::move(*order));
+        } else if (publish_snapshot *publish = std::get_if<publish_snapshot>(&action)) {
+            const std::lock_guard<std::mutex> lock(m_snapshotMutex);
+            m_snapshot = std::move(publish->snapshot);
+        } else if (traffic_decision *decision = std::get_if<traffic_decision>(&action)) {
+            const auto found = m_decisions.find(decision->id);
+            if (found == m_decisions.end())
+                continue;
+            found->second->set_value(std::move(*decision));
+            m_decisions.erase(found);
+        } else {
+            const peer_reply &reply = std::get<peer_reply>(action);
+            const auto found = m_peerReplies.find(reply.token);
+            if (found == m_peerReplies.end())
+                continue;
+            found->second->set_value(reply.answer);
+            m_peerReplies.erase(found);
+        }
+    }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/http_platform.cpp
@@ -0,0 +1,144 @@
+#include "http_platform.h"
+
+#include <platform/codec.h>
+
+namespace trefoil {
+
+namespace {
+
+/// The platform answers in milliseconds; past this it counts as out.
+constexpr duration callTimeout = std::chrono::seconds(2);
+
+tl::unexpected<error> errorOf(int status, const std::string &what)
+{
+    constexpr int notFound = 404;
+    constexpr int conflict = 409;
+    if (status == notFound)
+        return failure(platform_errors::notFound, what + " does not exist");
+    if (status == conflict)
+        return failure(platform_errors::conflict, what + " was changed by somebody else");
+    return failure(platform_errors::refused,
+                   "the platform refused " + what + " with status " + std::to_string(status));
+}
+
+std::vector<object> objectsOf(const Json::Value &list)
+{
+    std::vector<object> items;
+    if (!list.isArray())
+        return items;
+    for (const Json::Value &entry : list) {
+        result<object> item = objectFromJson(entry);
+        if (item)
+            items.push_back(std::move(*item));
+    }
+    return items;
+}
+
+} // namespace
+
+http_platform::http_platform(endpoint place, double callsPerSecond) :
+    m_place(std::move(place)), m_budget(callsPerSecond)
+{
+}
+
+http_platform::session_ptr http_platform::takeSession()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_idle.empty())
+        return std::make_unique<Poco::Net::HTTPClientSession>(m_place.host, m_place.port);
+    session_ptr session = std::move(m_idle.back());
+    m_idle.pop_back();
+    return session;
+}
+
+void http_platform::returnSession(session_ptr session)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_idle.push_back(std::move(session));
+}
+
+result<Json::Value> http_platform::call(const http_call &request, duration timeout)
+{
+    if (!m_budget.take(boot_clock::now()))
+        return failure(platform_errors::refused, "the budget of calls to the platform is spent");
+    session_ptr session = takeSession();
+    session->setTimeout(toTimespan(callTimeout), toTimespan(timeout), toTimespan(timeout));
+    const result<http_answer> answer = httpCall(*session, request);
+    if (!answer) {
+        const bool isWrite = request.method != "GET";
+        const bool mayHaveArrived = isWrite && answer.error().code == http_errors::broken;
+        return failure(mayHaveArrived ? platform_errors::unknownOutcome
+                                      : platform_errors::unavailable,
+                       answer.error().message);
+    }
+    returnSession(std::move(session));
+    constexpr int ok = 200;
+    if (answer->status != ok)
+        return errorOf(answer->status, "\"" + request.path + "\"");
+    result<Json::Value> value = parseJson(answer->body, "the platform's answer");
+    if (!value)
+        return failure(platform_errors::unavailable, value.error().message);
+    return value;
+}
+
+result<object> http_platform::get(const std::string &name)
+{
+    const result<Json::Value> answer = call({ .path = "/objects/" + encodeUri(name) }, callTimeout);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    return objectFromJson(*answer);
+}
+
+result<std::vector<object>> http_platform::list(const std::string &prefix)
+{
+    const result<Json::Value> answer
+            = call({ .path = "/objects?prefix=" + encodeUri(prefix) }, callTimeout);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    return objectsOf((*answer)["items"]);
+}
+
+result<std::uint64_t> http_platform::put(const std::string &name, const std::string &value,
+                                         std::uint64_t expected)
+{
+    const result<Json::Value> answer
+            = call({ .method = "PUT",
+                     .path = "/objects/" + encodeUri(name) + "?expected="
+                             + std::to_string(expected),
+                     .body = value,
+                     .contentType = "application/octet-stream" },
+                   callTimeout);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    return integerOr(*answer, "version");
+}
+
+result<object_changes> http_platform::watch(const std::string &prefix, std::uint64_t from,
+                                            duration patience)
+{
+    const result<Json::Value> answer
+            = call({ .path = "/watch?prefix=" + encodeUri(prefix) + "&from=" + std::to_string(from)
+                             + "&wait_ms=" + std::to_string(toMilliseconds(patience)) },
+                   callTimeout + patience);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    return object_changes { .changed = objectsOf((*answer)["changed"]),
+                            .upTo = integerOr(*answer, "up_to", from) };
+}
+
+result<std::vector<listed_instance>> http_platform::instances()
+{
+    const result<Json::Value> answer = call({ .path = "/instances" }, callTimeout);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    std::vector<listed_instance> listed;
+    const Json::Value &list = (*answer)["instances"];
+    if (!list.isArray())
+        return listed;
+    for (const Json::Value &entry : list)
+        listed.push_back({ .name = textOr(entry, "name"),
+                           .leaving = entry["leaving"].isBool() && entry["leaving"].asBool() });
+    return listed;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/http_util.cpp
@@ -0,0 +1,130 @@
+#include "http_util.h"
+
+#include <condition_variable>
+#include <istream>
+#include <mutex>
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+namespace trefoil {
+
+namespace {
+
+/// Largest answer that a small call takes: an object of the platform, and some room.
+constexpr std::size_t maxAnswerBytes = 16 << 20;
+
+
+/// Connections that may wait for a thread.
+constexpr int maxQueuedConnections = 256;
+
+/// A connection without a request is kept this long.
+constexpr duration keepAlive = std::chrono::seconds(30);
+
+} // namespace
+
+Poco::Timespan toTimespan(duration time)
+{
+    return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+}
+
+result<http_answer> httpCall(Poco::Net::HTTPClientSession &session, const http_call &call)
+{
+    bool sent = false;
+    try {
+        Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setKeepAlive(true);
+        if (!call.body.empty() || call.method != "GET") {
+            request.setContentType(call.contentType);
+            request.setContentLength(static_cast<std::streamsize>(call.body.size()));
+        }
+        for (const std::pair<std::string, std::string> &header : call.headers)
+            request.set(header.first, header.second);
+        std::ostream &out = session.sendRequest(request);
+        sent = true;
+        out << call.body;
+        out.flush();
+        Poco::Net::HTTPResponse response;
+        std::istream &in = session.receiveResponse(response);
+        http_answer answer { .status = response.getStatus(), .body = {} };
+        if (!readBody(in, maxAnswerBytes, answer.body))
+            return failure(http_errors::broken, "the answer is too long");
+        const bool cut = response.hasContentLength()
+                && answer.body.size() != static_cast<std::size_t>(response.getContentLength64());
+        if (cut)
+            return failure(http_errors::broken, "the answer was cut");
+        return answer;
+    } catch (const Poco::Net::ConnectionRefusedException &problem) {
+        return failure(http_errors::refused, problem.displayText());
+    } catch (const Poco::Exception &problem) {
+        session.reset();
+        return failure(sent ? http_errors::broken : http_errors::unreachable,
+                       problem.displayText());
+    }
+}
+
+result<http_answer> httpCallOnce(const endpoint &place, const http_call &call, duration timeout)
+{
+    Poco::Net::HTTPClientSession session(place.host, place.port);
+    session.setTimeout(toTimespan(timeout), toTimespan(timeout), toTimespan(timeout));
+    return httpCall(session, call);
+}
+
+bool readBody(std::istream &input, std::size_t most, std::string &body)
+{
+    constexpr std::size_t pieceBytes = 16 << 10;
+    while (input.good()) {
+        const std::size_t before = body.size();
+        if (before > most)
+            return false;
+        body.resize(before + pieceBytes);
+        input.read(body.data() + before, static_cast<std::streamsize>(pieceBytes));
+        body.resize(before + static_cast<std::size_t>(input.gcount()));
+    }
+    return body.size() <= most;
+}
+
+std::string encodeUri(std::string_view text)
+{
+    std::string encoded;
+    Poco::URI::encode(std::string(text), "/?#&=+%:;,@!$'()*[]", encoded);
+    return encoded;
+}
+
+child_body httpListener(listener_options options)
+{
+    return [options = std::move(options)](const std::stop_token &stop) -> result<void> {
+        try {
+            Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+            params->setMaxThreads(options.threads);
+            params->setMaxQueued(maxQueuedConnections);
+            params->setTimeout(toTimespan(options.timeout));
+            params->setKeepAlive(true);
+            params->setKeepAliveTimeout(toTimespan(keepAlive));
+            params->setMaxKeepAliveRequests(0);
+            Poco::ThreadPool threads(2, options.threads);
+            Poco::Net::ServerSocket socket;
+            socket.bind(Poco::Net::SocketAddress(options.place.host, options.place.port), true);
+            socket.listen(maxQueuedConnections);
+            Poco::Net::HTTPServer server(options.factory, threads, socket, params);
+            server.start();
+            std::mutex mutex;
+            std::condition_variable_any stopped;
+            std::unique_lock<std::mutex> lock(mutex);
+            stopped.wait(lock, stop, [] { return false; });
+            server.stopAll(true);
+            threads.joinAll();
+            return {};
+        } catch (const Poco::Exception &problem) {
+            return failure("listen", "can't listen on " + toString(options.place) + ": "
+                                             + problem.displayText());
+        }
+    };
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/operators_handler.cpp
@@ -0,0 +1,107 @@
+#include "operators_handler.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <core/json.h>
+
+namespace trefoil {
+
+namespace {
+
+/// What operators_handler reads.
+struct operators_parts
+{
+    control_thread &control;
+    metric_registry &metrics;
+    const call_budget &budget;
+};
+
+class operators_handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit operators_handler(const operators_parts &parts) : m_parts(parts) { }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response) override
+    {
+        const std::string &path = request.getURI();
+        if (path == "/healthz")
+            answer(response, 200, "text/plain", "ok\n");
+        else if (path == "/readyz")
+            serveReady(response);
+        else if (path == "/metrics")
+            serveMetrics(response);
+        else if (path == "/status")
+            serveStatus(response);
+        else
+            answer(response, 404, "text/plain", "no such page\n");
+    }
+
+private:
+    void serveReady(Poco::Net::HTTPServerResponse &response)
+    {
+        const std::shared_ptr<const traffic_snapshot> snapshot = m_parts.control.snapshot();
+        if (!snapshot->ready)
+            answer(response, 503, "text/plain", "no configuration yet\n");
+        else if (snapshot->leaving)
+            answer(response, 503, "text/plain", "leaving\n");
+        else if (!snapshot->attached)
+            answer(response, 503, "text/plain", "cut off\n");
+        else
+            answer(response, 200, "text/plain", "ready\n");
+    }
+
+    void serveMetrics(Poco::Net::HTTPServerResponse &response)
+    {
+        m_parts.metrics.gaugeOf("trefoil_platform_calls")
+                .set(static_cast<std::int64_t>(m_parts.budget.allowed()));
+        m_parts.metrics.gaugeOf("trefoil_platform_calls_refused")
+                .set(static_cast<std::int64_t>(m_parts.budget.refused()));
+        answer(response, 200, "text/plain; version=0.0.4", m_parts.metrics.write());
+    }
+
+    void serveStatus(Poco::Net::HTTPServerResponse &response)
+    {
+        const std::optional<Json::Value> report = m_parts.control.askStatus();
+        if (report)
+            answer(response, 200, "application/json", writeJson(*report));
+        else
+            answer(response, 503, "text/plain", "control is busy\n");
+    }
+
+    static void answer(Poco::Net::HTTPServerResponse &response, int status,
+                       const std::string &type, const std::string &body)
+    {
+        response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+        response.setContentType(type);
+        response.sendBuffer(body.data(), body.size());
+    }
+
+    operators_parts m_parts;
+};
+
+class operators_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit operators_factory(const operators_parts &parts) : m_parts(parts) { }
+
+    Poco::Net::HTTPRequestHandler *
+    createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new operators_handler(m_parts); // the server deletes it
+    }
+
+private:
+    operators_parts m_parts;
+};
+
+} // namespace
+
+Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory>
+operatorsFactory(control_thread &control, metric_registry &metrics, const call_budget &budget)
+{
+    return new operators_factory({ control, metrics, budget });
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/span_exporter.cpp
@@ -0,0 +1,73 @@
+#include "span_exporter.h"
+
+#include <fstream>
+
+#include <telemetry/log.h>
+
+#include "http_util.h"
+
+namespace trefoil {
+
+namespace {
+
+/// Spans in one write at most.
+constexpr std::size_t maxBatch = 256;
+constexpr duration batchPeriod = std::chrono::milliseconds(200);
+constexpr duration collectorTimeout = std::chrono::seconds(2);
+
+} // namespace
+
+span_exporter::span_exporter(std::string instance, std::string file, std::string collector) :
+    m_instance(std::move(instance)), m_file(std::move(file)), m_collector(std::move(collector))
+{
+}
+
+void span_exporter::add(span item)
+{
+    if (isEnabled())
+        m_spans.post(std::move(item));
+}
+
+child_body span_exporter::body()
+{
+    return [this](const std::stop_token &stop) { return run(stop); };
+}
+
+result<void> span_exporter::run(const std::stop_token &stop)
+{
+    bool more = true;
+    while (more || !stop.stop_requested()) {
+        std::vector<span> batch;
+        std::optional<span> next = m_spans.take(batchPeriod);
+        more = next.has_value();
+        while (next) {
+            batch.push_back(std::move(*next));
+            if (batch.size() >= maxBatch)
+                break;
+            next = m_spans.take(duration::zero());
+        }
+        if (!batch.empty())
+            write(batch);
+    }
+    return {};
+}
+
+void span_exporter::write(const std::vector<span> &spans)
+{
+    const std::string text = toOtlpJson(spans, m_instance);
+    if (!m_file.empty()) {
+        std::ofstream file(m_file, std::ios::app);
+        file << text << "\n";
+        if (!file.flush())
+            logWarning("traces", "can't write to \"" + m_file + "\".");
+    }
+    endpoint place;
+    if (!m_collector.empty() && parseEndpoint(m_collector, place)) {
+        const result<http_answer> answer = httpCallOnce(
+                place, { .method = "POST", .path = "/v1/traces", .body = text }, collectorTimeout);
+        if (!answer)
+            logWarning("traces", "the collector did not take spans: " + answer.error().message);
+    }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/verb_files.cpp
@@ -0,0 +1,56 @@
+#include "verb_files.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace trefoil {
+
+namespace {
+
+/// Reads one table with @p read; adds what is wrong to @p found.
+template <typename Table>
+std::optional<Table> readTable(const std::string &file, std::string &text, findings &found,
+                               tl::expected<Table, findings> (*read)(std::string_view,
+                                                                     std::string_view))
+{
+    result<std::string> content = readFile(file);
+    if (!content) {
+        found.push_back({ .file = file, .message = content.error().message });
+        return std::nullopt;
+    }
+    text = std::move(*content);
+    tl::expected<Table, findings> table = read(text, file);
+    if (!table) {
+        found.insert(found.end(), table.error().begin(), table.error().end());
+        return std::nullopt;
+    }
+    return std::move(*table);
+}
+
+} // namespace
+
+result<std::string> readFile(const std::string &name)
+{
+    const std::ifstream file(name);
+    if (!file)
+        return failure("no-file", "can't read \"" + name + "\"");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+table_files readTableFiles(const std::string &routesFile, const std::string &poolsFile)
+{
+    table_files tables;
+    if (!routesFile.empty())
+        tables.routes = readTable(routesFile, tables.routesText, tables.found, readRoutes);
+    if (!poolsFile.empty())
+        tables.pools = readTable(poolsFile, tables.poolsText, tables.found, readPools);
+    if (tables.routes && tables.pools) {
+        const findings dangling = checkJoin(*tables.routes, *tables.pools, routesFile);
+        tables.found.insert(tables.found.end(), dangling.begin(), dangling.end());
+    }
+    return tables;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoilrouter/src/verbs.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <string>
+
+namespace trefoil {
+
+/// Exit statuses of the program.
+enum exit_status {
+    ExitOk = 0,
+    /// The work could not be done.
+    ExitFailed = 1,
+    /// The command line or a document is wrong.
+    ExitUsage = 2
+};
+
+/// How tables are printed.
+enum class print_format { Text, Json };
+
+/// Runs an instance until SIGTERM or SIGINT.
+struct serve_options
+{
+    std::string settingsFile;
+};
+int runServe(const serve_options &options);
+
+/// Checks documents and prints every finding. Empty names are not checked.
+struct check_options
+{
+    std::string settingsFile;
+    std::string routesFile;
+    std::string poolsFile;
+    print_format format = print_format::Text;
+};
+int runCheck(const check_options &options);
+
+/// Puts checked tables into the platform by conditional update.
+struct apply_options
+{
+    std::string platform;
+    std::string routesFile;
+    std::string poolsFile;
+};
+int runApply(const apply_options &options);
+
+/// Prints what an instance reports.
+struct status_options
+{
+    /// "address:port" of an instance's operators' listener.
+    std::string instance;
+    print_format format = print_format::Text;
+};
+int runStatus(const status_options &options);
+
+/// Issues, lists or withdraws callers' keys.
+struct keys_options
+{
+    std::string platform;
+    /// issue, list or withdraw.
+    std::string action;
+    std::string team;
+    std::string name;
+    /// The first digits of the digest of the key to withdraw.
+    std::string digest;
+    print_format format = print_format::Text;
+};
+int runKeys(const keys_options &options);
+
+} // namespace trefoil
