--- a/libs/control/include/control/traffic_desk.h
+++ b/libs/control/include/control/traffic_desk.h
@@ -197,7 +197,8 @@
         std::string version;
         std::string route;
 
-        auto operator<=>(const evidence_key &) const = default;
+        // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+        auto operator<=>(const evidence_key &) const = default; // NOLINT(modernize-use-nullptr)
     };
     const std::map<evidence_key, outcome_counts> &ownOutcomes() const { return m_outcomes; }
     /// Evidence on @p pool from all instances.
--- a/libs/core/include/core/digest.h
+++ b/libs/core/include/core/digest.h
@@ -16,7 +16,8 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const digest128 &) const = default;
+    // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+    auto operator<=>(const digest128 &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Returns the digest of @p bytes, chained to @p seed: equal results mean an equal seed and equal
--- a/libs/gossip/src/membership.cpp
+++ b/libs/gossip/src/membership.cpp
@@ -136,23 +136,30 @@
 
 void membership::startSync(timestamp now, std::vector<gossip_call> &calls)
 {
-    std::string address;
-    const std::vector<member> peers = randomPeers(1, {});
-    // Without members, or now and then so that two halves of a fleet find each other again, a seed.
+    // Without members every seed is asked: those who start together would otherwise gather around
+    // different seeds. Later one now and then, so that two halves of a fleet find each other again.
     constexpr int seedEvery = 4;
-    const bool trySeed = peers.empty() || (m_periods / m_options.syncPeriods) % seedEvery == 0;
-    if (trySeed && !m_options.seeds.empty())
-        address = m_options.seeds[m_random() % m_options.seeds.size()];
-    else if (!peers.empty())
-        address = peers.front().info.peers;
-    if (address.empty() || address == m_options.self.peers)
-        return;
-    calls.push_back(call(
-        now, address, gossip_sync {.from = m_options.self.name, .hashes = m_rumors.hashes()}, {}));
-    calls.push_back(call(now, address,
-                         gossip_ping {.from = m_options.self.name,
-                                      .rumors = {*m_rumors.find(memberTopic, m_options.self.name)}},
-                         {}));
+    const std::vector<member> peers = randomPeers(1, {});
+    std::vector<std::string> addresses;
+    const bool trySeed = (m_periods / m_options.syncPeriods) % seedEvery == 0;
+    for (const std::string &seed : m_options.seeds) {
+        if (seed != m_options.self.peers)
+            addresses.push_back(seed);
+    }
+    if (!peers.empty()) {
+        std::shuffle(addresses.begin(), addresses.end(), m_random);
+        addresses.resize(std::min<std::size_t>(trySeed ? 1 : 0, addresses.size()));
+        if (addresses.empty())
+            addresses.push_back(peers.front().info.peers);
+    }
+    for (const std::string &address : addresses) {
+        calls.push_back(call(now, address,
+                             gossip_sync {.from = m_options.self.name, .hashes = m_rumors.hashes()},
+                             {}));
+        const rumor &self = *m_rumors.find(memberTopic, m_options.self.name);
+        calls.push_back(
+            call(now, address, gossip_ping {.from = m_options.self.name, .rumors = {self}}, {}));
+    }
 }
 
 void membership::sendUrgent(timestamp now, std::vector<gossip_call> &calls)
--- a/libs/gossip/tests/membership_test.cpp
+++ b/libs/gossip/tests/membership_test.cpp
@@ -14,7 +14,7 @@
 class fleet
 {
 public:
-    explicit fleet(int size)
+    explicit fleet(int size, std::uint64_t seed = 0) : m_seed(seed)
     {
         for (int i = 0; i < size; ++i)
             start(i, 1);
@@ -31,7 +31,7 @@
                                          .peers = name,
                                          .incarnation = incarnation},
                                 .seeds = {nameOf(0), nameOf(1)},
-                                .randomSeed = static_cast<std::uint64_t>(index) + 1,
+                                .randomSeed = m_seed + static_cast<std::uint64_t>(index) + 1,
                                 .urgentTopics = {"config"}});
     }
 
@@ -97,6 +97,7 @@
                                            gossip_relayed {.reached = relayed.second});
     }
 
+    std::uint64_t m_seed;
     timestamp m_now {};
     std::map<std::string, std::unique_ptr<membership>> m_nodes;
     std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> m_relays;
@@ -121,6 +122,16 @@
         EXPECT_EQ(aliveSeenBy(all, i), 8u) << i;
 }
 
+TEST(Membership, AFleetStartedTogetherIsOneWithinThreeSeconds)
+{
+    for (std::uint64_t seed = 0; seed < 2000; seed += 100) {
+        fleet all(6, seed);
+        all.run(std::chrono::seconds(3));
+        for (int i = 0; i < 6; ++i)
+            EXPECT_EQ(aliveSeenBy(all, i), 6u) << i << " seed " << seed;
+    }
+}
+
 TEST(Membership, ACrashedInstanceIsFoundDeadAndItsReturnIsSeen)
 {
     fleet all(8);
--- /dev/null
+++ b/standins/src/standin_server.cpp
@@ -0,0 +1,102 @@
+#include "standin_server.h"
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/URI.h>
+
+#include "http_util.h"
+
+namespace trefoil {
+
+namespace {
+
+constexpr std::size_t maxBodyBytes = 64 << 20;
+
+class function_handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit function_handler(const standin_handler &handler) : m_handler(handler) { }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response) override
+    {
+        try {
+            m_handler(request, response);
+        } catch (const std::exception &) {
+            response.setKeepAlive(false); // the other side went away
+        }
+    }
+
+private:
+    const standin_handler &m_handler;
+};
+
+class function_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit function_factory(standin_handler handler) : m_handler(std::move(handler)) { }
+
+    Poco::Net::HTTPRequestHandler *
+    createRequestHandler(const Poco::Net::HTTPServerRequest &) override
+    {
+        return new function_handler(m_handler); // the server deletes it
+    }
+
+private:
+    standin_handler m_handler;
+};
+
+} // namespace
+
+int runStandin(const endpoint &place, int threads, standin_handler handler)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    const child_body listener = httpListener(
+        {.place = place, .threads = threads, .factory = new function_factory(std::move(handler))});
+    std::jthread server([&](const std::stop_token &stop) {
+        const result<void> end = listener(stop);
+        if (!end) {
+            std::cerr << "standin: " << end.error().message << "\n";
+            std::_Exit(1);
+        }
+    });
+    int signal = 0;
+    sigwait(&set, &signal);
+    // Nothing of a stand-in needs a graceful end.
+    std::_Exit(0);
+}
+
+void answerJson(Poco::Net::HTTPServerResponse &response, int status, const std::string &body)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType("application/json");
+    response.sendBuffer(body.data(), body.size());
+}
+
+std::string bodyOf(Poco::Net::HTTPServerRequest &request)
+{
+    std::string body;
+    readBody(request.stream(), maxBodyBytes, body);
+    return body;
+}
+
+std::string queryOf(const Poco::Net::HTTPServerRequest &request, const std::string &name)
+{
+    const Poco::URI uri(request.getURI());
+    for (const std::pair<std::string, std::string> &each : uri.getQueryParameters()) {
+        if (each.first == name)
+            return each.second;
+    }
+    return {};
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/standins/src/standin_service.cpp
@@ -0,0 +1,88 @@
+#include "standin_server.h"
+
+#include <cstdlib>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <vector>
+
+#include <Poco/URI.h>
+#include <core/json.h>
+
+namespace trefoil {
+
+namespace {
+
+constexpr int serviceThreads = 64;
+
+/// A plain service whose calls may not be repeated: it keeps a log of every run.
+class standin_service
+{
+public:
+    void serve(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+    {
+        const std::string path = Poco::URI(request.getURI()).getPath();
+        const std::string body = bodyOf(request);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (path == "/admin") {
+            serveAdmin(request, body, response);
+            return;
+        }
+        if (request.getMethod() == "GET") {
+            Json::Value answer(Json::objectValue);
+            answer["runs"] = Json::UInt64(m_runs.size());
+            answerJson(response, 200, writeJson(answer));
+            return;
+        }
+        m_runs.push_back(body);
+        m_authorizations.insert(request.get("Authorization", ""));
+        if (m_dieAfterRun) {
+            m_dieAfterRun = false;
+            // The run took effect and its answer is lost.
+            response.setContentLength(100);
+            response.setKeepAlive(false);
+            response.send() << "{" << std::flush;
+            return;
+        }
+        Json::Value answer(Json::objectValue);
+        answer["number"] = Json::UInt64(m_runs.size());
+        answerJson(response, 201, writeJson(answer));
+    }
+
+private:
+    void serveAdmin(Poco::Net::HTTPServerRequest &request, const std::string &body,
+                    Poco::Net::HTTPServerResponse &response)
+    {
+        if (request.getMethod() == "POST") {
+            const result<Json::Value> order = parseJson(body, "an order");
+            m_dieAfterRun = order && textOr(*order, "mode") == "cut";
+        }
+        Json::Value answer(Json::objectValue);
+        answer["runs"] = Json::Value(Json::arrayValue);
+        for (const std::string &run : m_runs)
+            answer["runs"].append(run);
+        answer["authorizations"] = Json::Value(Json::arrayValue);
+        for (const std::string &each : m_authorizations)
+            answer["authorizations"].append(each);
+        answerJson(response, 200, writeJson(answer));
+    }
+
+    std::mutex m_mutex;
+    std::vector<std::string> m_runs;
+    std::set<std::string> m_authorizations;
+    bool m_dieAfterRun = false;
+};
+
+} // namespace
+
+int runService(const standin_options &options)
+{
+    standin_service service;
+    return runStandin(
+        options.address, serviceThreads,
+        [&](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
+            service.serve(request, response);
+        });
+}
+
+} // namespace trefoil
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -53,15 +53,14 @@
 {
     if (credential.empty())
         return {};
-    return { { "Authorization", "Bearer " + credential } };
+    return {{"Authorization", "Bearer " + credential}};
 }
 
 } // namespace
 
-backend_exchange::backend_exchange(backend_client &client, endpoint place, session_ptr session) :
-    m_client(client), m_place(std::move(place)), m_session(std::move(session))
-{
-}
+backend_exchange::backend_exchange(backend_client &client, endpoint place, session_ptr session)
+    : m_client(client), m_place(std::move(place)), m_session(std::move(session))
+{ }
 
 backend_exchange::~backend_exchange()
 {
@@ -79,8 +78,7 @@
 {
     bool connected = m_session->connected();
     try {
-        Poco::Net::HTTPRequest head(request.method, request.path,
-                                    Poco::Net::HTTPMessage::HTTP_1_1);
+        Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
         head.setKeepAlive(true);
         std::size_t size = 0;
         for (const std::string_view piece : request.body)
@@ -124,8 +122,8 @@
             return isWhole ? result<std::size_t>(0) : brokenBy("the connection broke");
         }
         room[0] = static_cast<char>(first);
-        const std::streamsize more
-                = m_body->readsome(room.data() + 1, static_cast<std::streamsize>(room.size() - 1));
+        const std::streamsize more =
+            m_body->readsome(room.data() + 1, static_cast<std::streamsize>(room.size() - 1));
         return 1 + static_cast<std::size_t>(std::max<std::streamsize>(more, 0));
     } catch (const Poco::TimeoutException &problem) {
         return failure(backend_errors::timeout, problem.displayText());
@@ -143,7 +141,7 @@
         idle.pop_back();
         // An idle connection that has something to read was closed by the server.
         const bool isUsable = session->connected()
-                && !session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+            && !session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
         if (isUsable)
             return session;
     }
@@ -174,15 +172,16 @@
 {
     session_ptr session = takeIdle(poll.address);
     if (!session) {
-        session = std::make_unique<Poco::Net::HTTPClientSession>(poll.address.host,
-                                                                 poll.address.port);
+        session =
+            std::make_unique<Poco::Net::HTTPClientSession>(poll.address.host, poll.address.port);
         session->setKeepAlive(true);
     }
     session->setTimeout(toTimespan(stateTimeout), toTimespan(stateTimeout),
                         toTimespan(stateTimeout));
-    const result<http_answer> answer = httpCall(
-            *session, { .path = "/state?from=" + std::to_string(poll.fromSequence),
-                        .headers = authorization(poll.credential) });
+    const result<http_answer> answer =
+        httpCall(*session,
+                 {.path = "/state?from=" + std::to_string(poll.fromSequence),
+                  .headers = authorization(poll.credential)});
     if (!answer)
         return tl::unexpected(answer.error());
     keep(poll.address, std::move(session));
@@ -191,16 +190,16 @@
         return failure("bad-state", "engine \"" + poll.server + "\" sent a malformed state");
     server_state_report report;
     report.version = textOr(*value, "version");
-    report.load = { .incarnation = integerOr(*value, "incarnation"),
-                    .running = static_cast<int>(integerOr(*value, "running")),
-                    .queued = static_cast<int>(integerOr(*value, "queued")),
-                    .queuedTokens = numberOr(*value, "queued_tokens"),
-                    .prefillRate = numberOr(*value, "prefill_rate") };
+    report.load = {.incarnation = integerOr(*value, "incarnation"),
+                   .running = static_cast<int>(integerOr(*value, "running")),
+                   .queued = static_cast<int>(integerOr(*value, "queued")),
+                   .queuedTokens = numberOr(*value, "queued_tokens"),
+                   .prefillRate = numberOr(*value, "prefill_rate")};
     report.nextSequence = integerOr(*value, "next_sequence");
     for (const Json::Value &entry : (*value)["events"])
-        report.events.push_back({ .sequence = integerOr(entry, "sequence"),
-                                  .stored = digestsOf(entry["stored"]),
-                                  .evicted = digestsOf(entry["evicted"]) });
+        report.events.push_back({.sequence = integerOr(entry, "sequence"),
+                                 .stored = digestsOf(entry["stored"]),
+                                 .evicted = digestsOf(entry["evicted"])});
     return report;
 }
 
@@ -210,21 +209,22 @@
     body["version"] = order.order.version;
     body["epoch"] = Json::UInt64(order.order.epoch);
     const result<http_answer> answer = httpCallOnce(order.address,
-                                                    { .method = "POST",
-                                                      .path = "/orders/load",
-                                                      .body = writeJson(body),
-                                                      .headers = authorization(order.credential) },
+                                                    {.method = "POST",
+                                                     .path = "/orders/load",
+                                                     .body = writeJson(body),
+                                                     .headers = authorization(order.credential)},
                                                     orderTimeout);
     if (!answer)
         return tl::unexpected(answer.error());
     constexpr int conflict = 409;
     if (answer->status == conflict)
-        return failure("stale-epoch", "backend server \"" + order.order.worker
-                                              + "\" refused an old fencing number");
+        return failure("stale-epoch",
+                       "backend server \"" + order.order.worker
+                           + "\" refused an old fencing number");
     if (answer->status >= 300)
-        return failure("refused", "backend server \"" + order.order.worker
-                                          + "\" refused an order with status "
-                                          + std::to_string(answer->status));
+        return failure("refused",
+                       "backend server \"" + order.order.worker + "\" refused an order with status "
+                           + std::to_string(answer->status));
     return {};
 }
 
@@ -234,10 +234,10 @@
     Json::Value body(Json::objectValue);
     body["attempt"] = attempt;
     static_cast<void>(httpCallOnce(place,
-                                   { .method = "POST",
-                                     .path = "/cancel",
-                                     .body = writeJson(body),
-                                     .headers = authorization(credential) },
+                                   {.method = "POST",
+                                    .path = "/cancel",
+                                    .body = writeJson(body),
+                                    .headers = authorization(credential)},
                                    cancelTimeout));
 }
 
--- a/trefoilrouter/src/callers_handler.cpp
+++ b/trefoilrouter/src/callers_handler.cpp
@@ -27,11 +27,26 @@
 const std::set<std::string> &droppedHeaders()
 {
     static const std::set<std::string> names {
-        "authorization",     "proxy-authorization", "cookie",           "x-api-key",
-        "api-key",           "host",                "connection",       "keep-alive",
-        "transfer-encoding", "content-length",      "content-type",     "te",
-        "trailer",           "upgrade",             "expect",           "traceparent",
-        "idempotency-key",   "x-attempt",           "x-prefix-blocks",  "x-resume-from",
+        "authorization",
+        "proxy-authorization",
+        "cookie",
+        "x-api-key",
+        "api-key",
+        "host",
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "content-type",
+        "te",
+        "trailer",
+        "upgrade",
+        "expect",
+        "traceparent",
+        "idempotency-key",
+        "x-attempt",
+        "x-prefix-blocks",
+        "x-resume-from",
     };
     return names;
 }
@@ -62,10 +77,9 @@
 class http_sink : public answer_sink
 {
 public:
-    http_sink(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) :
-        m_request(request), m_response(response)
-    {
-    }
+    http_sink(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+        : m_request(request), m_response(response)
+    { }
 
     void whole(int status, const std::string &contentType, const std::string &body) override
     {
@@ -110,8 +124,8 @@
 
     bool isGone() override
     {
-        Poco::Net::StreamSocket &socket
-                = static_cast<Poco::Net::HTTPServerRequestImpl &>(m_request).socket();
+        Poco::Net::StreamSocket &socket =
+            static_cast<Poco::Net::HTTPServerRequestImpl &>(m_request).socket();
         if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
             return false;
         // Readable without data means that the caller closed the connection.
@@ -128,10 +142,9 @@
 class callers_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    callers_handler(const proxy_parts &parts, const settings &options) :
-        m_parts(parts), m_options(options)
-    {
-    }
+    callers_handler(const proxy_parts &parts, const settings &options)
+        : m_parts(parts), m_options(options)
+    { }
 
     void handleRequest(Poco::Net::HTTPServerRequest &request,
                        Poco::Net::HTTPServerResponse &response) override
@@ -165,12 +178,12 @@
         else
             servePath(request, path, sink);
         if (m_parts.spans.isEnabled())
-            m_parts.spans.add({ .context = m_trace,
-                                .parentSpanId = parent ? parent->spanId : 0,
-                                .name = "caller " + path,
-                                .startMilliseconds = startedAt,
-                                .endMilliseconds = wallMilliseconds(),
-                                .attributes = { { "team", m_team } } });
+            m_parts.spans.add({.context = m_trace,
+                               .parentSpanId = parent ? parent->spanId : 0,
+                               .name = "caller " + path,
+                               .startMilliseconds = startedAt,
+                               .endMilliseconds = wallMilliseconds(),
+                               .attributes = {{"team", m_team}}});
     }
 
     /// Finds the team of the caller's key. Returns false, having refused, where there is none.
@@ -178,20 +191,20 @@
     {
         const std::string header = request.get("Authorization", "");
         if (!header.starts_with(bearer)) {
-            sink.refuse({ .status = 401, .code = "no-key", .message = "a key is needed" });
+            sink.refuse({.status = 401, .code = "no-key", .message = "a key is needed"});
             return false;
         }
         m_keyDigest = keyDigest(std::string_view(header).substr(std::strlen(bearer)));
         if (!m_snapshot->attached) {
-            sink.refuse({ .status = 503,
-                          .code = "cut-off",
-                          .message = "this instance can't tell whether the key is still good",
-                          .retryAfter = std::chrono::seconds(1) });
+            sink.refuse({.status = 503,
+                         .code = "cut-off",
+                         .message = "this instance can't tell whether the key is still good",
+                         .retryAfter = std::chrono::seconds(1)});
             return false;
         }
         const auto found = m_snapshot->configuration->keys.find(m_keyDigest);
         if (found == m_snapshot->configuration->keys.end()) {
-            sink.refuse({ .status = 401, .code = "bad-key", .message = "the key is not known" });
+            sink.refuse({.status = 401, .code = "bad-key", .message = "the key is not known"});
             return false;
         }
         m_team = found->second.team;
@@ -206,13 +219,13 @@
             return true;
         if (!authenticate(request, sink))
             return false;
-        const bool allowed = std::find(target.teams.begin(), target.teams.end(), m_team)
-                != target.teams.end();
+        const bool allowed =
+            std::find(target.teams.begin(), target.teams.end(), m_team) != target.teams.end();
         if (!allowed)
-            sink.refuse({ .status = 403,
-                          .code = "not-allowed",
-                          .message = "team \"" + m_team + "\" may not use route \"" + target.name
-                                  + "\"" });
+            sink.refuse(
+                {.status = 403,
+                 .code = "not-allowed",
+                 .message = "team \"" + m_team + "\" may not use route \"" + target.name + "\""});
         return allowed;
     }
 
@@ -220,10 +233,10 @@
     {
         if (m_snapshot->ready)
             return true;
-        sink.refuse({ .status = 503,
-                      .code = "not-ready",
-                      .message = "this instance has no configuration yet",
-                      .retryAfter = std::chrono::seconds(1) });
+        sink.refuse({.status = 503,
+                     .code = "not-ready",
+                     .message = "this instance has no configuration yet",
+                     .retryAfter = std::chrono::seconds(1)});
         return false;
     }
 
@@ -247,16 +260,14 @@
             rates += static_cast<double>(each.rate);
         const team *own = routes.teamNamed(m_team);
         const double rate = own ? static_cast<double>(own->rate) : 0;
-        const auto owner
-                = m_snapshot->shardOwners.find(shardKey(m_team, m_snapshot->limitShards));
+        const auto owner = m_snapshot->shardOwners.find(shardKey(m_team, m_snapshot->limitShards));
         const std::vector<member> order = entryOrder(
-                m_snapshot->members,
-                { .team = m_team.empty() && target ? std::string_view(target->name) : m_team,
-                  .caller = m_keyDigest,
-                  .owner = owner == m_snapshot->shardOwners.end() ? std::string_view()
-                                                                  : owner->second,
-                  .zone = m_options.zone,
-                  .width = entryWidth(rate, rates, m_snapshot->members.size()) });
+            m_snapshot->members,
+            {.team = m_team.empty() && target ? std::string_view(target->name) : m_team,
+             .caller = m_keyDigest,
+             .owner = owner == m_snapshot->shardOwners.end() ? std::string_view() : owner->second,
+             .zone = m_options.zone,
+             .width = entryWidth(rate, rates, m_snapshot->members.size())});
         Json::Value answer(Json::objectValue);
         answer["validity_seconds"] = Json::Int64(toMilliseconds(entryValidity) / 1000);
         answer["entries"] = Json::Value(Json::arrayValue);
@@ -278,8 +289,7 @@
         answer["data"] = Json::Value(Json::arrayValue);
         for (const route &each : m_snapshot->configuration->routes.routes) {
             const bool allowed = each.open
-                    || std::find(each.teams.begin(), each.teams.end(), m_team)
-                            != each.teams.end();
+                || std::find(each.teams.begin(), each.teams.end(), m_team) != each.teams.end();
             if (each.model.empty() || !allowed)
                 continue;
             Json::Value entry(Json::objectValue);
@@ -295,8 +305,8 @@
     bool readCallerBody(Poco::Net::HTTPServerRequest &request, http_sink &sink)
     {
         const std::size_t most = static_cast<std::size_t>(m_options.maxBodyBytes);
-        const bool tooLong = request.hasContentLength()
-                && request.getContentLength64() > m_options.maxBodyBytes;
+        const bool tooLong =
+            request.hasContentLength() && request.getContentLength64() > m_options.maxBodyBytes;
         bool whole = !tooLong;
         if (whole && request.hasContentLength()) {
             const std::size_t length = static_cast<std::size_t>(request.getContentLength64());
@@ -305,9 +315,9 @@
             request.stream().read(m_body.data(), static_cast<std::streamsize>(length));
             m_body.resize(static_cast<std::size_t>(request.stream().gcount()));
             if (m_body.size() != length) {
-                sink.refuse({ .status = 400,
-                              .code = "body-cut",
-                              .message = "the body ended before its length" });
+                sink.refuse({.status = 400,
+                             .code = "body-cut",
+                             .message = "the body ended before its length"});
                 return false;
             }
         } else if (whole) {
@@ -315,10 +325,10 @@
             m_body.reserve(m_body.size() + requestPadding);
         }
         if (!whole)
-            sink.refuse({ .status = 413,
-                          .code = "body-too-long",
-                          .message = "the body is longer than "
-                                  + std::to_string(m_options.maxBodyBytes) + " bytes" });
+            sink.refuse({.status = 413,
+                         .code = "body-too-long",
+                         .message = "the body is longer than "
+                             + std::to_string(m_options.maxBodyBytes) + " bytes"});
         return whole;
     }
 
@@ -333,24 +343,22 @@
         return headers;
     }
 
-    void serveModel(Poco::Net::HTTPServerRequest &request, const std::string &path,
-                    http_sink &sink)
+    void serveModel(Poco::Net::HTTPServerRequest &request, const std::string &path, http_sink &sink)
     {
         if (!checkReady(sink) || !readCallerBody(request, sink))
             return;
         const result<chat_request> chat = readChatRequest(m_body);
         if (!chat) {
-            sink.refuse({ .status = 400,
-                          .code = chat.error().code,
-                          .message = chat.error().message });
+            sink.refuse(
+                {.status = 400, .code = chat.error().code, .message = chat.error().message});
             return;
         }
         const configuration_view &configuration = *m_snapshot->configuration;
         const route *target = configuration.routes.byModel(chat->model);
         if (!target) {
-            sink.refuse({ .status = 404,
-                          .code = "no-model",
-                          .message = "model \"" + chat->model + "\" does not exist" });
+            sink.refuse({.status = 404,
+                         .code = "no-model",
+                         .message = "model \"" + chat->model + "\" does not exist"});
             return;
         }
         if (!authorize(request, *target, sink) || !checkTokens(*chat, *target, sink))
@@ -362,8 +370,8 @@
         next.begin.chain = chainOf(*chat, m_team);
         next.begin.body = digestOf(m_body);
         next.promptTokens = next.begin.chain.tokens;
-        const std::int64_t answerTokens
-                = chat->maxTokens > 0 ? chat->maxTokens : target->maxAnswerTokens;
+        const std::int64_t answerTokens =
+            chat->maxTokens > 0 ? chat->maxTokens : target->maxAnswerTokens;
         if (!target->open)
             next.begin.tokens = next.promptTokens + static_cast<double>(answerTokens);
         body_pieces pieces;
@@ -377,11 +385,11 @@
     {
         if (chat.maxTokens <= target.maxAnswerTokens)
             return true;
-        sink.refuse({ .status = 400,
-                      .code = "too-many-tokens",
-                      .message = "max_tokens " + std::to_string(chat.maxTokens)
-                              + " is above the " + std::to_string(target.maxAnswerTokens)
-                              + " of route \"" + target.name + "\"" });
+        sink.refuse({.status = 400,
+                     .code = "too-many-tokens",
+                     .message = "max_tokens " + std::to_string(chat.maxTokens) + " is above the "
+                         + std::to_string(target.maxAnswerTokens) + " of route \"" + target.name
+                         + "\""});
         return false;
     }
 
@@ -391,9 +399,9 @@
             return;
         const route *target = m_snapshot->configuration->routes.byPath(path);
         if (!target) {
-            sink.refuse({ .status = 404,
-                          .code = "no-route",
-                          .message = "no route serves path \"" + path + "\"" });
+            sink.refuse({.status = 404,
+                         .code = "no-route",
+                         .message = "no route serves path \"" + path + "\""});
             return;
         }
         if (!authorize(request, *target, sink) || !readCallerBody(request, sink))
@@ -402,7 +410,7 @@
         next.method = request.getMethod();
         next.path = request.getURI();
         next.contentType = request.getContentType();
-        const std::array<std::string_view, 1> whole { m_body };
+        const std::array<std::string_view, 1> whole {m_body};
         next.body.assign(whole.begin(), whole.end());
         next.begin.body = digestOf(m_body, digestOf(next.method + " " + next.path));
         // Reading changes nothing, whatever the route says of its other calls.
@@ -430,14 +438,14 @@
     void run(proxy_request next, http_sink &sink)
     {
         if (!next.target) {
-            sink.refuse({ .status = 503,
-                          .code = "no-pool",
-                          .message = "pool \"" + next.begin.pool + "\" does not exist",
-                          .retryAfter = std::chrono::seconds(1) });
+            sink.refuse({.status = 503,
+                         .code = "no-pool",
+                         .message = "pool \"" + next.begin.pool + "\" does not exist",
+                         .retryAfter = std::chrono::seconds(1)});
             return;
         }
         m_parts.metrics.counterOf("trefoil_requests_total", "route=\"" + next.begin.route + "\"")
-                .add();
+            .add();
         gauge &open = m_parts.metrics.gaugeOf("trefoil_requests_open");
         open.add(1);
         proxy(m_parts, std::move(next), sink).run();
@@ -456,10 +464,9 @@
 class callers_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    callers_factory(const proxy_parts &parts, const settings &options) :
-        m_parts(parts), m_options(options)
-    {
-    }
+    callers_factory(const proxy_parts &parts, const settings &options)
+        : m_parts(parts), m_options(options)
+    { }
 
     Poco::Net::HTTPRequestHandler *
     createRequestHandler(const Poco::Net::HTTPServerRequest &) override
@@ -475,7 +482,7 @@
 } // namespace
 
 Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> callersFactory(const proxy_parts &parts,
-                                                                      const settings &options)
+                                                                     const settings &options)
 {
     return new callers_factory(parts, options);
 }
--- a/trefoilrouter/src/callers_handler.h
+++ b/trefoilrouter/src/callers_handler.h
@@ -11,7 +11,7 @@
 /// /v1/chat/completions, /v1/completions and the routes by path. Precondition: what @p parts refers
 /// to and @p options outlive it.
 Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> callersFactory(const proxy_parts &parts,
-                                                                      const settings &options);
+                                                                     const settings &options);
 
 /// How long a caller may keep the answer of /v1/entry.
 constexpr duration entryValidity = std::chrono::seconds(5);
--- a/trefoilrouter/src/chat_request.cpp
+++ b/trefoilrouter/src/chat_request.cpp
@@ -79,8 +79,8 @@
     chat_request request;
     thread_local ondemand::parser parser;
     try {
-        ondemand::document document
-                = parser.iterate(body.data(), body.size(), body.size() + requestPadding);
+        ondemand::document document =
+            parser.iterate(body.data(), body.size(), body.size() + requestPadding);
         for (ondemand::field field : document.get_object()) {
             const std::string_view key = field.unescaped_key();
             takeField(key, field.value(), request);
@@ -122,8 +122,7 @@
     }
     if (!model.empty() && model != request.model) {
         pieces.model = writeJson(Json::Value(std::string(model)));
-        const std::size_t at
-                = static_cast<std::size_t>(request.modelToken.data() - rest.data());
+        const std::size_t at = static_cast<std::size_t>(request.modelToken.data() - rest.data());
         pieces.pieces.push_back(rest.substr(0, at));
         pieces.pieces.push_back(pieces.model);
         rest.remove_prefix(at + request.modelToken.size());
--- a/trefoilrouter/src/control_thread.cpp
+++ b/trefoilrouter/src/control_thread.cpp
@@ -1,5 +1,8 @@
 #include "control_thread.h"
 
+#include <array>
+#include <string_view>
+
 #include <telemetry/log.h>
 
 namespace trefoil {
@@ -18,6 +21,56 @@
 
 constexpr std::chrono::seconds statusTimeout(2);
 
+std::string_view describe(const member &item)
+{
+    constexpr std::array<std::string_view, 3> names {"alive", "suspect", "dead"};
+    return item.info.leaving ? "leaving" : names[static_cast<std::size_t>(item.state)];
+}
+
+void logMemberChanges(const std::vector<member> &before, const std::vector<member> &after)
+{
+    std::map<std::string_view, std::string_view> states;
+    for (const member &each : before)
+        states[each.info.name] = describe(each);
+    for (const member &each : after) {
+        const auto found = states.find(each.info.name);
+        const bool isSame = found != states.end() && found->second == describe(each);
+        if (found != states.end())
+            states.erase(found);
+        if (!isSame)
+            logInfo("members",
+                    "Instance \"" + each.info.name + "\" is " + std::string(describe(each)) + ".");
+    }
+    for (auto it = states.begin(); it != states.end(); ++it)
+        logInfo("members", "Instance \"" + std::string(it->first) + "\" is dead.");
+}
+
+/// Writes what differs between two snapshots.
+void logChanges(const traffic_snapshot &before, const traffic_snapshot &after)
+{
+    logMemberChanges(before.members, after.members);
+    const configuration_view &was = *before.configuration;
+    const configuration_view &is = *after.configuration;
+    if (was.routesVersion != is.routesVersion)
+        logInfo("configuration",
+                "Routes are in force at version " + std::to_string(is.routesVersion) + ".");
+    if (was.poolsVersion != is.poolsVersion)
+        logInfo("configuration",
+                "Pools are in force at version " + std::to_string(is.poolsVersion) + ".");
+    if (was.keysVersion != is.keysVersion)
+        logInfo("configuration",
+                "Keys are in force at version " + std::to_string(is.keysVersion) + ".");
+    if (before.attached != after.attached)
+        logWarning("members",
+                   after.attached ? "This instance is attached again."
+                                  : "This instance is cut off.");
+    for (auto it = after.shardOwners.begin(); it != after.shardOwners.end(); ++it) {
+        const auto old = before.shardOwners.find(it->first);
+        if (old == before.shardOwners.end() || old->second != it->second)
+            logDebug("limits", "\"" + it->first + "\" is owned by \"" + it->second + "\".");
+    }
+}
+
 } // namespace
 
 control_thread::control_thread(control_options options) : m_options(std::move(options)) { }
@@ -37,13 +90,13 @@
 {
     if (decision.wait_for(decisionTimeout) == std::future_status::ready)
         return decision.get();
-    m_mailbox.post(traffic_end { .id = id });
+    m_mailbox.post(traffic_end {.id = id});
     // Whether a claim was made is not known, but nothing was sent after this.
-    return { .id = id,
-             .what = traffic_refuse { .status = 503,
-                                      .code = "no-decision",
-                                      .message = "no decision came in time",
-                                      .retryAfter = std::chrono::seconds(1) } };
+    return {.id = id,
+            .what = traffic_refuse {.status = 503,
+                                    .code = "no-decision",
+                                    .message = "no decision came in time",
+                                    .retryAfter = std::chrono::seconds(1)}};
 }
 
 traffic_decision control_thread::begin(traffic_begin request)
@@ -51,7 +104,7 @@
     const std::uint64_t id = request.id;
     const auto reply = std::make_shared<std::promise<traffic_decision>>();
     std::future<traffic_decision> decision = reply->get_future();
-    m_mailbox.post(begin_message { .request = std::move(request), .reply = reply });
+    m_mailbox.post(begin_message {.request = std::move(request), .reply = reply});
     return await(id, std::move(decision));
 }
 
@@ -59,7 +112,7 @@
 {
     const auto reply = std::make_shared<std::promise<traffic_decision>>();
     std::future<traffic_decision> decision = reply->get_future();
-    m_mailbox.post(failed_message { .report = report, .reply = reply });
+    m_mailbox.post(failed_message {.report = report, .reply = reply});
     traffic_decision next = await(report.id, std::move(decision));
     traffic_refuse *refusal = std::get_if<traffic_refuse>(&next.what);
     if (refusal && refusal->code == "no-decision")
@@ -69,35 +122,34 @@
 
 void control_thread::postPeerAnswer(std::uint64_t id, peer_answer answer)
 {
-    m_mailbox.post(peer_answer_message { .id = id, .answer = std::move(answer) });
+    m_mailbox.post(peer_answer_message {.id = id, .answer = std::move(answer)});
 }
 
 void control_thread::postPeerFailure(std::uint64_t id, bool connectionRefused)
 {
-    m_mailbox.post(peer_failure_message { .id = id, .connectionRefused = connectionRefused });
+    m_mailbox.post(peer_failure_message {.id = id, .connectionRefused = connectionRefused});
 }
 
 void control_thread::postPlatformAnswer(std::uint64_t id, platform_answer answer)
 {
-    m_mailbox.post(platform_answer_message { .id = id, .answer = std::move(answer) });
+    m_mailbox.post(platform_answer_message {.id = id, .answer = std::move(answer)});
 }
 
 void control_thread::postServerState(std::string server, std::optional<server_state_report> report)
 {
-    m_mailbox.post(
-            server_state_message { .server = std::move(server), .report = std::move(report) });
+    m_mailbox.post(server_state_message {.server = std::move(server), .report = std::move(report)});
 }
 
 void control_thread::postOrderDone(std::uint64_t id, bool accepted)
 {
-    m_mailbox.post(order_done_message { .id = id, .accepted = accepted });
+    m_mailbox.post(order_done_message {.id = id, .accepted = accepted});
 }
 
 std::optional<peer_answer> control_thread::askPeerRequest(const peer_request &request)
 {
     const auto reply = std::make_shared<std::promise<peer_answer>>();
     std::future<peer_answer> answer = reply->get_future();
-    m_mailbox.post(peer_request_message { .request = request, .reply = reply });
+    m_mailbox.post(peer_request_message {.request = request, .reply = reply});
     if (answer.wait_for(peerReplyTimeout) != std::future_status::ready)
         return std::nullopt;
     return answer.get();
@@ -107,7 +159,7 @@
 {
     const auto reply = std::make_shared<std::promise<bool>>();
     std::future<bool> answer = reply->get_future();
-    m_mailbox.post(holds_message { .key = key, .reply = reply });
+    m_mailbox.post(holds_message {.key = key, .reply = reply});
     return answer.wait_for(peerReplyTimeout) == std::future_status::ready && answer.get();
 }
 
@@ -115,12 +167,20 @@
 {
     const auto reply = std::make_shared<std::promise<Json::Value>>();
     std::future<Json::Value> answer = reply->get_future();
-    m_mailbox.post(status_message { .reply = reply });
+    m_mailbox.post(status_message {.reply = reply});
     if (answer.wait_for(statusTimeout) != std::future_status::ready)
         return std::nullopt;
     return answer.get();
 }
 
+void control_thread::publish(std::shared_ptr<const traffic_snapshot> snapshot)
+{
+    const std::shared_ptr<const traffic_snapshot> before = this->snapshot();
+    logChanges(*before, *snapshot);
+    const std::lock_guard<std::mutex> lock(m_snapshotMutex);
+    m_snapshot = std::move(snapshot);
+}
+
 /// Hands each kind of message to the node. The time is read when the message is handled, after any
 /// pause of the thread.
 struct control_thread::dispatcher
@@ -151,8 +211,8 @@
     void operator()(peer_request_message &message)
     {
         const std::uint64_t token = owner.m_nextToken++;
-        const std::optional<peer_answer> answer
-                = node().onPeerRequest(boot_clock::now(), token, message.request);
+        const std::optional<peer_answer> answer =
+            node().onPeerRequest(boot_clock::now(), token, message.request);
         if (answer)
             message.reply->set_value(*answer);
         else
@@ -192,11 +252,11 @@
 result<void> control_thread::run(const std::stop_token &stop, control_outlet &outlet)
 {
     m_node = std::make_unique<control_node>(m_options, boot_clock::now());
-    dispatcher dispatch { *this };
+    dispatcher dispatch {*this};
     timestamp nextTick = boot_clock::now();
     while (!stop.stop_requested()) {
-        const duration patience
-                = std::max<duration>(duration::zero(), nextTick - boot_clock::now());
+        const duration patience =
+            std::max<duration>(duration::zero(), nextTick - boot_clock::now());
         std::optional<message> next = m_mailbox.take(patience);
         if (next)
             std::visit(dispatch, *next);
@@ -224,8 +284,7 @@
         } else if (server_order_call *order = std::get_if<server_order_call>(&action)) {
             outlet.order(std::move(*order));
         } else if (publish_snapshot *publish = std::get_if<publish_snapshot>(&action)) {
-            const std::lock_guard<std::mutex> lock(m_snapshotMutex);
-            m_snapshot = std::move(publish->snapshot);
+            this->publish(std::move(publish->snapshot));
         } else if (traffic_decision *decision = std::get_if<traffic_decision>(&action)) {
             const auto found = m_decisions.find(decision->id);
             if (found == m_decisions.end())
--- a/trefoilrouter/src/control_thread.h
+++ b/trefoilrouter/src/control_thread.h
@@ -131,17 +131,16 @@
         std::shared_ptr<std::promise<Json::Value>> reply;
     };
     struct leave_message
-    {
-    };
+    { };
     using message = std::variant<begin_message, failed_message, traffic_first_token, traffic_end,
                                  peer_request_message, peer_answer_message, peer_failure_message,
-                                 platform_answer_message, server_state_message,
-                                 order_done_message, holds_message, status_message,
-                                 leave_message>;
+                                 platform_answer_message, server_state_message, order_done_message,
+                                 holds_message, status_message, leave_message>;
     struct dispatcher;
 
     result<void> run(const std::stop_token &stop, control_outlet &outlet);
     void carryOut(control_outlet &outlet);
+    void publish(std::shared_ptr<const traffic_snapshot> snapshot);
     traffic_decision await(std::uint64_t id, std::future<traffic_decision> decision);
 
     control_options m_options;
@@ -150,8 +149,7 @@
     std::atomic<std::size_t> m_openRequests = 0;
     std::atomic<bool> m_released = false;
     mutable std::mutex m_snapshotMutex;
-    std::shared_ptr<const traffic_snapshot> m_snapshot
-            = std::make_shared<const traffic_snapshot>();
+    std::shared_ptr<const traffic_snapshot> m_snapshot = std::make_shared<const traffic_snapshot>();
 
     // Owned by the control thread.
     std::unique_ptr<control_node> m_node;
--- a/trefoilrouter/src/http_platform.cpp
+++ b/trefoilrouter/src/http_platform.cpp
@@ -36,10 +36,9 @@
 
 } // namespace
 
-http_platform::http_platform(endpoint place, double callsPerSecond) :
-    m_place(std::move(place)), m_budget(callsPerSecond)
-{
-}
+http_platform::http_platform(endpoint place, double callsPerSecond)
+    : m_place(std::move(place)), m_budget(callsPerSecond)
+{ }
 
 http_platform::session_ptr http_platform::takeSession()
 {
@@ -83,7 +82,7 @@
 
 result<object> http_platform::get(const std::string &name)
 {
-    const result<Json::Value> answer = call({ .path = "/objects/" + encodeUri(name) }, callTimeout);
+    const result<Json::Value> answer = call({.path = "/objects/" + encodeUri(name)}, callTimeout);
     if (!answer)
         return tl::unexpected(answer.error());
     return objectFromJson(*answer);
@@ -91,8 +90,8 @@
 
 result<std::vector<object>> http_platform::list(const std::string &prefix)
 {
-    const result<Json::Value> answer
-            = call({ .path = "/objects?prefix=" + encodeUri(prefix) }, callTimeout);
+    const result<Json::Value> answer =
+        call({.path = "/objects?prefix=" + encodeUri(prefix)}, callTimeout);
     if (!answer)
         return tl::unexpected(answer.error());
     return objectsOf((*answer)["items"]);
@@ -101,13 +100,12 @@
 result<std::uint64_t> http_platform::put(const std::string &name, const std::string &value,
                                          std::uint64_t expected)
 {
-    const result<Json::Value> answer
-            = call({ .method = "PUT",
-                     .path = "/objects/" + encodeUri(name) + "?expected="
-                             + std::to_string(expected),
-                     .body = value,
-                     .contentType = "application/octet-stream" },
-                   callTimeout);
+    const result<Json::Value> answer =
+        call({.method = "PUT",
+              .path = "/objects/" + encodeUri(name) + "?expected=" + std::to_string(expected),
+              .body = value,
+              .contentType = "application/octet-stream"},
+             callTimeout);
     if (!answer)
         return tl::unexpected(answer.error());
     return integerOr(*answer, "version");
@@ -116,19 +114,19 @@
 result<object_changes> http_platform::watch(const std::string &prefix, std::uint64_t from,
                                             duration patience)
 {
-    const result<Json::Value> answer
-            = call({ .path = "/watch?prefix=" + encodeUri(prefix) + "&from=" + std::to_string(from)
-                             + "&wait_ms=" + std::to_string(toMilliseconds(patience)) },
-                   callTimeout + patience);
+    const result<Json::Value> answer =
+        call({.path = "/watch?prefix=" + encodeUri(prefix) + "&from=" + std::to_string(from)
+                  + "&wait_ms=" + std::to_string(toMilliseconds(patience))},
+             callTimeout + patience);
     if (!answer)
         return tl::unexpected(answer.error());
-    return object_changes { .changed = objectsOf((*answer)["changed"]),
-                            .upTo = integerOr(*answer, "up_to", from) };
+    return object_changes {.changed = objectsOf((*answer)["changed"]),
+                           .upTo = integerOr(*answer, "up_to", from)};
 }
 
 result<std::vector<listed_instance>> http_platform::instances()
 {
-    const result<Json::Value> answer = call({ .path = "/instances" }, callTimeout);
+    const result<Json::Value> answer = call({.path = "/instances"}, callTimeout);
     if (!answer)
         return tl::unexpected(answer.error());
     std::vector<listed_instance> listed;
@@ -136,8 +134,8 @@
     if (!list.isArray())
         return listed;
     for (const Json::Value &entry : list)
-        listed.push_back({ .name = textOr(entry, "name"),
-                           .leaving = entry["leaving"].isBool() && entry["leaving"].asBool() });
+        listed.push_back({.name = textOr(entry, "name"),
+                          .leaving = entry["leaving"].isBool() && entry["leaving"].asBool()});
     return listed;
 }
 
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -19,7 +19,6 @@
 /// Largest answer that a small call takes: an object of the platform, and some room.
 constexpr std::size_t maxAnswerBytes = 16 << 20;
 
-
 /// Connections that may wait for a thread.
 constexpr int maxQueuedConnections = 256;
 
@@ -51,11 +50,11 @@
         out.flush();
         Poco::Net::HTTPResponse response;
         std::istream &in = session.receiveResponse(response);
-        http_answer answer { .status = response.getStatus(), .body = {} };
+        http_answer answer {.status = response.getStatus(), .body = {}};
         if (!readBody(in, maxAnswerBytes, answer.body))
             return failure(http_errors::broken, "the answer is too long");
         const bool cut = response.hasContentLength()
-                && answer.body.size() != static_cast<std::size_t>(response.getContentLength64());
+            && answer.body.size() != static_cast<std::size_t>(response.getContentLength64());
         if (cut)
             return failure(http_errors::broken, "the answer was cut");
         return answer;
@@ -121,8 +120,9 @@
             threads.joinAll();
             return {};
         } catch (const Poco::Exception &problem) {
-            return failure("listen", "can't listen on " + toString(options.place) + ": "
-                                             + problem.displayText());
+            return failure("listen",
+                           "can't listen on " + toString(options.place) + ": "
+                               + problem.displayText());
         }
     };
 }
--- a/trefoilrouter/src/instance.cpp
+++ b/trefoilrouter/src/instance.cpp
@@ -37,17 +37,17 @@
 
 member_info selfOf(const settings &options)
 {
-    return { .name = options.name,
-             .zone = options.zone,
-             .region = options.region,
-             .callers = toString(options.callers),
-             .peers = toString(options.peers),
-             .incarnation = wallMilliseconds() };
+    return {.name = options.name,
+            .zone = options.zone,
+            .region = options.region,
+            .callers = toString(options.callers),
+            .peers = toString(options.peers),
+            .incarnation = wallMilliseconds()};
 }
 
 control_options controlOptions(const settings &options)
 {
-    control_options control { .self = selfOf(options) };
+    control_options control {.self = selfOf(options)};
     for (const endpoint &seed : options.seeds)
         control.seeds.push_back(toString(seed));
     control.randomSeed = rendezvousWeight(options.name, std::to_string(wallMilliseconds()));
@@ -68,14 +68,11 @@
 class instance::parts : public control_outlet
 {
 public:
-    explicit parts(settings given) :
-        options(std::move(given)),
-        control(controlOptions(options)),
-        platform(options.platform, options.platformCallsPerSecond),
-        peers(options.peerSecret),
-        spans(options.name, options.traceFile, options.traceEndpoint)
-    {
-    }
+    explicit parts(settings given)
+        : options(std::move(given)), control(controlOptions(options)),
+          platform(options.platform, options.platformCallsPerSecond), peers(options.peerSecret),
+          spans(options.name, options.traceFile, options.traceEndpoint)
+    { }
 
     void send(peer_send action) override
     {
@@ -90,8 +87,8 @@
 
     void call(platform_call action) override
     {
-        work_queue &work = std::holds_alternative<platform_watch>(action.request) ? m_watchWork
-                                                                                   : m_platformWork;
+        work_queue &work =
+            std::holds_alternative<platform_watch>(action.request) ? m_watchWork : m_platformWork;
         work.post([this, action = std::move(action)] {
             control.postPlatformAnswer(action.id, callPlatform(action.request));
         });
@@ -126,48 +123,46 @@
     child_body tree()
     {
         const auto report = [](std::string_view child, const error &reason) {
-            logError("supervisor", "child \"" + std::string(child) + "\" failed: " + reason.message
-                                           + ".");
+            logError("supervisor",
+                     "child \"" + std::string(child) + "\" failed: " + reason.message + ".");
         };
         std::vector<child_spec> platformChildren = m_platformWork.workers("call", platformThreads);
         for (child_spec &each : m_watchWork.workers("watch", watchThreads))
             platformChildren.push_back(std::move(each));
         std::vector<child_spec> peerChildren = m_peerWork.workers("send", peerThreads);
         peerChildren.push_back(
-                { .name = "listener",
-                  .body = httpListener({ .place = options.peers,
-                                         .threads = peerListenerThreads,
-                                         .factory = peersFactory(control, options.peerSecret) }) });
-        const child_body platformTree = supervise({ .name = "platform",
-                                                    .children = std::move(platformChildren),
-                                                    .onFailure = report });
-        const child_body peerTree = supervise(
-                { .name = "peers", .children = std::move(peerChildren), .onFailure = report });
-        const child_body serverTree
-                = supervise({ .name = "servers",
-                              .children = m_pollWork.workers("poll", pollThreads),
-                              .onFailure = report });
+            {.name = "listener",
+             .body = httpListener({.place = options.peers,
+                                   .threads = peerListenerThreads,
+                                   .factory = peersFactory(control, options.peerSecret)})});
+        const child_body platformTree = supervise(
+            {.name = "platform", .children = std::move(platformChildren), .onFailure = report});
+        const child_body peerTree =
+            supervise({.name = "peers", .children = std::move(peerChildren), .onFailure = report});
+        const child_body serverTree =
+            supervise({.name = "servers",
+                       .children = m_pollWork.workers("poll", pollThreads),
+                       .onFailure = report});
         return supervise(
-                { .name = options.name,
-                  .children = {
-                          { .name = "traces", .body = spans.body() },
-                          { .name = "control", .body = control.body(*this), .maxRestarts = 0 },
-                          { .name = "platform", .body = platformTree, .maxRestarts = 0 },
-                          { .name = "servers", .body = serverTree, .maxRestarts = 0 },
-                          { .name = "peers", .body = peerTree, .maxRestarts = 0 },
-                          { .name = "operators",
-                            .body = httpListener({ .place = options.operators,
-                                                   .threads = operatorThreads,
-                                                   .factory = operatorsFactory(
-                                                           control, metrics, platform.budget()) }) },
-                          { .name = "callers",
-                            .body = httpListener({ .place = options.callers,
-                                                   .threads = options.callerThreads,
-                                                   .timeout = options.callerTimeout,
-                                                   .factory = callersFactory(
-                                                           { control, backends, spans, metrics },
-                                                           options) }) } },
-                  .onFailure = report });
+            {.name = options.name,
+             .children = {{.name = "traces", .body = spans.body()},
+                          {.name = "control", .body = control.body(*this), .maxRestarts = 0},
+                          {.name = "platform", .body = platformTree, .maxRestarts = 0},
+                          {.name = "servers", .body = serverTree, .maxRestarts = 0},
+                          {.name = "peers", .body = peerTree, .maxRestarts = 0},
+                          {.name = "operators",
+                           .body = httpListener(
+                               {.place = options.operators,
+                                .threads = operatorThreads,
+                                .factory = operatorsFactory(control, metrics, platform.budget())})},
+                          {.name = "callers",
+                           .body =
+                               httpListener({.place = options.callers,
+                                             .threads = options.callerThreads,
+                                             .timeout = options.callerTimeout,
+                                             .factory = callersFactory(
+                                                 {control, backends, spans, metrics}, options)})}},
+             .onFailure = report});
     }
 
     /// Leaves the entry answer, serves who still comes by an old one, and waits for open streams.
--- a/trefoilrouter/src/main.cpp
+++ b/trefoilrouter/src/main.cpp
@@ -32,26 +32,25 @@
 const std::map<std::string, verb_help> &verbs()
 {
     static const std::map<std::string, verb_help> all {
-        { "serve",
-          { "runs an entry instance until SIGTERM", "trefoilrouter serve --settings FILE" } },
-        { "check",
-          { "prints every finding in settings, routes and pools; exit 2 on any",
-            "trefoilrouter check [--settings FILE] [--routes FILE] [--pools FILE] [--format "
-            "text|json]" } },
-        { "apply",
-          { "puts checked tables into the platform by conditional update",
-            "trefoilrouter apply --platform ADDRESS:PORT [--routes FILE] [--pools FILE]" } },
-        { "status",
-          { "prints members, configuration in force, limits and rollouts",
-            "trefoilrouter status --instance ADDRESS:PORT [--format text|json]" } },
-        { "keys",
-          { "issues, lists and withdraws callers' keys",
-            "trefoilrouter keys issue --platform ADDRESS:PORT --team TEAM [--name NAME]\n"
-            "       trefoilrouter keys list --platform ADDRESS:PORT [--team TEAM] [--format "
-            "text|json]\n"
-            "       trefoilrouter keys withdraw --platform ADDRESS:PORT --digest DIGITS" } },
-        { "version", { "prints the version", "trefoilrouter version" } },
-        { "help", { "prints this, or the usage of a verb", "trefoilrouter help [VERB]" } },
+        {"serve", {"runs an entry instance until SIGTERM", "trefoilrouter serve --settings FILE"}},
+        {"check",
+         {"prints every finding in settings, routes and pools; exit 2 on any",
+          "trefoilrouter check [--settings FILE] [--routes FILE] [--pools FILE] [--format "
+          "text|json]"}},
+        {"apply",
+         {"puts checked tables into the platform by conditional update",
+          "trefoilrouter apply --platform ADDRESS:PORT [--routes FILE] [--pools FILE]"}},
+        {"status",
+         {"prints members, configuration in force, limits and rollouts",
+          "trefoilrouter status --instance ADDRESS:PORT [--format text|json]"}},
+        {"keys",
+         {"issues, lists and withdraws callers' keys",
+          "trefoilrouter keys issue --platform ADDRESS:PORT --team TEAM [--name NAME]\n"
+          "       trefoilrouter keys list --platform ADDRESS:PORT [--team TEAM] [--format "
+          "text|json]\n"
+          "       trefoilrouter keys withdraw --platform ADDRESS:PORT --digest DIGITS"}},
+        {"version", {"prints the version", "trefoilrouter version"}},
+        {"help", {"prints this, or the usage of a verb", "trefoilrouter help [VERB]"}},
     };
     return all;
 }
@@ -78,26 +77,25 @@
 int runVerb(const std::string &verb, const std::vector<std::string> &rest)
 {
     if (verb == "serve")
-        return trefoil::runServe({ .settingsFile = absl::GetFlag(FLAGS_settings) });
+        return trefoil::runServe({.settingsFile = absl::GetFlag(FLAGS_settings)});
     if (verb == "check")
-        return trefoil::runCheck({ .settingsFile = absl::GetFlag(FLAGS_settings),
-                                   .routesFile = absl::GetFlag(FLAGS_routes),
-                                   .poolsFile = absl::GetFlag(FLAGS_pools),
-                                   .format = format() });
+        return trefoil::runCheck({.settingsFile = absl::GetFlag(FLAGS_settings),
+                                  .routesFile = absl::GetFlag(FLAGS_routes),
+                                  .poolsFile = absl::GetFlag(FLAGS_pools),
+                                  .format = format()});
     if (verb == "apply")
-        return trefoil::runApply({ .platform = absl::GetFlag(FLAGS_platform),
-                                   .routesFile = absl::GetFlag(FLAGS_routes),
-                                   .poolsFile = absl::GetFlag(FLAGS_pools) });
+        return trefoil::runApply({.platform = absl::GetFlag(FLAGS_platform),
+                                  .routesFile = absl::GetFlag(FLAGS_routes),
+                                  .poolsFile = absl::GetFlag(FLAGS_pools)});
     if (verb == "status")
-        return trefoil::runStatus(
-                { .instance = absl::GetFlag(FLAGS_instance), .format = format() });
+        return trefoil::runStatus({.instance = absl::GetFlag(FLAGS_instance), .format = format()});
     if (verb == "keys")
-        return trefoil::runKeys({ .platform = absl::GetFlag(FLAGS_platform),
-                                  .action = rest.empty() ? "" : rest.front(),
-                                  .team = absl::GetFlag(FLAGS_team),
-                                  .name = absl::GetFlag(FLAGS_name),
-                                  .digest = absl::GetFlag(FLAGS_digest),
-                                  .format = format() });
+        return trefoil::runKeys({.platform = absl::GetFlag(FLAGS_platform),
+                                 .action = rest.empty() ? "" : rest.front(),
+                                 .team = absl::GetFlag(FLAGS_team),
+                                 .name = absl::GetFlag(FLAGS_name),
+                                 .digest = absl::GetFlag(FLAGS_digest),
+                                 .format = format()});
     if (verb == "version") {
         std::cout << "trefoilrouter " << TREFOIL_VERSION << "\n";
         return exit_status::ExitOk;
@@ -135,5 +133,5 @@
         std::cerr << "trefoilrouter: --format must be text or json, not \"" << wanted << "\"\n";
         return exit_status::ExitUsage;
     }
-    return runVerb(arguments.front(), { arguments.begin() + 1, arguments.end() });
+    return runVerb(arguments.front(), {arguments.begin() + 1, arguments.end()});
 }
--- a/trefoilrouter/src/operators_handler.cpp
+++ b/trefoilrouter/src/operators_handler.cpp
@@ -55,9 +55,9 @@
     void serveMetrics(Poco::Net::HTTPServerResponse &response)
     {
         m_parts.metrics.gaugeOf("trefoil_platform_calls")
-                .set(static_cast<std::int64_t>(m_parts.budget.allowed()));
+            .set(static_cast<std::int64_t>(m_parts.budget.allowed()));
         m_parts.metrics.gaugeOf("trefoil_platform_calls_refused")
-                .set(static_cast<std::int64_t>(m_parts.budget.refused()));
+            .set(static_cast<std::int64_t>(m_parts.budget.refused()));
         answer(response, 200, "text/plain; version=0.0.4", m_parts.metrics.write());
     }
 
@@ -70,8 +70,8 @@
             answer(response, 503, "text/plain", "control is busy\n");
     }
 
-    static void answer(Poco::Net::HTTPServerResponse &response, int status,
-                       const std::string &type, const std::string &body)
+    static void answer(Poco::Net::HTTPServerResponse &response, int status, const std::string &type,
+                       const std::string &body)
     {
         response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
         response.setContentType(type);
@@ -101,7 +101,7 @@
 Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory>
 operatorsFactory(control_thread &control, metric_registry &metrics, const call_budget &budget)
 {
-    return new operators_factory({ control, metrics, budget });
+    return new operators_factory({control, metrics, budget});
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/peer_link.cpp
+++ b/trefoilrouter/src/peer_link.cpp
@@ -21,10 +21,9 @@
 class rpc_handler_http : public Poco::Net::HTTPRequestHandler
 {
 public:
-    rpc_handler_http(control_thread &control, const std::string &secret) :
-        m_control(control), m_secret(secret)
-    {
-    }
+    rpc_handler_http(control_thread &control, const std::string &secret)
+        : m_control(control), m_secret(secret)
+    { }
 
     void handleRequest(Poco::Net::HTTPServerRequest &request,
                        Poco::Net::HTTPServerResponse &response) override
@@ -67,10 +66,9 @@
 class rpc_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    rpc_factory(control_thread &control, std::string secret) :
-        m_control(control), m_secret(std::move(secret))
-    {
-    }
+    rpc_factory(control_thread &control, std::string secret)
+        : m_control(control), m_secret(std::move(secret))
+    { }
 
     Poco::Net::HTTPRequestHandler *
     createRequestHandler(const Poco::Net::HTTPServerRequest &) override
@@ -96,8 +94,7 @@
             return session;
         }
     }
-    session_ptr session
-            = std::make_unique<Poco::Net::HTTPClientSession>(place.host, place.port);
+    session_ptr session = std::make_unique<Poco::Net::HTTPClientSession>(place.host, place.port);
     session->setKeepAlive(true);
     session->setTimeout(toTimespan(peerTimeout), toTimespan(peerTimeout), toTimespan(peerTimeout));
     return session;
@@ -111,11 +108,11 @@
     session_ptr session = takeSession(to, place);
     error problem;
     const rpc_transport transport = [&](const std::string &text, std::string &response) {
-        const result<http_answer> answer = httpCall(
-                *session, { .method = "POST",
-                            .path = "/rpc",
-                            .body = text,
-                            .headers = { { peerSecretHeader, m_secret } } });
+        const result<http_answer> answer = httpCall(*session,
+                                                    {.method = "POST",
+                                                     .path = "/rpc",
+                                                     .body = text,
+                                                     .headers = {{peerSecretHeader, m_secret}}});
         if (!answer) {
             problem = answer.error();
             return false;
@@ -127,7 +124,7 @@
     std::string why;
     if (!rpcCall(transport, toJson(request), value, why)) {
         if (problem.code.empty())
-            problem = { .code = "rpc", .message = why };
+            problem = {.code = "rpc", .message = why};
         return tl::unexpected(problem);
     }
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -138,7 +135,7 @@
 }
 
 Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> peersFactory(control_thread &control,
-                                                                    std::string secret)
+                                                                   std::string secret)
 {
     return new rpc_factory(control, std::move(secret));
 }
--- a/trefoilrouter/src/peer_link.h
+++ b/trefoilrouter/src/peer_link.h
@@ -36,7 +36,7 @@
 
 /// Returns the handler factory of the peers' listener. Precondition: @p control outlives it.
 Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> peersFactory(control_thread &control,
-                                                                    std::string secret);
+                                                                   std::string secret);
 
 /// Name of the header that carries the peers' secret.
 inline constexpr const char *peerSecretHeader = "X-Trefoil-Peer";
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -53,10 +53,9 @@
 
 } // namespace
 
-proxy::proxy(const proxy_parts &parts, proxy_request request, answer_sink &sink) :
-    m_parts(parts), m_request(std::move(request)), m_sink(sink), m_startedAt(boot_clock::now())
-{
-}
+proxy::proxy(const proxy_parts &parts, proxy_request request, answer_sink &sink)
+    : m_parts(parts), m_request(std::move(request)), m_sink(sink), m_startedAt(boot_clock::now())
+{ }
 
 void proxy::run()
 {
@@ -65,7 +64,7 @@
     while (true) {
         if (const traffic_refuse *refusal = std::get_if<traffic_refuse>(&decision.what)) {
             m_parts.metrics.counterOf("trefoil_refused_total", "code=\"" + refusal->code + "\"")
-                    .add();
+                .add();
             m_sink.refuse(*refusal);
             return;
         }
@@ -76,7 +75,7 @@
         }
         if (boot_clock::now() >= decision.validUntil) {
             // This thread was paused: the admission may no longer be within the team's limit.
-            m_parts.control.end({ .id = id });
+            m_parts.control.end({.id = id});
             m_request.begin.id = m_parts.control.newRequestId();
             run();
             return;
@@ -97,30 +96,30 @@
             return;
         }
         m_parts.metrics.counterOf("trefoil_attempts_failed_total", "server=\"" + go.server + "\"")
-                .add();
-        decision = m_parts.control.failed({ .id = id, .kind = m_failure });
+            .add();
+        decision = m_parts.control.failed({.id = id, .kind = m_failure});
     }
 }
 
 void proxy::finish(bool answered)
 {
-    m_parts.control.end({ .id = m_request.begin.id,
-                          .usedTokens = m_request.promptTokens + m_usedTokens,
-                          .answered = answered,
-                          .status = m_status,
-                          .contentType = m_contentType,
-                          .answer = std::move(m_answer) });
+    m_parts.control.end({.id = m_request.begin.id,
+                         .usedTokens = m_request.promptTokens + m_usedTokens,
+                         .answered = answered,
+                         .status = m_status,
+                         .contentType = m_contentType,
+                         .answer = std::move(m_answer)});
 }
 
 backend_request proxy::makeRequest(const traffic_go &go) const
 {
-    backend_request request { .method = m_request.method,
-                              .path = m_request.path,
-                              .contentType = m_request.contentType,
-                              .body = m_request.body,
-                              .headers = m_request.headers,
-                              .mayReuse = m_request.begin.idempotent,
-                              .timeout = m_request.target->responseTimeout };
+    backend_request request {.method = m_request.method,
+                             .path = m_request.path,
+                             .contentType = m_request.contentType,
+                             .body = m_request.body,
+                             .headers = m_request.headers,
+                             .mayReuse = m_request.begin.idempotent,
+                             .timeout = m_request.target->responseTimeout};
     if (!m_request.target->credential.empty())
         request.headers.emplace_back("Authorization", "Bearer " + m_request.target->credential);
     request.headers.emplace_back("traceparent", toTraceparent(m_attemptTrace));
@@ -147,7 +146,7 @@
     m_attempt = m_assembler.begin();
     m_firstToken = false;
     const std::unique_ptr<backend_exchange> exchange = m_parts.backends.open(
-            go.address, m_request.begin.idempotent, m_request.target->responseTimeout);
+        go.address, m_request.begin.idempotent, m_request.target->responseTimeout);
     const result<void> started = exchange->start(makeRequest(go));
     if (!started) {
         if (started.error().code == backend_errors::callerGone)
@@ -156,13 +155,14 @@
         return attempt_end::Failed;
     }
     const int status = exchange->response().getStatus();
-    const bool isBusy = m_request.isModel && (status == statusTooMany || status == statusUnavailable);
+    const bool isBusy =
+        m_request.isModel && (status == statusTooMany || status == statusUnavailable);
     if (isBusy || (m_request.begin.idempotent && status >= statusServerError)) {
         fail(isBusy ? attempt_failure::Busy : attempt_failure::ServerError);
         return attempt_end::Failed;
     }
     const bool isStream = m_request.stream && status == statusOk
-            && exchange->response().getContentType().starts_with("text/event-stream");
+        && exchange->response().getContentType().starts_with("text/event-stream");
     return isStream ? readStream(*exchange) : readWhole(*exchange, go);
 }
 
@@ -186,7 +186,7 @@
     }
     const Poco::Net::HTTPResponse &head = exchange.response();
     const bool isCut = head.hasContentLength()
-            && body.size() != static_cast<std::size_t>(head.getContentLength64());
+        && body.size() != static_cast<std::size_t>(head.getContentLength64());
     if (isCut) {
         fail(attempt_failure::Cut);
         return attempt_end::Failed;
@@ -275,19 +275,19 @@
         return;
     m_firstToken = true;
     const std::string cached = exchange.response().get("X-Cached-Tokens", "");
-    traffic_first_token report { .id = m_request.begin.id };
+    traffic_first_token report {.id = m_request.begin.id};
     if (!cached.empty())
         report.cachedTokens = std::strtod(cached.c_str(), nullptr);
     m_parts.control.firstToken(report);
     if (!m_timed)
         m_parts.metrics.timingOf("trefoil_first_token_seconds")
-                .observe(boot_clock::now() - m_startedAt);
+            .observe(boot_clock::now() - m_startedAt);
     m_timed = true;
     if (m_request.isModel && report.cachedTokens >= 0) {
         m_parts.metrics.counterOf("trefoil_prompt_tokens_total")
-                .add(static_cast<std::uint64_t>(m_request.promptTokens));
+            .add(static_cast<std::uint64_t>(m_request.promptTokens));
         m_parts.metrics.counterOf("trefoil_cached_tokens_total")
-                .add(static_cast<std::uint64_t>(report.cachedTokens));
+            .add(static_cast<std::uint64_t>(report.cachedTokens));
     }
 }
 
@@ -295,15 +295,15 @@
 {
     if (!m_parts.spans.isEnabled())
         return;
-    m_parts.spans.add({ .context = m_attemptTrace,
-                        .parentSpanId = m_request.trace.spanId,
-                        .name = "attempt",
-                        .startMilliseconds = startedAt,
-                        .endMilliseconds = wallMilliseconds(),
-                        .attributes = { { "server", go.server },
-                                        { "version", go.version },
-                                        { "pool", m_request.begin.pool } },
-                        .failed = end == attempt_end::Failed });
+    m_parts.spans.add({.context = m_attemptTrace,
+                       .parentSpanId = m_request.trace.spanId,
+                       .name = "attempt",
+                       .startMilliseconds = startedAt,
+                       .endMilliseconds = wallMilliseconds(),
+                       .attributes = {{"server", go.server},
+                                      {"version", go.version},
+                                      {"pool", m_request.begin.pool}},
+                       .failed = end == attempt_end::Failed});
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/span_exporter.cpp
+++ b/trefoilrouter/src/span_exporter.cpp
@@ -17,10 +17,9 @@
 
 } // namespace
 
-span_exporter::span_exporter(std::string instance, std::string file, std::string collector) :
-    m_instance(std::move(instance)), m_file(std::move(file)), m_collector(std::move(collector))
-{
-}
+span_exporter::span_exporter(std::string instance, std::string file, std::string collector)
+    : m_instance(std::move(instance)), m_file(std::move(file)), m_collector(std::move(collector))
+{ }
 
 void span_exporter::add(span item)
 {
@@ -64,7 +63,7 @@
     endpoint place;
     if (!m_collector.empty() && parseEndpoint(m_collector, place)) {
         const result<http_answer> answer = httpCallOnce(
-                place, { .method = "POST", .path = "/v1/traces", .body = text }, collectorTimeout);
+            place, {.method = "POST", .path = "/v1/traces", .body = text}, collectorTimeout);
         if (!answer)
             logWarning("traces", "the collector did not take spans: " + answer.error().message);
     }
--- a/trefoilrouter/src/verb_apply.cpp
+++ b/trefoilrouter/src/verb_apply.cpp
@@ -34,7 +34,7 @@
 {
     result<object> found = platform.get(name);
     if (!found && found.error().code == platform_errors::notFound)
-        return object { .name = name };
+        return object {.name = name};
     return found;
 }
 
@@ -61,10 +61,10 @@
     }
     // The table that is not given is the one in the platform: names must join with that.
     if (options.routesFile.empty() || options.poolsFile.empty()) {
-        const tl::expected<route_table, findings> otherRoutes
-                = readRoutes(routes->value, config_names::routes);
-        const tl::expected<pool_table, findings> otherPools
-                = readPools(pools->value, config_names::pools);
+        const tl::expected<route_table, findings> otherRoutes =
+            readRoutes(routes->value, config_names::routes);
+        const tl::expected<pool_table, findings> otherPools =
+            readPools(pools->value, config_names::pools);
         const bool missesRoutes = options.routesFile.empty() && routes->version > 0 && otherRoutes;
         const bool missesPools = options.poolsFile.empty() && pools->version > 0 && otherPools;
         findings dangling;
--- a/trefoilrouter/src/verb_check.cpp
+++ b/trefoilrouter/src/verb_check.cpp
@@ -42,10 +42,9 @@
     if (!options.settingsFile.empty()) {
         const result<std::string> text = readFile(options.settingsFile);
         if (!text) {
-            found.push_back({ .file = options.settingsFile, .message = text.error().message });
+            found.push_back({.file = options.settingsFile, .message = text.error().message});
         } else {
-            const tl::expected<settings, findings> read
-                    = readSettings(*text, options.settingsFile);
+            const tl::expected<settings, findings> read = readSettings(*text, options.settingsFile);
             if (!read)
                 found.insert(found.end(), read.error().begin(), read.error().end());
         }
--- a/trefoilrouter/src/verb_files.cpp
+++ b/trefoilrouter/src/verb_files.cpp
@@ -15,7 +15,7 @@
 {
     result<std::string> content = readFile(file);
     if (!content) {
-        found.push_back({ .file = file, .message = content.error().message });
+        found.push_back({.file = file, .message = content.error().message});
         return std::nullopt;
     }
     text = std::move(*content);
--- a/trefoilrouter/src/verb_keys.cpp
+++ b/trefoilrouter/src/verb_keys.cpp
@@ -46,8 +46,8 @@
         if (!current && current.error().code != platform_errors::notFound)
             return tl::unexpected(current.error());
         const std::uint64_t version = current ? current->version : 0;
-        result<std::vector<key_entry>> keys
-                = current ? keysFromText(current->value) : std::vector<key_entry>();
+        result<std::vector<key_entry>> keys =
+            current ? keysFromText(current->value) : std::vector<key_entry>();
         if (!keys)
             return tl::unexpected(keys.error());
         if (!change(*keys))
@@ -68,8 +68,8 @@
         return ExitUsage;
     }
     const result<object> routes = platform.get(config_names::routes);
-    const tl::expected<route_table, findings> table
-            = readRoutes(routes ? routes->value : std::string(), config_names::routes);
+    const tl::expected<route_table, findings> table =
+        readRoutes(routes ? routes->value : std::string(), config_names::routes);
     if (!routes || !table || !table->teamNamed(options.team)) {
         std::cerr << "keys issue: team \"" << options.team
                   << "\" does not exist in the routes table\n";
@@ -77,12 +77,11 @@
     }
     const std::string key = newKey();
     const std::string digest = keyDigest(key);
-    const result<void> done
-            = updateKeys(platform, keyObjectName(digest), [&](std::vector<key_entry> &keys) {
-                  keys.push_back(
-                          { .digest = digest, .team = options.team, .name = options.name });
-                  return true;
-              });
+    const result<void> done =
+        updateKeys(platform, keyObjectName(digest), [&](std::vector<key_entry> &keys) {
+            keys.push_back({.digest = digest, .team = options.team, .name = options.name});
+            return true;
+        });
     if (!done) {
         std::cerr << "keys issue: " << done.error().message << "\n";
         return ExitFailed;
@@ -99,7 +98,7 @@
         std::cerr << "keys list: " << objects.error().message << "\n";
         return ExitFailed;
     }
-    report_table table("keys", { "digest", "team", "name" });
+    report_table table("keys", {"digest", "team", "name"});
     Json::Value json(Json::arrayValue);
     for (const object &item : *objects) {
         const result<std::vector<key_entry>> keys = keysFromText(item.value);
@@ -110,7 +109,7 @@
         for (const key_entry &each : *keys) {
             if (!options.team.empty() && each.team != options.team)
                 continue;
-            table.add({ each.digest.substr(0, shownDigits), each.team, each.name });
+            table.add({each.digest.substr(0, shownDigits), each.team, each.name});
             Json::Value entry(Json::objectValue);
             entry["digest"] = each.digest;
             entry["team"] = each.team;
@@ -128,13 +127,14 @@
         std::cerr << "keys withdraw: give --digest with at least " << shownDigits << " digits\n";
         return ExitUsage;
     }
-    const result<void> done = updateKeys(
-            platform, keyObjectName(options.digest), [&](std::vector<key_entry> &keys) {
-                return std::erase_if(keys, [&](const key_entry &each) {
-                           return each.digest.starts_with(options.digest);
-                       })
-                        > 0;
-            });
+    const result<void> done =
+        updateKeys(platform, keyObjectName(options.digest), [&](std::vector<key_entry> &keys) {
+            return std::erase_if(keys,
+                                 [&](const key_entry &each) {
+                                     return each.digest.starts_with(options.digest);
+                                 })
+                > 0;
+        });
     if (!done) {
         std::cerr << "keys withdraw: " << done.error().message << "\n";
         return ExitFailed;
--- a/trefoilrouter/src/verb_serve.cpp
+++ b/trefoilrouter/src/verb_serve.cpp
@@ -45,16 +45,16 @@
         std::cerr << toString(read.error());
         return ExitUsage;
     }
-    startLog({ .least = logLevelNamed(read->logLevel),
-               .asJson = read->logAsJson,
-               .instance = read->name });
+    startLog({.least = logLevelNamed(read->logLevel),
+              .asJson = read->logAsJson,
+              .instance = read->name});
     // Blocked in every thread, so that only the one below takes them.
     const sigset_t set = stopSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     std::stop_source stop;
     std::jthread signals([&](const std::stop_token &ended) {
-        const timespec patience { .tv_sec = 0, .tv_nsec = signalCheckNanoseconds };
+        const timespec patience {.tv_sec = 0, .tv_nsec = signalCheckNanoseconds};
         while (!ended.stop_requested()) {
             if (sigtimedwait(&set, nullptr, &patience) > 0) {
                 stop.request_stop();
--- a/trefoilrouter/src/work_queue.cpp
+++ b/trefoilrouter/src/work_queue.cpp
@@ -15,8 +15,8 @@
 {
     std::vector<child_spec> children;
     for (int i = 0; i < count; ++i) {
-        children.push_back({ .name = name + "-" + std::to_string(i),
-                             .body = [this](const std::stop_token &stop) { return work(stop); } });
+        children.push_back({.name = name + "-" + std::to_string(i),
+                            .body = [this](const std::stop_token &stop) { return work(stop); }});
     }
     return children;
 }
--- a/trefoilrouter/tests/chat_request_test.cpp
+++ b/trefoilrouter/tests/chat_request_test.cpp
@@ -33,8 +33,8 @@
     EXPECT_TRUE(request->stream);
     EXPECT_EQ(request->maxTokens, 7);
     EXPECT_EQ(request->prompt,
-              (std::vector<std::string_view> { "\"system\"", "\"long terms\"", "\"user\"",
-                                               "\"a question\"" }));
+              (std::vector<std::string_view> {"\"system\"", "\"long terms\"", "\"user\"",
+                                              "\"a question\""}));
 }
 
 TEST(ChatRequest, NamesWhatIsWrong)
