--- a/libs/lease/include/lease/lease_keeper.h
+++ b/libs/lease/include/lease/lease_keeper.h
@@ -157,8 +157,8 @@
     /// Takes a successor's answer to call @p id.
     void onAnswer(timestamp now, std::uint64_t id, const confirm_answer &answer);
     /// Notes that call @p id had no answer. @p connectionRefused means that no process listens at
-    /// the successor's address: a new one there would take nothing over for the length of a
-    /// confirmation, so this counts as one.
+    /// the peer's address. Of a successor this counts as a confirmation, since a new process there
+    /// would take nothing over for the length of one; of an owner it ends the promise given to it.
     void onFailure(timestamp now, std::uint64_t id, bool connectionRefused);
     /// Takes the record of @p key at object version @p version. Version 0 without record means that
     /// the platform has no such object. Older versions than the known one are ignored.
@@ -201,12 +201,17 @@
         std::vector<std::string> asked;
         /// As successor: until when this instance promised not to take over.
         timestamp promisedUntil;
+        /// As successor: when the owner last asked, and whether its process is known to be gone.
+        timestamp askedAt;
+        bool ownerGone = false;
         /// A write on its way, or of unknown outcome until a read tells.
         std::optional<lease_record> writing;
         timestamp writtenAt;
         bool outcomeUnknown = false;
         bool first = false;
         timestamp nextRead;
+        /// Not before then after the platform refused a write.
+        timestamp nextWrite;
         std::optional<timestamp> orphanSince;
         bool owned = false; // whether an Acquired event was given and no Lost yet
     };
@@ -214,7 +219,7 @@
     {
         std::string to;
         timestamp sentAt;
-        std::vector<std::string> keys;
+        std::vector<std::string> keys; // none in a probe of a silent owner
     };
 
     bool isSelfOwner(const right &state) const;
@@ -241,6 +246,8 @@
     std::map<std::string, confirm_ask> dueAsks(timestamp now);
     bool hasOpenCall(timestamp now, std::string_view to) const;
     void expireCalls(timestamp now);
+    void probeSilentOwners(timestamp now, std::vector<lease_action> &actions);
+    void noteOwnerGone(const open_call &probe);
     void replaceSuccessors(timestamp now, const std::string &key, right &state,
                            std::vector<lease_action> &actions);
     void adopt(timestamp now, const std::string &key, right &state, std::uint64_t version,
@@ -254,6 +261,7 @@
     std::map<std::string, right, std::less<>> m_rights;
     std::map<std::uint64_t, open_call> m_calls;
     std::map<std::string, timestamp, std::less<>> m_nextAsk;
+    std::map<std::string, timestamp, std::less<>> m_nextProbe;
     std::uint64_t m_nextId = 1;
     bool m_leaving = false;
     std::vector<lease_event> m_events;
--- a/libs/lease/src/lease_keeper.cpp
+++ b/libs/lease/src/lease_keeper.cpp
@@ -14,9 +14,15 @@
 /// for the write and for the new successor's answer.
 constexpr int missesBeforeReplacing = 2;
 
+/// An owner that has not asked for so long is probed: one and a half of its periods.
+constexpr duration silence = std::chrono::milliseconds(750);
+
 /// Wait between reads of a record whose state is not known.
 constexpr duration readPeriod = std::chrono::seconds(1);
 
+/// Wait before a write that the platform refused is tried again.
+constexpr duration writeRetry = std::chrono::milliseconds(500);
+
 /// Time that a new record has to reach its owner before a successor counts on its silence.
 constexpr duration recordGrace = std::chrono::seconds(3);
 
@@ -109,8 +115,10 @@
     std::vector<lease_action> actions;
     for (auto it = m_rights.begin(); it != m_rights.end(); ++it)
         tickRight(now, it->first, it->second, actions);
-    if (!m_leaving)
+    if (!m_leaving) {
         askSuccessors(now, actions);
+        probeSilentOwners(now, actions);
+    }
     return actions;
 }
 
@@ -168,7 +176,7 @@
     // A silent successor is replaced only where another instance can stand in for it; a lost one
     // is dropped in any case, since its confirmation will never come.
     const bool better = wanted.size() > keep.size();
-    if (!better && !anyLost)
+    if ((!better && !anyLost) || now < state.nextWrite)
         return;
     if (!better)
         wanted.insert(wanted.end(), silent.begin(), silent.end());
@@ -182,7 +190,7 @@
 void lease_keeper::tickForeign(timestamp now, const std::string &key, right &state,
                                std::vector<lease_action> &actions)
 {
-    if (!m_fleet.attached || m_fleet.usable.empty())
+    if (!m_fleet.attached || m_fleet.usable.empty() || now < state.nextWrite)
         return;
     const std::uint64_t epoch = state.record ? state.record->epoch + 1 : 1;
     if (!state.record) {
@@ -205,7 +213,7 @@
 void lease_keeper::tickLeaving(timestamp now, const std::string &key, right &state,
                                std::vector<lease_action> &actions)
 {
-    if (!isSelfOwner(state))
+    if (!isSelfOwner(state) || now < state.nextWrite)
         return;
     for (const std::string &name : state.record->successors) {
         if (!isUsable(name) || name == m_options.self)
@@ -227,6 +235,9 @@
     if (place == successors.end())
         return false;
     const duration stagger = m_options.takeoverStagger * (place - successors.begin());
+    // Promises were made to a process that is gone.
+    if (state.ownerGone)
+        return now >= state.askedAt + silence + stagger;
     return now >= state.promisedUntil + stagger && now >= state.recordSince + recordGrace + stagger
         && now >= m_startedAt + promiseLife();
 }
@@ -338,6 +349,39 @@
     }
 }
 
+void lease_keeper::probeSilentOwners(timestamp now, std::vector<lease_action> &actions)
+{
+    std::vector<std::string> silent;
+    for (auto it = m_rights.begin(); it != m_rights.end(); ++it) {
+        const right &state = it->second;
+        if (!state.record || isSelfOwner(state) || state.ownerGone || now - state.askedAt < silence
+            || !contains(state.record->successors, m_options.self)
+            || contains(silent, state.record->owner))
+            continue;
+        silent.push_back(state.record->owner);
+    }
+    for (const std::string &name : silent) {
+        const auto due = m_nextProbe.find(name);
+        if ((due != m_nextProbe.end() && now < due->second) || hasOpenCall(now, name))
+            continue;
+        m_nextProbe[name] = now + m_options.askPeriod / 2;
+        const std::uint64_t id = m_nextId++;
+        m_calls[id] = {.to = name, .sentAt = now, .keys = {}};
+        actions.push_back(
+            confirm_call {.id = id, .to = name, .ask = {.from = m_options.self, .items = {}}});
+    }
+}
+
+void lease_keeper::noteOwnerGone(const open_call &probe)
+{
+    for (auto it = m_rights.begin(); it != m_rights.end(); ++it) {
+        right &state = it->second;
+        // A new process there may have asked since: the promise to that one holds.
+        if (state.record && state.record->owner == probe.to && state.askedAt < probe.sentAt)
+            state.ownerGone = true;
+    }
+}
+
 void lease_keeper::expireCalls(timestamp now)
 {
     std::vector<std::uint64_t> late;
@@ -365,8 +409,11 @@
             // Not while a takeover of ours may have taken effect, nor for an owner out of date.
             reply.granted = m_fleet.attached && !state.writing && reply.epoch <= item.epoch
                 && !(isSelfOwner(state) && reply.epoch == item.epoch);
-            if (reply.granted)
+            if (reply.granted) {
                 state.promisedUntil = std::max(state.promisedUntil, now + promiseLife());
+                state.askedAt = now;
+                state.ownerGone = false;
+            }
         }
         answer.items.push_back(std::move(reply));
     }
@@ -402,6 +449,8 @@
         return;
     const open_call call = found->second;
     m_calls.erase(found);
+    if (call.keys.empty() && connectionRefused)
+        noteOwnerGone(call);
     for (const std::string &key : call.keys) {
         right &state = m_rights.at(key);
         ++state.misses[call.to];
@@ -441,6 +490,8 @@
         state.recordSince = now;
         state.misses.clear();
         state.asked.clear();
+        state.askedAt = now;
+        state.ownerGone = false;
     }
     if (ownWrite)
         confirmNewcomers(*record, state);
@@ -498,6 +549,7 @@
     case write_outcome::Refused:
         state.writing.reset();
         state.first = false;
+        state.nextWrite = now + writeRetry;
         return;
     case write_outcome::Unknown:
         state.outcomeUnknown = true;
--- a/libs/limits/include/limits/limit_node.h
+++ b/libs/limits/include/limits/limit_node.h
@@ -81,6 +81,9 @@
     duration prefetch = std::chrono::milliseconds(200);
     /// Longest time that a request is kept waiting for tokens before it is refused.
     duration maxWait = std::chrono::milliseconds(500);
+    /// The same while the team's shard changes its owner, and shortly after, when the new owner's
+    /// bucket fills from empty: a takeover from a crashed process ends before.
+    duration maxOwnerWait = std::chrono::milliseconds(1500);
 };
 
 /// Returns the key of the lease of @p team's shard. Thread-safe.
@@ -165,6 +168,8 @@
         /// Open call for grants, if any.
         std::uint64_t openCall = 0;
         timestamp nextAsk;
+        /// Until when the change of an owner counts as under way.
+        timestamp changingUntil;
         std::vector<grant_settlement> settled;
     };
     /// Where an admitted request's tokens came from.
@@ -190,6 +195,9 @@
     void serveQueue(timestamp now, const std::string &team, team_state &state);
     std::optional<grant_call> askFor(timestamp now, const std::string &team, team_state &state);
     bool owns(timestamp now, const team_state &state) const;
+    /// Returns how long @p item may go on waiting; not positive when it may not.
+    duration patienceLeft(timestamp now, const team_state &state, const waiting &item) const;
+    static void noteOwnerChange(timestamp now, team_state &state);
     bool isIdle(timestamp now, const team_state &state) const;
 
     limit_options m_options;
--- a/libs/limits/src/limit_node.cpp
+++ b/libs/limits/src/limit_node.cpp
@@ -20,6 +20,9 @@
 /// life: covers the difference of the machines' clock rates.
 constexpr duration grantMargin = std::chrono::milliseconds(100);
 
+/// How long after a sign of it the change of an owner counts as under way.
+constexpr duration ownerChangeTime = std::chrono::seconds(3);
+
 /// Expected demand below this many tokens is not asked for in advance.
 constexpr double leastPrefetch = 1;
 
@@ -102,12 +105,24 @@
         state.account.emplace(state.limit, now, state.limit.burst);
         return;
     }
+    noteOwnerChange(now, state);
     // What the owner before admitted and granted already fills one bucket.
     state.account.emplace(state.limit, now, 0);
     state.account->holdUnknown(now, state.limit.burst * maxGrantedShare,
                                now + m_options.grantLife + grantMargin);
 }
 
+duration limit_node::patienceLeft(timestamp now, const team_state &state, const waiting &item) const
+{
+    const bool changing = now < state.changingUntil;
+    return item.since + (changing ? m_options.maxOwnerWait : m_options.maxWait) - now;
+}
+
+void limit_node::noteOwnerChange(timestamp now, team_state &state)
+{
+    state.changingUntil = now + ownerChangeTime;
+}
+
 bool limit_node::owns(timestamp now, const team_state &state) const
 {
     return state.account && m_rights.holds(now, state.shard);
@@ -156,7 +171,7 @@
 
 std::optional<admission> limit_node::refusal(timestamp now, team_state &state, const waiting &item)
 {
-    const duration left = item.since + m_options.maxWait - now;
+    const duration left = patienceLeft(now, state, item);
     if (owns(now, state)) {
         const std::optional<duration> wait = state.account->waitFor(now, item.tokens);
         if (!wait)
@@ -347,6 +362,7 @@
         return;
     }
     if (answer.kind == grant_answer::outcome::NotOwner) {
+        noteOwnerChange(now, state);
         state.nextAsk = now + callTimeout / 2;
         return;
     }
@@ -355,7 +371,7 @@
     // Each waiting request learns whether the tokens can come in time.
     std::vector<waiting> kept;
     for (const waiting &item : state.queue) {
-        const duration left = item.since + m_options.maxWait - now;
+        const duration left = patienceLeft(now, state, item);
         if (!tooLarge && answer.retryAfter <= left) {
             kept.push_back(item);
             continue;
@@ -381,6 +397,7 @@
     team_state &state = team->second;
     state.openCall = 0;
     state.nextAsk = now + leastAskInterval;
+    noteOwnerChange(now, state);
     // Settling twice does no harm: the owner ignores a number that it has settled.
     state.settled.insert(state.settled.end(), call.settled.begin(), call.settled.end());
 }
--- a/libs/routing/include/routing/placement.h
+++ b/libs/routing/include/routing/placement.h
@@ -90,7 +90,7 @@
 class placement
 {
 public:
-    explicit placement(placement_options options);
+    explicit placement(const placement_options &options);
 
     /// Replaces the servers; belief about those that stay is kept.
     void setServers(const std::vector<placement_server> &servers);
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-placement::placement(placement_options options)
-    : m_options(std::move(options)), m_random(m_options.randomSeed)
+placement::placement(const placement_options &options)
+    : m_options(options), m_random(m_options.randomSeed)
 { }
 
 void placement::setServers(const std::vector<placement_server> &servers)
