--- a/libs/control/include/control/traffic_desk.h
+++ b/libs/control/include/control/traffic_desk.h
@@ -151,8 +151,6 @@
 
     /// Takes the configuration in force.
     void setConfiguration(timestamp now, std::shared_ptr<const configuration_view> view);
-    /// Tells how many instances send to the same pools.
-    void setInstances(int instances);
     /// Takes the state of a pool's rollout.
     void setRollout(const std::string &pool, const rollout_record &record);
     /// Replaces the version that @p server runs, as it reported itself; empty while it loads.
@@ -243,7 +241,6 @@
     std::string m_zone;
     std::uint64_t m_incarnation;
     std::uint64_t m_randomSeed;
-    int m_instances = 1;
     std::uint64_t m_nextAttempt = 1;
     std::shared_ptr<const configuration_view> m_view;
     std::map<std::string, placement, std::less<>> m_pools;
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -185,7 +185,6 @@
             fleet.usable.push_back({.name = each.info.name, .zone = each.info.zone});
         fleet.known.push_back(each.info.name);
     }
-    m_traffic.setInstances(static_cast<int>(fleet.usable.size()));
     m_leases.setFleet(now, std::move(fleet));
     if (members != m_snapshot.members) {
         m_snapshot.members = members;
--- a/libs/control/src/traffic_desk.cpp
+++ b/libs/control/src/traffic_desk.cpp
@@ -57,8 +57,7 @@
     std::erase_if(m_pools, [&](const auto &each) { return !m_view->pools.poolNamed(each.first); });
     for (const pool &each : m_view->pools.pools) {
         if (!m_pools.contains(each.name))
-            m_pools.emplace(each.name,
-                            placement({.randomSeed = m_randomSeed, .instances = m_instances}));
+            m_pools.emplace(each.name, placement({.randomSeed = m_randomSeed}));
         updateServers(each.name);
     }
 }
@@ -82,13 +81,6 @@
     found->second.setServers(servers);
 }
 
-void traffic_desk::setInstances(int instances)
-{
-    m_instances = instances;
-    for (auto it = m_pools.begin(); it != m_pools.end(); ++it)
-        it->second.setInstances(instances);
-}
-
 void traffic_desk::setRollout(const std::string &pool, const rollout_record &record)
 {
     const auto found = m_rollouts.find(pool);
--- a/libs/routing/include/routing/placement.h
+++ b/libs/routing/include/routing/placement.h
@@ -68,11 +68,12 @@
     std::uint64_t randomSeed = 0;
     /// Prompt tokens a second assumed until a server reports its rate.
     double prefillRate = 16000;
+    /// Weight of the time for computing what is missing against the time in the queue:
+    /// recomputation also delays everyone who comes after. It rises with the mean queue; see
+    /// placement.cpp.
+    double recomputeWeight = 1;
     /// Cost of leaving the instance's zone, in seconds.
     double otherZoneSeconds = 0.003;
-    /// Instances that send to the same servers. What this one can't see of the others' sends since
-    /// the last load report is estimated from its own.
-    int instances = 1;
     /// Ways that are switched off by the benchmark to measure what each brings.
     bool useBelief = true;
     bool useHomes = true;
@@ -94,8 +95,6 @@
 
     /// Replaces the servers; belief about those that stay is kept.
     void setServers(const std::vector<placement_server> &servers);
-    /// Tells how many instances send to the pool.
-    void setInstances(int instances);
     /// Marks @p server as failing until @p until: it is chosen only if no other is left.
     void setDown(std::string_view server, timestamp until);
 
@@ -138,22 +137,21 @@
     };
 
     double queueSeconds(timestamp now, const server_state &state) const;
+    double backlogAt(timestamp now, const server_state &state) const;
+    double expectedSeconds(timestamp now, const server_state &state, const prefix_chain &chain,
+                           double heldBlocks) const;
     double cost(timestamp now, const server_state &state, const placement_request &request,
-                std::size_t believed) const;
+                double heldBlocks, double recomputeWeight) const;
+    double weightUnderLoad(timestamp now) const;
     std::size_t believedDepth(timestamp now, const server_state &state,
                               const prefix_chain &chain) const;
-    std::size_t sharedDepth(timestamp now, const prefix_chain &chain) const;
-    std::string homeOf(timestamp now, digest128 block, const placement_request &request) const;
+    std::vector<std::string_view> homesOf(digest128 block) const;
     double rateOf(const server_state &state) const;
     bool mayTake(const server_state &state, const placement_request &request) const;
-    void noteHeat(timestamp now, const prefix_chain &chain);
 
     placement_options m_options;
     std::mt19937_64 m_random;
     std::map<std::string, server_state, std::less<>> m_servers;
-    /// When each block was last asked for here, to tell shared prefixes from single ones.
-    std::unordered_map<digest128, timestamp> m_heat;
-    timestamp m_heatPrunedAt;
 };
 
 } // namespace trefoil
--- a/libs/routing/src/cache_belief.cpp
+++ b/libs/routing/src/cache_belief.cpp
@@ -75,8 +75,8 @@
                               std::span<const digest128> stored, std::span<const digest128> evicted)
 {
     if (m_nextSequence != 0 && sequence > m_nextSequence) {
-        // Events were lost, evictions perhaps among them: keep only what was used very lately.
-        const timestamp trusted = now - leastKeepTime;
+        // Events were lost, evictions perhaps among them: what was not used lately is doubtful.
+        const timestamp trusted = now - m_keepTime / 2;
         std::erase_if(m_blocks, [&](const auto &each) { return each.second < trusted; });
     }
     if (sequence < m_nextSequence)
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -9,12 +9,14 @@
 
 namespace {
 
-/// A block asked for again within this time belongs to a shared prefix.
-constexpr duration heatWindow = std::chrono::seconds(60);
+/// Share of a prompt's blocks that the first home is taken to hold although this instance does not
+/// know of them: another instance has probably sent them there. Less for each home further on.
+constexpr double homeConfidence = 0.5;
+constexpr double homeDecay = 0.6;
 
-/// Share of the blocks of a known shared prefix that its home server is taken to hold although this
-/// instance has not sent it there: another instance probably has.
-constexpr double homeConfidence = 0.6;
+/// Each second of the mean queue, up to so many, adds this part of the weight of recomputation.
+constexpr double maxPressureSeconds = 10;
+constexpr double pressureFactor = 1.0;
 
 /// Costs closer than this are a tie, broken at random so that instances don't herd.
 constexpr double tieSeconds = 0.002;
@@ -46,8 +48,6 @@
     m_servers = std::move(next);
 }
 
-void placement::setInstances(int instances) { m_options.instances = std::max(1, instances); }
-
 void placement::setDown(std::string_view server, timestamp until)
 {
     const auto found = m_servers.find(server);
@@ -68,21 +68,32 @@
     return state.prefillRate > 0 ? state.prefillRate : m_options.prefillRate;
 }
 
+double placement::backlogAt(timestamp now, const server_state &state) const
+{
+    return std::max(0.0, state.backlog - toSeconds(now - state.backlogAt) * rateOf(state));
+}
+
 double placement::queueSeconds(timestamp now, const server_state &state) const
 {
-    const double drained = toSeconds(now - state.backlogAt) * rateOf(state);
-    double tokens = std::max(0.0, state.backlog - drained);
+    double tokens = backlogAt(now, state);
     // Requests of this instance without a first token are still there, whatever was estimated.
     if (m_options.useOwnSends)
         tokens = std::max(tokens, state.waitingTokens);
     return tokens / rateOf(state);
 }
 
+double placement::expectedSeconds(timestamp now, const server_state &state,
+                                  const prefix_chain &chain, double heldBlocks) const
+{
+    return queueSeconds(now, state) + missingTokens(chain, heldBlocks) / rateOf(state);
+}
+
 double placement::cost(timestamp now, const server_state &state, const placement_request &request,
-                       std::size_t believed) const
+                       double heldBlocks, double recomputeWeight) const
 {
     double seconds = queueSeconds(now, state);
-    seconds += missingTokens(*request.chain, static_cast<double>(believed)) / rateOf(state);
+    const double missing = missingTokens(*request.chain, heldBlocks);
+    seconds += recomputeWeight * missing / rateOf(state);
     if (state.server.zone != request.zone)
         seconds += m_options.otherZoneSeconds;
     if (now < state.downUntil)
@@ -90,91 +101,70 @@
     return seconds;
 }
 
-std::size_t placement::believedDepth(timestamp now, const server_state &state,
-                                     const prefix_chain &chain) const
+double placement::weightUnderLoad(timestamp now) const
 {
-    return m_options.useBelief ? state.belief.depth(now, chain.blocks) : 0;
-}
-
-void placement::noteHeat(timestamp now, const prefix_chain &chain)
-{
-    for (const digest128 &block : chain.blocks)
-        m_heat[block] = now;
-    if (now - m_heatPrunedAt < heatWindow)
-        return;
-    m_heatPrunedAt = now;
-    std::erase_if(m_heat, [&](const auto &each) { return now - each.second > heatWindow; });
+    // With every queue long, moving to a shorter one costs the pool more than it saves the request:
+    // the recomputation makes all queues longer, and the next requests move again. Without this the
+    // pool does not recover from a moment of overload.
+    double sum = 0;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it)
+        sum += std::min(queueSeconds(now, it->second), maxPressureSeconds);
+    const double mean = sum / static_cast<double>(std::max<std::size_t>(1, m_servers.size()));
+    return m_options.recomputeWeight * (1 + mean * pressureFactor);
 }
 
-std::size_t placement::sharedDepth(timestamp now, const prefix_chain &chain) const
+std::size_t placement::believedDepth(timestamp now, const server_state &state,
+                                     const prefix_chain &chain) const
 {
-    std::size_t depth = 0;
-    for (const digest128 &block : chain.blocks) {
-        const auto found = m_heat.find(block);
-        if (found == m_heat.end() || now - found->second > heatWindow)
-            break;
-        ++depth;
-    }
-    return depth;
+    return m_options.useBelief ? state.belief.depth(now, chain.blocks) : 0;
 }
 
-std::string placement::homeOf(timestamp now, digest128 block,
-                              const placement_request &request) const
+std::vector<std::string_view> placement::homesOf(digest128 block) const
 {
     const std::string key = toHex(block);
-    std::string home;
-    std::uint64_t best = 0;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (!mayTake(it->second, request) || now < it->second.downUntil)
-            continue;
-        const std::uint64_t weight = rendezvousWeight(key, it->first);
-        if (home.empty() || weight > best) {
-            home = it->first;
-            best = weight;
-        }
-    }
-    return home;
+    std::vector<std::pair<std::uint64_t, std::string_view>> weighted;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it)
+        weighted.emplace_back(rendezvousWeight(key, it->first), it->first);
+    std::sort(weighted.rbegin(), weighted.rend());
+    std::vector<std::string_view> homes;
+    for (const std::pair<std::uint64_t, std::string_view> &each : weighted)
+        homes.push_back(each.second);
+    return homes;
 }
 
 std::optional<placement_choice> placement::choose(timestamp now, const placement_request &request)
 {
     const prefix_chain &chain = *request.chain;
-    // The deepest block that was asked for before; the first one for a prompt never seen.
-    const std::size_t shared =
-        std::max(sharedDepth(now, chain), std::min<std::size_t>(1, chain.blocks.size()));
-    noteHeat(now, chain);
-    std::map<std::string_view, std::size_t> believed;
-    std::size_t deepest = 0;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (!mayTake(it->second, request))
-            continue;
-        const std::size_t depth = believedDepth(now, it->second, chain);
-        believed[it->first] = depth;
-        deepest = std::max(deepest, depth);
+    // Every instance computes the same order of homes, so that the copies of a prefix which is too
+    // hot for one server gather on the same few, and all instances know where to look first.
+    std::map<std::string_view, double> confidence;
+    if (m_options.useHomes && !chain.blocks.empty()) {
+        double share = homeConfidence;
+        for (const std::string_view home : homesOf(chain.blocks.front())) {
+            confidence[home] = share;
+            share *= homeDecay;
+        }
     }
-    // Where this instance knows no holder, the prefix's home probably is one: every instance
-    // computes the same home, so the first sends of all of them meet there.
-    std::string home;
-    if (m_options.useHomes && deepest < shared)
-        home = homeOf(now, chain.blocks[shared - 1], request);
+    const double weight = weightUnderLoad(now);
     std::vector<placement_choice> ties;
     double least = std::numeric_limits<double>::infinity();
-    for (auto it = believed.begin(); it != believed.end(); ++it) {
-        const server_state &state = m_servers.find(it->first)->second;
-        double seconds = cost(now, state, request, it->second);
-        if (it->first == home) {
-            const double unknown = static_cast<double>(shared - it->second);
-            seconds -= unknown * homeConfidence * blockTokens / rateOf(state);
-        }
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        const server_state &state = it->second;
+        if (!mayTake(state, request))
+            continue;
+        const std::size_t believed = believedDepth(now, state, chain);
+        const double unknown = static_cast<double>(chain.blocks.size() - believed);
+        const double held = static_cast<double>(believed) + unknown * confidence[it->first];
+        const double seconds = cost(now, state, request, held, weight);
         if (seconds > least + tieSeconds)
             continue;
         if (seconds < least - tieSeconds)
             ties.clear();
         least = std::min(least, seconds);
-        ties.push_back({.server = std::string(it->first),
+        ties.push_back({.server = it->first,
                         .version = state.server.version,
-                        .believedBlocks = it->second,
-                        .expectedSeconds = seconds});
+                        .believedBlocks = believed,
+                        .expectedSeconds = expectedSeconds(now, state, chain, held)});
     }
     if (ties.empty())
         return std::nullopt;
@@ -189,8 +179,7 @@
         return;
     server_state &state = found->second;
     const double work = missingTokens(chain, static_cast<double>(believedBlocks));
-    const double drained = toSeconds(now - state.backlogAt) * rateOf(state);
-    state.backlog = std::max(0.0, state.backlog - drained);
+    state.backlog = backlogAt(now, state);
     if (m_options.useOwnSends)
         state.backlog += work;
     state.backlogAt = now;
