Do not count answers among a rumor's sends

Cause: during a burst of urgent news every answer to a ping used up sends of rumors that the asker mostly had, so two of a hundred were never passed to one member in 5 s. Ruled out: the size of messages.

--- a/libs/gossip/include/gossip/rumor_store.h
+++ b/libs/gossip/include/gossip/rumor_store.h
@@ -44,6 +44,8 @@
     /// Returns up to @p maxBytes of the rumors passed on the fewest times, each at most
     /// @p maxSends times in all, and counts them as passed on.
     std::vector<rumor> pick(std::size_t maxBytes, int maxSends);
+    /// Returns what pick() would, without counting: for answers, whose receivers often know it all.
+    std::vector<rumor> peek(std::size_t maxBytes) const;
 
     /// Returns whether a rumor was passed on fewer than @p sends times.
     bool hasSentLessThan(int sends) const;
--- a/libs/gossip/src/membership.cpp
+++ b/libs/gossip/src/membership.cpp
@@ -292,7 +292,7 @@
 {
     if (const gossip_ping *ping = std::get_if<gossip_ping>(&request)) {
         // Picked before the ping's own rumors are taken: those the sender has already.
-        std::vector<rumor> answer = pickRumors();
+        std::vector<rumor> answer = m_rumors.peek(m_options.maxMessageBytes);
         mergeAll(now, ping->rumors);
         return gossip_ack {.rumors = std::move(answer)};
     }
--- a/libs/gossip/src/rumor_store.cpp
+++ b/libs/gossip/src/rumor_store.cpp
@@ -103,6 +103,24 @@
     return picked;
 }
 
+std::vector<rumor> rumor_store::peek(std::size_t maxBytes) const
+{
+    std::vector<rumor> picked;
+    std::size_t bytes = 0;
+    for (auto it = m_pending.begin(); it != m_pending.end(); ++it) {
+        for (const entry_key &key : it->second) {
+            const auto found = m_entries.find(key);
+            if (found == m_entries.end() || found->second.sends != it->first)
+                continue;
+            bytes += encodedSize(found->second.item);
+            if (bytes > maxBytes)
+                return picked;
+            picked.push_back(found->second.item);
+        }
+    }
+    return picked;
+}
+
 bool rumor_store::hasSentLessThan(int sends) const
 {
     for (auto it = m_pending.begin(); it != m_pending.end() && it->first < sends; ++it) {
