--- /dev/null
+++ b/libs/control/benchmarks/bench_capacity.cpp
@@ -0,0 +1,257 @@
+#include "control_world.h"
+
+#include <malloc.h>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <span>
+
+#include <core/json.h>
+#include <core/report.h>
+#include <limits/token_account.h>
+#include <routing/placement.h>
+
+using namespace trefoil;
+
+namespace {
+
+/// Bytes in use on the heap.
+double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+double secondsOf(const std::function<void()> &action)
+{
+    const std::chrono::steady_clock::time_point before = std::chrono::steady_clock::now();
+    action();
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - before).count();
+}
+
+std::string routesOf(int teams)
+{
+    std::string text = "teams:\n";
+    for (int i = 0; i < teams; ++i)
+        text += "  - {name: team-" + std::to_string(i) + ", rate: 20000, burst: 100000}\n";
+    text += "routes:\n  - {name: all, model: m, pool: engines, open: true}\n";
+    return text;
+}
+
+std::string poolsOf(int servers)
+{
+    std::string text = "pools:\n  - name: engines\n    kind: engine\n    servers:\n";
+    for (int i = 0; i < servers; ++i)
+        text += "      - {name: w" + std::to_string(i) + ", zone: a, address: \"10."
+            + std::to_string(i / 65536) + "." + std::to_string(i / 256 % 256) + "."
+            + std::to_string(i % 256) + ":9001\"}\n";
+    return text;
+}
+
+/// Steady state and one change of configuration, as the fleet grows.
+report_table instancesTable()
+{
+    report_table table("control of a node as instances grow (100 teams, 10 backend servers)",
+                       {"instances", "messages/s", "KB/s", "% of a core", "platform reads/s",
+                        "writes/s", "watches/s", "change in force everywhere s",
+                        "KB a node a change", "heap MB a node"});
+    for (const int size : {10, 33, 110, 330}) {
+        const double heapBefore = heapBytes();
+        control_world world(size, 1);
+        world.apply(config_names::routes, routesOf(100));
+        world.apply(config_names::pools, poolsOf(10));
+        world.run(std::chrono::seconds(15));
+        const double heap = (heapBytes() - heapBefore) / size;
+        world.meters.clear();
+        world.platformReads = 0;
+        world.platformWrites = 0;
+        world.platformWatches = 0;
+        constexpr double seconds = 10;
+        world.run(fromSeconds(seconds));
+        double messages = 0;
+        double bytes = 0;
+        double cpu = 0;
+        for (const std::pair<const std::string, control_world::meter> &each : world.meters) {
+            messages += static_cast<double>(each.second.messages);
+            bytes += static_cast<double>(each.second.bytes);
+            cpu += each.second.cpuSeconds;
+        }
+        const double share = 1 / (seconds * size);
+        const std::uint64_t reads = world.platformReads;
+        const std::uint64_t writes = world.platformWrites;
+        const std::uint64_t watches = world.platformWatches;
+        world.meters.clear();
+        world.apply(config_names::routes, routesOf(101));
+        const timestamp changed = world.now;
+        const auto inForce = [&] {
+            for (const std::string &name : world.names()) {
+                if (world.inForce(name).routes.teams.size() != 101)
+                    return false;
+            }
+            return true;
+        };
+        while (!inForce() && world.now - changed < std::chrono::seconds(60))
+            world.run(std::chrono::milliseconds(20));
+        const double took = toSeconds(world.now - changed);
+        double changeBytes = 0;
+        for (const std::pair<const std::string, control_world::meter> &each : world.meters)
+            changeBytes += static_cast<double>(each.second.bytes);
+        const double usual = bytes / seconds * took;
+        table.add({std::to_string(size), formatNumber(messages * share, 1),
+                   formatNumber(bytes * share / 1000, 2), formatNumber(cpu * share * 100, 3),
+                   formatNumber(static_cast<double>(reads) / seconds, 1),
+                   formatNumber(static_cast<double>(writes) / seconds, 2),
+                   formatNumber(static_cast<double>(watches) / seconds, 1), formatNumber(took, 2),
+                   formatNumber((changeBytes - usual) / size / 1000, 1),
+                   formatNumber(heap / 1e6, 2)});
+    }
+    return table;
+}
+
+report_table teamsTable()
+{
+    report_table table("an instance as teams grow",
+                       {"teams", "routes table KB", "time to check and take it ms", "heap KB",
+                        "heap bytes a team"});
+    for (const int teams : {27, 270, 2700}) {
+        const std::string text = routesOf(teams);
+        const double before = heapBytes();
+        configuration_store store;
+        const double seconds = secondsOf(
+            [&] { store.take({.name = config_names::routes, .version = 1, .value = text}); });
+        lease_keeper keeper({.self = "n", .zone = "a", .keys = shardKeys(32)}, timestamp());
+        limit_node limits({.self = "n"}, keeper);
+        std::map<std::string, token_limit, std::less<>> rates;
+        for (const team &each : store.view()->routes.teams)
+            rates[each.name] = {.rate = static_cast<double>(each.rate),
+                                .burst = static_cast<double>(each.burst)};
+        limits.setTeams(timestamp(), rates);
+        const double heap = heapBytes() - before;
+        table.add({std::to_string(teams), formatNumber(static_cast<double>(text.size()) / 1000, 1),
+                   formatNumber(seconds * 1000, 1), formatNumber(heap / 1000, 0),
+                   formatNumber(heap / teams, 0)});
+    }
+    return table;
+}
+
+report_table workersTable()
+{
+    report_table table("placement as backend servers grow (prompts of 10 blocks)",
+                       {"backend servers", "choose us", "heap KB", "heap bytes a server"});
+    for (const int count : {10, 100, 1000}) {
+        const double before = heapBytes();
+        placement pool({.randomSeed = 1});
+        std::vector<placement_server> servers;
+        for (int i = 0; i < count; ++i)
+            servers.push_back({.name = "w" + std::to_string(i), .zone = "a", .version = "v1"});
+        pool.setServers(servers);
+        const double heap = heapBytes() - before;
+        constexpr int rounds = 300;
+        std::vector<prefix_chain> chains;
+        for (int i = 0; i < rounds; ++i) {
+            prefix_chain_builder builder("team", "m" + std::to_string(i));
+            const std::string text(160000, 'x');
+            builder.add(text);
+            chains.push_back(builder.finish());
+        }
+        const timestamp now {std::chrono::seconds(100)};
+        const double seconds = secondsOf([&] {
+            for (const prefix_chain &chain : chains) {
+                const std::optional<placement_choice> choice =
+                    pool.choose(now, {.chain = &chain, .zone = "a"});
+                pool.noteSent(now, choice->server, chain, choice->believedBlocks);
+            }
+        });
+        table.add({std::to_string(count), formatNumber(seconds / rounds * 1e6, 1),
+                   formatNumber(heap / 1000, 0), formatNumber(heap / count, 0)});
+    }
+    return table;
+}
+
+report_table prefixesTable()
+{
+    report_table table("belief about caches as blocks grow",
+                       {"blocks", "event ns", "heap KB", "heap bytes a block"});
+    for (const int blocks : {1000, 10000, 100000}) {
+        std::vector<digest128> digests;
+        for (int i = 0; i < blocks; ++i)
+            digests.push_back(digestOf(std::to_string(i)));
+        const double before = heapBytes();
+        cache_belief belief("v1", 1);
+        const timestamp now {std::chrono::seconds(100)};
+        const double seconds = secondsOf([&] {
+            for (int i = 0; i < blocks; ++i)
+                belief.noteEvents(now, static_cast<std::uint64_t>(i) + 1,
+                                  std::span(digests).subspan(static_cast<std::size_t>(i), 1), {});
+        });
+        const double heap = heapBytes() - before;
+        table.add({std::to_string(blocks), formatNumber(seconds / blocks * 1e9, 0),
+                   formatNumber(heap / 1000, 0), formatNumber(heap / blocks, 0)});
+    }
+    return table;
+}
+
+report_table ownerTable()
+{
+    report_table table("limit owner as open requests of a team grow",
+                       {"open requests", "reserve and settle us", "heap bytes a request"});
+    for (const int open : {100, 1000, 10000}) {
+        const double before = heapBytes();
+        const timestamp start {std::chrono::seconds(100)};
+        token_account account({.rate = 1e9, .burst = 1e12}, start, 1e12);
+        std::vector<std::uint64_t> ids;
+        for (int i = 0; i < open; ++i)
+            ids.push_back(*account.reserve(start, 1000));
+        const double heap = heapBytes() - before;
+        constexpr int rounds = 1000;
+        const double seconds = secondsOf([&] {
+            for (int i = 0; i < rounds; ++i) {
+                const std::size_t at = static_cast<std::size_t>(i * 7919 % open);
+                account.settle(start, ids[at], 100);
+                ids[at] = *account.reserve(start, 1000);
+            }
+        });
+        table.add({std::to_string(open), formatNumber(seconds / rounds * 1e6, 2),
+                   formatNumber(heap / open, 0)});
+    }
+    return table;
+}
+
+report_table messagesTable()
+{
+    report_table table("messages as encoded", {"message", "bytes"});
+    const auto size = [](const auto &message) {
+        return std::to_string(writeJson(toJson(message)).size());
+    };
+    const peer_request ask = grant_ask {.from = "entry-1",
+                                        .team = "anchovy",
+                                        .needed = 14000,
+                                        .queued = 0,
+                                        .extra = 2000,
+                                        .settled = {{.epoch = 3, .grant = 77, .unused = 812.5}}};
+    const peer_answer granted = grant_answer {.kind = grant_answer::outcome::Granted,
+                                              .epoch = 3,
+                                              .grant = 78,
+                                              .amount = 16000,
+                                              .life = std::chrono::seconds(2)};
+    const peer_request confirm = confirm_ask {.from = "entry-1", .items = {{"limits/12", 4}}};
+    const member about {.info = {.name = "entry-1",
+                                 .zone = "a",
+                                 .region = "sicily",
+                                 .callers = "10.0.0.11:8080",
+                                 .peers = "10.0.0.11:8081",
+                                 .incarnation = 1796356379000}};
+    const peer_request ping = gossip_ping {.from = "entry-1", .rumors = {toRumor(about)}};
+    table.add({"grant ask", size(ask)});
+    table.add({"grant answer", size(granted)});
+    table.add({"confirmation ask, one right", size(confirm)});
+    table.add({"ping with one member's rumor", size(ping)});
+    return table;
+}
+
+} // namespace
+
+/// Measures what control costs, on the real state machines and codecs.
+int main(int argc, char **argv)
+{
+    return report({instancesTable(), teamsTable(), workersTable(), prefixesTable(), ownerTable(),
+                   messagesTable()},
+                  argc, argv);
+}
--- a/libs/control/include/control/control_node.h
+++ b/libs/control/include/control/control_node.h
@@ -278,6 +278,7 @@
     std::shared_ptr<const configuration_view> m_inForce;
     traffic_snapshot m_snapshot;
     bool m_snapshotDirty = true;
+    bool m_isWatcher = false; // as of the last change of members
     std::vector<control_action> m_actions;
 };
 
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -187,6 +187,7 @@
     }
     m_leases.setFleet(now, std::move(fleet));
     if (members != m_snapshot.members) {
+        m_isWatcher = isWatcher();
         m_snapshot.members = members;
         m_snapshotDirty = true;
     }
@@ -223,7 +224,7 @@
 
 void control_node::tickLink(timestamp now)
 {
-    for (const platform_link::due_read &due : m_link.tick(now, isWatcher())) {
+    for (const platform_link::due_read &due : m_link.tick(now, m_isWatcher)) {
         const for_link purpose {.kind = due.kind, .prefix = due.prefix};
         switch (due.kind) {
         case platform_link::read::Objects:
--- a/libs/lease/include/lease/lease_keeper.h
+++ b/libs/lease/include/lease/lease_keeper.h
@@ -273,6 +273,8 @@
     std::map<std::string, timestamp, std::less<>> m_nextProbe;
     std::uint64_t m_nextId = 1;
     bool m_leaving = false;
+    bool m_reviews = false;
+    timestamp m_nextReview;
     std::vector<lease_event> m_events;
 };
 
--- a/libs/lease/src/lease_keeper.cpp
+++ b/libs/lease/src/lease_keeper.cpp
@@ -17,6 +17,9 @@
 /// An owner that has not asked for so long is probed: one and a half of its periods.
 constexpr duration silence = std::chrono::milliseconds(750);
 
+/// Between two looks at whether an owner's successors are still the right ones.
+constexpr duration reviewPeriod = std::chrono::milliseconds(100);
+
 /// Wait between reads of a record whose state is not known.
 constexpr duration readPeriod = std::chrono::seconds(1);
 
@@ -113,6 +116,10 @@
 std::vector<lease_action> lease_keeper::tick(timestamp now)
 {
     std::vector<lease_action> actions;
+    // Who may stand in as a successor costs a look at the whole fleet for each right.
+    m_reviews = now >= m_nextReview;
+    if (m_reviews)
+        m_nextReview = now + reviewPeriod;
     for (auto it = m_rights.begin(); it != m_rights.end(); ++it)
         tickRight(now, it->first, it->second, actions);
     if (!m_leaving) {
@@ -155,7 +162,8 @@
                             .quiet = state.quiet});
         state.first = false;
     }
-    replaceSuccessors(now, key, state, actions);
+    if (m_reviews)
+        replaceSuccessors(now, key, state, actions);
 }
 
 void lease_keeper::replaceSuccessors(timestamp now, const std::string &key, right &state,
--- a/libs/limits/benchmarks/limit_world.cpp
+++ b/libs/limits/benchmarks/limit_world.cpp
@@ -271,9 +271,9 @@
 
 void limit_world::stepPlatformLease(node &self, int index)
 {
-    if (m_now < self.lease->m_nextRenewal)
+    if (m_now < self.lease->nextRenewal)
         return;
-    self.lease->m_nextRenewal = m_now + renewPeriod;
+    self.lease->nextRenewal = m_now + renewPeriod;
     const timestamp sentAt = m_now;
     for (const std::string &key : shardKeys(shards)) {
         const auto known = m_leases.find(key);
@@ -284,7 +284,7 @@
             continue;
         }
         if (known != m_leases.end())
-            self.lease->m_known[key] = known->second.record;
+            self.lease->known[key] = known->second.record;
         if (!own && !free)
             continue;
         ++m_platformCalls;
@@ -294,8 +294,8 @@
         if (acquired)
             item.record = {.epoch = item.record.epoch + 1, .owner = self.name, .successors = {}};
         item.expiry = sentAt + leaseLife;
-        self.lease->m_known[key] = item.record;
-        self.lease->m_until[key] = sentAt + leaseLife;
+        self.lease->known[key] = item.record;
+        self.lease->until[key] = sentAt + leaseLife;
         if (acquired)
             self.limits->onLease(m_now,
                                  {.kind = lease_event::change::Acquired,
--- a/libs/limits/benchmarks/limit_world.h
+++ b/libs/limits/benchmarks/limit_world.h
@@ -37,18 +37,18 @@
 
     bool holds(timestamp now, std::string_view key) const override
     {
-        const auto found = m_until.find(key);
-        return found != m_until.end() && now < found->second;
+        const auto found = until.find(key);
+        return found != until.end() && now < found->second;
     }
     std::optional<lease_record> record(std::string_view key) const override
     {
-        const auto found = m_known.find(key);
-        return found == m_known.end() ? std::nullopt : std::optional(found->second);
+        const auto found = known.find(key);
+        return found == known.end() ? std::nullopt : std::optional(found->second);
     }
 
-    std::map<std::string, timestamp, std::less<>> m_until;
-    std::map<std::string, lease_record, std::less<>> m_known;
-    timestamp m_nextRenewal;
+    std::map<std::string, timestamp, std::less<>> until;
+    std::map<std::string, lease_record, std::less<>> known;
+    timestamp nextRenewal;
 };
 
 /// A team's offered traffic.
--- a/trefoilrouter/src/control_thread.cpp
+++ b/trefoilrouter/src/control_thread.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// How often time passes for control when no message comes.
-constexpr duration tickPeriod = std::chrono::milliseconds(10);
+/// How often time passes for control when no message comes. Messages are handled at once; this only
+/// starts probes and the like.
+constexpr duration tickPeriod = std::chrono::milliseconds(20);
 
 /// Longest wait of a traffic thread for a decision: admission waits half a second at most, a claim
 /// a few calls to the platform.
--- a/trefoilrouter/src/work_queue.cpp
+++ b/trefoilrouter/src/work_queue.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// How soon a worker notices that it is to stop.
-constexpr duration stopLatency = std::chrono::milliseconds(100);
+constexpr duration stopLatency = std::chrono::milliseconds(500);
 
 } // namespace
 
