--- a/libs/control/include/control/configuration_store.h
+++ b/libs/control/include/control/configuration_store.h
@@ -70,10 +70,13 @@
 
     /// Takes @p item. Returns whether what is in force changed.
     bool take(const object &item);
-    /// Returns the newest object of @p name that was taken, sound or not, or null.
+    /// Returns the newest sound object of @p name, or null: what peers may be given.
     const object *find(std::string_view name) const;
-    /// Returns the version seen of @p name; 0 where none was.
+    /// Returns the version in force of @p name; 0 where there is none.
     std::uint64_t versionOf(std::string_view name) const;
+    /// Returns whether version @p version of @p name need not be had any more: it is in force, an
+    /// older one of something in force, or was refused.
+    bool isSettled(std::string_view name, std::uint64_t version) const;
     /// Returns what is in force. The view does not change; a new one replaces it.
     std::shared_ptr<const configuration_view> view() const { return m_view; }
     /// Returns whether both tables are in force.
@@ -82,9 +85,11 @@
     const findings &refused() const { return m_refused; }
 
 private:
+    bool parse(const object &item, findings &faults);
     void rebuild();
 
-    std::map<std::string, object, std::less<>> m_objects;
+    std::map<std::string, object, std::less<>> m_objects; // sound ones
+    std::map<std::string, std::uint64_t, std::less<>> m_refusedVersions;
     // The newest sound text of each table and of each key object.
     std::optional<route_table> m_routes;
     std::optional<pool_table> m_pools;
--- a/libs/control/src/configuration_store.cpp
+++ b/libs/control/src/configuration_store.cpp
@@ -57,40 +57,64 @@
 
 bool configuration_store::take(const object &item)
 {
-    if (item.version <= versionOf(item.name))
+    if (isSettled(item.name, item.version))
         return false;
-    m_objects[item.name] = item;
-    findings &faults = m_faults[item.name];
-    faults.clear();
-    bool sound = false;
+    findings faults;
+    const bool sound = parse(item, faults);
+    if (sound)
+        m_objects[item.name] = item;
+    else
+        m_refusedVersions[item.name] = item.version;
+    // An older sound object may come after a newer faulty one: a restarted instance gets the one in
+    // force from its peers. The findings of the newer one stay.
+    const auto refused = m_refusedVersions.find(item.name);
+    const bool isNewest = refused == m_refusedVersions.end() || item.version >= refused->second;
+    if (isNewest)
+        m_faults[item.name] = std::move(faults);
+    rebuild();
+    return sound;
+}
+
+bool configuration_store::parse(const object &item, findings &faults)
+{
     if (item.name == config_names::routes) {
         tl::expected<route_table, findings> read = readRoutes(item.value, item.name);
-        sound = read.has_value();
-        if (sound) {
-            m_routes = std::move(*read);
-            m_routesVersion = item.version;
-        } else {
+        if (!read) {
             faults = read.error();
+            return false;
         }
-    } else if (item.name == config_names::pools) {
+        m_routes = std::move(*read);
+        m_routesVersion = item.version;
+        return true;
+    }
+    if (item.name == config_names::pools) {
         tl::expected<pool_table, findings> read = readPools(item.value, item.name);
-        sound = read.has_value();
-        if (sound) {
-            m_pools = std::move(*read);
-            m_poolsVersion = item.version;
-        } else {
+        if (!read) {
             faults = read.error();
+            return false;
         }
-    } else if (item.name.starts_with(config_names::keysPrefix)) {
-        result<std::vector<key_entry>> read = keysFromText(item.value);
-        sound = read.has_value();
-        if (sound)
-            m_keys[item.name] = std::move(*read);
-        else
-            faults.push_back({.file = item.name, .message = read.error().message});
+        m_pools = std::move(*read);
+        m_poolsVersion = item.version;
+        return true;
     }
-    rebuild();
-    return sound;
+    if (!item.name.starts_with(config_names::keysPrefix)) {
+        faults.push_back({.file = item.name, .message = "no such configuration object"});
+        return false;
+    }
+    result<std::vector<key_entry>> read = keysFromText(item.value);
+    if (!read) {
+        faults.push_back({.file = item.name, .message = read.error().message});
+        return false;
+    }
+    m_keys[item.name] = std::move(*read);
+    return true;
+}
+
+bool configuration_store::isSettled(std::string_view name, std::uint64_t version) const
+{
+    const auto refused = m_refusedVersions.find(name);
+    return version <= versionOf(name)
+        || (refused != m_refusedVersions.end() && version == refused->second);
 }
 
 const object *configuration_store::find(std::string_view name) const
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -299,7 +299,7 @@
 {
     for (auto it = m_fetches.begin(); it != m_fetches.end();) {
         pending_fetch &fetch = it->second;
-        if (m_configuration.versionOf(it->first) >= fetch.version) {
+        if (m_configuration.isSettled(it->first, fetch.version)) {
             it = m_fetches.erase(it);
             continue;
         }
@@ -585,13 +585,14 @@
         return;
     }
     if (!item.name.starts_with(config_names::prefix)
-        || item.version <= m_configuration.versionOf(item.name))
+        || m_configuration.isSettled(item.name, item.version))
         return;
-    m_configuration.take(item);
-    m_members.publish({.topic = topics::config,
-                       .key = item.name,
-                       .version = item.version,
-                       .payload = m_options.self.name});
+    // Only what is sound is announced: peers would get nothing from a faulty table.
+    if (m_configuration.take(item))
+        m_members.publish({.topic = topics::config,
+                           .key = item.name,
+                           .version = item.version,
+                           .payload = m_options.self.name});
     m_inForce = m_configuration.view();
     m_snapshot.configuration = m_inForce;
     m_snapshot.ready = m_configuration.isComplete();
