--- a/libs/control/include/control/control_node.h
+++ b/libs/control/include/control/control_node.h
@@ -237,6 +237,9 @@
     void onWriteAnswer(timestamp now, const platform_purpose &purpose,
                        const result<std::uint64_t> &answer);
     void publishInForce();
+    Json::Value reportMembers() const;
+    Json::Value reportVersions() const;
+    Json::Value reportRollouts() const;
     bool isWatcher() const;
     bool isFirstFor(std::string_view duty) const;
     bool reachesMajority() const;
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -1,5 +1,7 @@
 #include <control/control_node.h>
 
+#include "control_names.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -14,15 +16,6 @@
 
 namespace {
 
-namespace topics {
-constexpr const char *config = "config";
-constexpr const char *lease = "lease";
-constexpr const char *rollout = "rollout";
-constexpr const char *crash = "crash";
-constexpr const char *evidence = "evidence";
-constexpr const char *inForce = "inforce";
-} // namespace topics
-
 constexpr const char *limitsPrefix = "limits/";
 constexpr const char *rolloutRightsPrefix = "rollouts/";
 constexpr const char *rolloutStatePrefix = "rollout-state/";
@@ -49,14 +42,6 @@
 /// Watches of the configuration held in each zone: two, so that one may fail.
 constexpr std::size_t watchersPerZone = 2;
 
-std::vector<std::string> allRights(int limitShards)
-{
-    std::vector<std::string> keys = shardKeys(limitShards);
-    const std::vector<std::string> rollouts = rolloutKeys();
-    keys.insert(keys.end(), rollouts.begin(), rollouts.end());
-    return keys;
-}
-
 std::string stripPrefix(const std::string &name, std::string_view prefix)
 {
     return name.substr(prefix.size());
@@ -79,26 +64,6 @@
         + std::to_string(counts.failures) + "," + std::to_string(counts.slow);
 }
 
-/// Parses "a,b,c,d". Returns false on anything else.
-bool parseNumbers(std::string_view text, std::span<std::uint64_t> numbers)
-{
-    const char *next = text.data();
-    const char *end = text.data() + text.size();
-    for (std::size_t i = 0; i < numbers.size(); ++i) {
-        const std::from_chars_result parsed = std::from_chars(next, end, numbers[i]);
-        if (parsed.ec != std::errc())
-            return false;
-        next = parsed.ptr;
-        const bool isLast = i + 1 == numbers.size();
-        if (isLast)
-            return next == end;
-        if (next == end || *next != ',')
-            return false;
-        ++next;
-    }
-    return false;
-}
-
 } // namespace
 
 control_node::control_node(control_options options, timestamp now)
@@ -833,74 +798,4 @@
 
 std::vector<control_action> control_node::takeActions() { return std::exchange(m_actions, {}); }
 
-Json::Value control_node::status(timestamp now)
-{
-    Json::Value report(Json::objectValue);
-    report["instance"] = m_options.self.name;
-    std::array<std::uint64_t, 3> lowest {m_inForce->routesVersion, m_inForce->poolsVersion,
-                                         m_inForce->keysVersion};
-    std::array<std::uint64_t, 3> highest = lowest;
-    std::map<std::string, std::array<std::uint64_t, 3>> versions;
-    report["members"] = Json::Value(Json::arrayValue);
-    const std::array<const char *, 3> stateNames {"alive", "suspect", "dead"};
-    for (const member &each : m_members.members()) {
-        Json::Value entry(Json::objectValue);
-        entry["name"] = each.info.name;
-        entry["zone"] = each.info.zone;
-        entry["callers"] = each.info.callers;
-        entry["state"] =
-            each.info.leaving ? "leaving" : stateNames[static_cast<std::size_t>(each.state)];
-        std::array<std::uint64_t, 3> held {};
-        const rumor *known = m_members.rumors().find(topics::inForce, each.info.name);
-        if (known && parseNumbers(known->payload, held)) {
-            entry["routes"] = Json::UInt64(held[0]);
-            entry["pools"] = Json::UInt64(held[1]);
-            entry["keys"] = Json::UInt64(held[2]);
-        }
-        versions[each.info.name] = held;
-        for (std::size_t i = 0; i < held.size(); ++i) {
-            lowest[i] = std::min(lowest[i], held[i]);
-            highest[i] = std::max(highest[i], held[i]);
-        }
-        report["members"].append(std::move(entry));
-    }
-    const std::array<const char *, 3> names {"routes", "pools", "keys"};
-    for (std::size_t i = 0; i < names.size(); ++i) {
-        Json::Value &entry = report["configuration"][names[i]];
-        entry["newest"] = Json::UInt64(highest[i]);
-        entry["in_force_everywhere"] = Json::UInt64(lowest[i]);
-        entry["lagging"] = Json::Value(Json::arrayValue);
-        for (auto it = versions.begin(); it != versions.end(); ++it) {
-            if (it->second[i] < highest[i])
-                entry["lagging"].append(it->first);
-        }
-    }
-    report["findings"] = Json::Value(Json::arrayValue);
-    for (const finding &item : m_configuration.refused())
-        report["findings"].append(toString(item));
-    report["limit_owners"] = Json::Value(Json::objectValue);
-    for (const team &each : m_inForce->routes.teams) {
-        const std::optional<lease_record> record =
-            m_leases.record(shardKey(each.name, m_options.limitShards));
-        report["limit_owners"][each.name] = record ? record->owner : "";
-    }
-    report["rollouts"] = Json::Value(Json::objectValue);
-    for (const std::pair<const std::string, std::pair<std::uint64_t, rollout_record>> &each :
-         m_rollouts.records()) {
-        Json::Value &entry = report["rollouts"][each.first];
-        entry["from"] = each.second.second.from;
-        entry["to"] = each.second.second.to;
-        entry["stage"] = std::string(toString(each.second.second.stage));
-        entry["share"] = each.second.second.share;
-        entry["reason"] = each.second.second.reason;
-    }
-    report["attached"] = m_snapshot.attached;
-    report["rights_held"] = Json::Value(Json::arrayValue);
-    for (const std::string &key : allRights(m_options.limitShards)) {
-        if (m_leases.holds(now, key))
-            report["rights_held"].append(key);
-    }
-    return report;
-}
-
 } // namespace trefoil
--- a/libs/control/src/traffic_desk.cpp
+++ b/libs/control/src/traffic_desk.cpp
@@ -199,7 +199,7 @@
                 .message =
                     "so large a request is served by the instance that keeps the limit of " + team,
                 .retryAfter = busyRetry,
-                .elsewhere = "owner"});
+                .elsewhere = m_limits.ownerOf(state.begin.team)});
         return;
     }
     case admission::outcome::NoOwner:
--- a/libs/lease/src/lease_keeper.cpp
+++ b/libs/lease/src/lease_keeper.cpp
@@ -455,7 +455,7 @@
     }
 }
 
-void lease_keeper::onFailure(timestamp now, std::uint64_t id, bool connectionRefused)
+void lease_keeper::onFailure(timestamp, std::uint64_t id, bool connectionRefused)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
@@ -470,7 +470,6 @@
         if (connectionRefused && isSelfOwner(state))
             state.confirmedUntil[call.to] = call.sentAt + m_options.confirmationLife;
     }
-    static_cast<void>(now);
 }
 
 void lease_keeper::onRecord(timestamp now, std::string_view key, std::uint64_t version,
--- a/libs/limits/include/limits/limit_node.h
+++ b/libs/limits/include/limits/limit_node.h
@@ -145,6 +145,8 @@
 
     /// @}
 
+    /// Returns the name of the instance that keeps @p team's limit, or "" where none is known.
+    std::string ownerOf(std::string_view team) const;
     /// Returns how many tokens of @p team could be had here at @p now, for the status report:
     /// nothing unless this instance owns the team's shard.
     std::optional<double> level(timestamp now, std::string_view team);
@@ -188,6 +190,7 @@
         std::vector<grant_settlement> settled;
     };
 
+    std::optional<open_call> takeCall(std::uint64_t id);
     void openAccount(timestamp now, team_state &state, const lease_event &event);
     bool tryAdmit(timestamp now, const std::string &team, team_state &state, const waiting &item);
     /// Answers the head of the queue where it can't be admitted in time.
--- a/libs/limits/src/limit_node.cpp
+++ b/libs/limits/src/limit_node.cpp
@@ -342,20 +342,26 @@
     return answer;
 }
 
-void limit_node::onAnswer(timestamp now, std::uint64_t id, const grant_answer &answer)
+std::optional<limit_node::open_call> limit_node::takeCall(std::uint64_t id)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
-        return;
-    const open_call call = found->second;
+        return std::nullopt;
+    std::optional<open_call> call = std::move(found->second);
     m_calls.erase(found);
-    const auto team = m_teams.find(call.team);
+    return call;
+}
+
+void limit_node::onAnswer(timestamp now, std::uint64_t id, const grant_answer &answer)
+{
+    const std::optional<open_call> call = takeCall(id);
+    const auto team = call ? m_teams.find(call->team) : m_teams.end();
     if (team == m_teams.end())
         return;
     team_state &state = team->second;
     state.openCall = 0;
     if (answer.kind == grant_answer::outcome::Granted) {
-        state.wallet.add(answer.epoch, answer.grant, answer.amount, call.sentAt + answer.life);
+        state.wallet.add(answer.epoch, answer.grant, answer.amount, call->sentAt + answer.life);
         serveQueue(now, team->first, state);
         return;
     }
@@ -384,12 +390,8 @@
 
 void limit_node::onFailure(timestamp now, std::uint64_t id)
 {
-    const auto found = m_calls.find(id);
-    if (found == m_calls.end())
-        return;
-    const open_call call = std::move(found->second);
-    m_calls.erase(found);
-    const auto team = m_teams.find(call.team);
+    const std::optional<open_call> call = takeCall(id);
+    const auto team = call ? m_teams.find(call->team) : m_teams.end();
     if (team == m_teams.end())
         return;
     team_state &state = team->second;
@@ -397,7 +399,13 @@
     state.nextAsk = now + leastAskInterval;
     noteOwnerChange(now, state);
     // Settling twice does no harm: the owner ignores a number that it has settled.
-    state.settled.insert(state.settled.end(), call.settled.begin(), call.settled.end());
+    state.settled.insert(state.settled.end(), call->settled.begin(), call->settled.end());
+}
+
+std::string limit_node::ownerOf(std::string_view team) const
+{
+    const std::optional<lease_record> record = m_rights.record(shardKey(team, m_options.shards));
+    return record ? record->owner : std::string();
 }
 
 std::optional<double> limit_node::level(timestamp now, std::string_view team)
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -118,16 +118,9 @@
 result<std::size_t> backend_exchange::read(std::span<char> room)
 {
     try {
-        // One byte waits for data; the rest is what has come with it.
-        const int first = m_body->get();
-        if (first == std::char_traits<char>::eof()) {
-            const bool isWhole = m_session->networkException() == nullptr;
-            return isWhole ? result<std::size_t>(0) : brokenBy("the connection broke");
-        }
-        room[0] = static_cast<char>(first);
-        const std::streamsize more =
-            m_body->readsome(room.data() + 1, static_cast<std::streamsize>(room.size() - 1));
-        return 1 + static_cast<std::size_t>(std::max<std::streamsize>(more, 0));
+        const std::size_t count = readSome(*m_body, room);
+        const bool isBroken = count == 0 && m_session->networkException() != nullptr;
+        return isBroken ? brokenBy("the connection broke") : result<std::size_t>(count);
     } catch (const Poco::TimeoutException &problem) {
         return failure(backend_errors::timeout, problem.displayText());
     } catch (const Poco::Exception &problem) {
@@ -152,10 +145,7 @@
     while (!idle.empty()) {
         session_ptr session = std::move(idle.back());
         idle.pop_back();
-        // An idle connection that has something to read was closed by the server.
-        const bool isUsable = session->connected()
-            && !session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-        if (isUsable)
+        if (isReusable(*session))
             return session;
     }
     return nullptr;
--- a/trefoilrouter/src/callers_handler.cpp
+++ b/trefoilrouter/src/callers_handler.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstring>
 #include <set>
+#include <span>
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -58,7 +59,17 @@
     return text;
 }
 
-Json::Value errorBody(const traffic_refuse &refusal)
+/// Returns the callers' address of the instance @p name, or "" where it is not known.
+std::string addressOf(const traffic_snapshot &snapshot, std::string_view name)
+{
+    for (const member &each : snapshot.members) {
+        if (each.info.name == name)
+            return each.info.callers;
+    }
+    return {};
+}
+
+Json::Value errorBody(const traffic_refuse &refusal, const std::string &elsewhere)
 {
     Json::Value body(Json::objectValue);
     Json::Value &item = body["error"];
@@ -68,8 +79,8 @@
         item["type"] = "rate_limit_error";
     item["code"] = refusal.code;
     item["ran"] = refusal.mayHaveRun ? ranUnknown : notRun;
-    if (!refusal.elsewhere.empty())
-        item["entry"] = refusal.elsewhere;
+    if (!elsewhere.empty())
+        item["entry"] = elsewhere;
     return body;
 }
 
@@ -77,8 +88,9 @@
 class http_sink : public answer_sink
 {
 public:
-    http_sink(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
-        : m_request(request), m_response(response)
+    http_sink(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
+              const traffic_snapshot &snapshot)
+        : m_request(request), m_response(response), m_snapshot(snapshot)
     { }
 
     void whole(int status, const std::string &contentType, const std::string &body) override
@@ -107,7 +119,8 @@
 
     void refuse(const traffic_refuse &refusal) override
     {
-        const std::string body = writeJson(errorBody(refusal));
+        const std::string body =
+            writeJson(errorBody(refusal, addressOf(m_snapshot, refusal.elsewhere)));
         if (m_stream) {
             // The end marker stays out, so the caller can tell that the stream is not complete.
             event("", body);
@@ -135,6 +148,7 @@
 private:
     Poco::Net::HTTPServerRequest &m_request;
     Poco::Net::HTTPServerResponse &m_response;
+    const traffic_snapshot &m_snapshot;
     std::ostream *m_stream = nullptr;
 };
 
@@ -149,9 +163,9 @@
     void handleRequest(Poco::Net::HTTPServerRequest &request,
                        Poco::Net::HTTPServerResponse &response) override
     {
-        http_sink sink(request, response);
+        m_snapshot = m_parts.control.snapshot();
+        http_sink sink(request, response, *m_snapshot);
         try {
-            m_snapshot = m_parts.control.snapshot();
             serve(request, sink);
         } catch (const std::exception &problem) {
             // A caller whose connection broke; there is nobody left to tell.
@@ -312,14 +326,8 @@
             const std::size_t length = static_cast<std::size_t>(request.getContentLength64());
             m_body.reserve(length + requestPadding);
             m_body.resize(length);
-            request.stream().read(m_body.data(), static_cast<std::streamsize>(length));
-            m_body.resize(static_cast<std::size_t>(request.stream().gcount()));
-            if (m_body.size() != length) {
-                sink.refuse({.status = 400,
-                             .code = "body-cut",
-                             .message = "the body ended before its length"});
+            if (!fillBody(request.stream(), sink))
                 return false;
-            }
         } else if (whole) {
             whole = readBody(request.stream(), most, m_body);
             m_body.reserve(m_body.size() + requestPadding);
@@ -332,6 +340,28 @@
         return whole;
     }
 
+    /// Fills m_body from @p input. Returns false, having refused, where the caller sends too little
+    /// or too slowly: a byte now and then would hold this thread for hours.
+    bool fillBody(std::istream &input, http_sink &sink)
+    {
+        const timestamp deadline = boot_clock::now() + m_options.callerTimeout;
+        std::size_t filled = 0;
+        while (filled < m_body.size()) {
+            const std::size_t count = readSome(input, std::span(m_body).subspan(filled));
+            filled += count;
+            if (count > 0 && boot_clock::now() < deadline)
+                continue;
+            if (filled == m_body.size())
+                break;
+            sink.refuse({.status = count == 0 ? 400 : 408,
+                         .code = count == 0 ? "body-cut" : "too-slow",
+                         .message = count == 0 ? "the body ended before its length"
+                                               : "the body did not come in time"});
+            return false;
+        }
+        return true;
+    }
+
     std::vector<std::pair<std::string, std::string>>
     passedHeaders(const Poco::Net::HTTPServerRequest &request) const
     {
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -1,5 +1,6 @@
 #include "http_util.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <istream>
 #include <mutex>
@@ -74,6 +75,23 @@
     return httpCall(session, call);
 }
 
+bool isReusable(Poco::Net::HTTPClientSession &session)
+{
+    return session.connected()
+        && !session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+std::size_t readSome(std::istream &input, std::span<char> room)
+{
+    const int first = input.get();
+    if (first == std::char_traits<char>::eof())
+        return 0;
+    room[0] = static_cast<char>(first);
+    const std::streamsize more =
+        input.readsome(room.data() + 1, static_cast<std::streamsize>(room.size() - 1));
+    return 1 + static_cast<std::size_t>(std::max<std::streamsize>(more, 0));
+}
+
 bool readBody(std::istream &input, std::size_t most, std::string &body)
 {
     constexpr std::size_t pieceBytes = 16 << 10;
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -2,6 +2,7 @@
 
 #include <iosfwd>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,13 @@
 /// Makes one call on a new connection to @p place. Thread-safe.
 result<http_answer> httpCallOnce(const endpoint &place, const http_call &call, duration timeout);
 
+/// Returns whether an idle kept connection may be used again: one that has something to read was
+/// closed by the other side. Not thread-safe on the same session.
+bool isReusable(Poco::Net::HTTPClientSession &session);
+
+/// Reads into @p room what has come, waiting for at least one byte. Returns 0 at the end.
+std::size_t readSome(std::istream &input, std::span<char> room);
+
 /// Reads @p input to its end, or up to @p most bytes. Returns false when there is more.
 bool readBody(std::istream &input, std::size_t most, std::string &body);
 
--- a/trefoilrouter/src/peer_link.cpp
+++ b/trefoilrouter/src/peer_link.cpp
@@ -91,11 +91,8 @@
         while (!idle.empty()) {
             session_ptr session = std::move(idle.back());
             idle.pop_back();
-            // An idle connection that has something to read was closed by the peer. Only a new one
-            // tells whether the peer's process is gone.
-            const bool isUsable = session->connected()
-                && !session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-            if (isUsable)
+            // Only a new connection tells whether the peer's process is gone.
+            if (isReusable(*session))
                 return session;
         }
     }
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -163,10 +163,10 @@
     }
     const bool isStream = m_request.stream && status == statusOk
         && exchange->response().getContentType().starts_with("text/event-stream");
-    return isStream ? readStream(*exchange) : readWhole(*exchange, go);
+    return isStream ? readStream(*exchange) : readWhole(*exchange);
 }
 
-proxy::attempt_end proxy::readWhole(backend_exchange &exchange, const traffic_go &)
+proxy::attempt_end proxy::readWhole(backend_exchange &exchange)
 {
     std::string body;
     std::array<char, pieceBytes> piece {};
--- a/trefoilrouter/src/proxy.h
+++ b/trefoilrouter/src/proxy.h
@@ -79,7 +79,7 @@
     enum class attempt_end { GoOn, Done, Failed, CallerGone };
 
     attempt_end attempt(const traffic_go &go);
-    attempt_end readWhole(backend_exchange &exchange, const traffic_go &go);
+    attempt_end readWhole(backend_exchange &exchange);
     attempt_end readStream(backend_exchange &exchange);
     attempt_end takeEvent(const server_event &event);
     backend_request makeRequest(const traffic_go &go) const;
