--- a/libs/control/include/control/control_node.h
+++ b/libs/control/include/control/control_node.h
@@ -112,22 +112,29 @@
     /// @name Events
     /// @{
 
+    /// Lets time pass. @p wallMilliseconds is used for deadlines of rollouts and versions of
+    /// rumors.
     void tick(timestamp now, std::uint64_t wallMilliseconds);
     /// Answers a peer at once, or later by a peer_reply with @p token.
     std::optional<peer_answer> onPeerRequest(timestamp now, std::uint64_t token,
                                              const peer_request &request);
+    /// Takes a peer's answer to call @p id; unknown numbers are ignored, here and below.
     void onPeerAnswer(timestamp now, std::uint64_t id, const peer_answer &answer);
+    /// Notes that call @p id had no answer; see lease_keeper::onFailure() for the last argument.
     void onPeerFailure(timestamp now, std::uint64_t id, bool connectionRefused);
+    /// Takes the platform's answer to call @p id, of the kind that belongs to its request.
     void onPlatformAnswer(timestamp now, std::uint64_t id, const platform_answer &answer);
     /// Takes a poll's answer; nothing where the server did not give one.
     void onServerState(timestamp now, const std::string &server,
                        const std::optional<server_state_report> &report);
+    /// Takes the outcome of order @p id.
     void onOrderDone(timestamp now, std::uint64_t id, bool accepted);
     /// Starts a graceful shutdown: hands rights over and takes no new ones.
     void leave(timestamp now);
 
     /// @}
     /// @name Traffic
+    /// See traffic_desk for each.
     /// @{
 
     void begin(timestamp now, traffic_begin request);
@@ -139,6 +146,7 @@
     /// @name Results
     /// @{
 
+    /// Returns what is to be done since the last call, in order.
     std::vector<control_action> takeActions();
     /// Returns whether this instance holds the right @p key at @p now; asked directly before an
     /// order is sent.
--- a/libs/control/include/control/rollout_desk.h
+++ b/libs/control/include/control/rollout_desk.h
@@ -66,7 +66,9 @@
 
     /// Steps the drivers. @p wallSeconds is the wall clock, which deadlines are given in.
     void tick(timestamp now, std::int64_t wallSeconds, traffic_desk &traffic);
+    /// Returns the writes due since the last call.
     std::vector<rollout_write> takeWrites();
+    /// Returns the orders due since the last call.
     std::vector<server_order> takeOrders();
     /// Returns the known record of each pool.
     const std::map<std::string, std::pair<std::uint64_t, rollout_record>> &records() const
--- a/libs/control/include/control/traffic_desk.h
+++ b/libs/control/include/control/traffic_desk.h
@@ -171,9 +171,15 @@
     /// @name Requests
     /// @{
 
+    /// Takes a new request; its decision comes from takeDecisions(). Precondition: its number is
+    /// not in use.
     void begin(timestamp now, traffic_begin request);
+    /// Takes a failed attempt: the next decision is another attempt or a refusal. Unknown numbers
+    /// are ignored, here and below.
     void onFailed(timestamp now, const traffic_failed &report);
+    /// Takes the first token of the current attempt: its prompt is computed.
     void onFirstToken(timestamp now, const traffic_first_token &report);
+    /// Takes the end of a request: its tokens are settled and its answer recorded for repeats.
     void onEnd(timestamp now, const traffic_end &report);
     /// Takes the outcome of a claim_call that creates or reads.
     void onClaimCreated(timestamp now, std::uint64_t id, const result<std::uint64_t> &outcome);
@@ -185,6 +191,7 @@
     /// @name Results
     /// @{
 
+    /// Returns the decisions made since the last call; so do the next two for their kinds.
     std::vector<traffic_decision> takeDecisions();
     std::vector<claim_call> takeClaimCalls();
     std::vector<crash_notice> takeCrashes();
