--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -59,9 +59,9 @@
 
 void proxy::run()
 {
-    const std::uint64_t id = m_request.begin.id;
     traffic_decision decision = m_parts.control.begin(m_request.begin);
     while (true) {
+        const std::uint64_t id = m_request.begin.id;
         if (const traffic_refuse *refusal = std::get_if<traffic_refuse>(&decision.what)) {
             m_parts.metrics.counterOf("trefoil_refused_total", "code=\"" + refusal->code + "\"")
                 .add();
@@ -77,8 +77,8 @@
             // This thread was paused: the admission may no longer be within the team's limit.
             m_parts.control.end({.id = id});
             m_request.begin.id = m_parts.control.newRequestId();
-            run();
-            return;
+            decision = m_parts.control.begin(m_request.begin);
+            continue;
         }
         const traffic_go go = std::get<traffic_go>(decision.what);
         const std::uint64_t startedAt = wallMilliseconds();
