Deflate configuration between peers

Ruled out: fetching less often (each change is fetched once). Change: values of a kilobyte and more travel deflated (POCO), bounded when inflated.

--- a/libs/control/benchmarks/bench_capacity.cpp
+++ b/libs/control/benchmarks/bench_capacity.cpp
@@ -365,6 +365,11 @@
     table.add({"grant answer", size(granted)});
     table.add({"confirmation ask, one right", size(confirm)});
     table.add({"ping with one member's rumor", size(ping)});
+    const std::string routes = routesOf(2700);
+    const peer_answer contents =
+        object {.name = config_names::routes, .version = 12345, .value = routes};
+    table.add({"routes of 2,700 teams (" + std::to_string(routes.size()) + " bytes as text)",
+               size(contents)});
     return table;
 }
 
--- a/libs/control/src/peer_codec.cpp
+++ b/libs/control/src/peer_codec.cpp
@@ -1,5 +1,14 @@
 #include <control/peer_codec.h>
 
+#include <array>
+#include <optional>
+#include <sstream>
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
 #include <core/json.h>
 #include <platform/codec.h>
 
@@ -10,6 +19,46 @@
 // Members are short because rumors make up most of the bytes between peers.
 constexpr const char *kindMember = "k";
 
+/// Values from this size on travel deflated: tables are text of one shape.
+constexpr std::size_t leastDeflated = 1024;
+
+/// Largest value that is inflated: an object of the platform and some room.
+constexpr std::size_t maxInflated = 2 << 20;
+
+std::string deflated(const std::string &text)
+{
+    std::ostringstream packed;
+    {
+        Poco::Base64Encoder encoder(packed, Poco::BASE64_URL_ENCODING);
+        Poco::DeflatingOutputStream deflater(encoder, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+        deflater << text;
+        deflater.close();
+        encoder.close();
+    }
+    return packed.str();
+}
+
+/// Returns what deflated() was given, or nothing where @p packed is malformed or too large.
+std::optional<std::string> inflated(const std::string &packed)
+{
+    try {
+        std::istringstream input(packed);
+        Poco::Base64Decoder decoder(input, Poco::BASE64_URL_ENCODING);
+        Poco::InflatingInputStream inflater(decoder, Poco::InflatingStreamBuf::STREAM_ZLIB);
+        std::string text;
+        std::array<char, 8192> piece {};
+        while (inflater.good() && text.size() <= maxInflated) {
+            inflater.read(piece.data(), static_cast<std::streamsize>(piece.size()));
+            text.append(piece.data(), static_cast<std::size_t>(inflater.gcount()));
+        }
+        if (inflater.bad() || text.size() > maxInflated)
+            return std::nullopt;
+        return text;
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+}
+
 Json::Value rumorsToJson(const std::vector<rumor> &rumors)
 {
     Json::Value list(Json::arrayValue);
@@ -171,6 +220,10 @@
     {
         Json::Value message = start("object");
         message["object"] = toJson(item);
+        if (item.value.size() >= leastDeflated) {
+            message["object"]["value"] = "";
+            message["object"]["deflated"] = deflated(item.value);
+        }
         return message;
     }
 
@@ -298,9 +351,16 @@
         return readGranted(message);
     if (kind == "object") {
         const Json::Value &item = message["object"];
+        std::string value = textOr(item, "value");
+        if (item.isObject() && item.isMember("deflated")) {
+            std::optional<std::string> inflatedValue = inflated(textOr(item, "deflated"));
+            if (!inflatedValue)
+                return badMessage(kind);
+            value = std::move(*inflatedValue);
+        }
         return object {.name = textOr(item, "name"),
                        .version = integerOr(item, "version"),
-                       .value = textOr(item, "value")};
+                       .value = std::move(value)};
     }
     return badMessage(kind);
 }
