Set timeouts of kept connections in one place; drop what nothing uses

Found on reading the whole change. Cause: a kept connection has the timeouts of its last use. One of its users had been mended by itself; polls of engines share those connections and calls to the platform keep their own, so a poll could wait as long as a stream and a watch as short as a call. Ruled out: none was seen to fail by it; found by reading, not by a run. Also gone: a rollout driver's unused epoch, three unused queries of the limits, and a switch of placement that was never off.

--- a/libs/control/include/control/rollout_desk.h
+++ b/libs/control/include/control/rollout_desk.h
@@ -80,7 +80,6 @@
     struct driven
     {
         rollout_driver driver;
-        std::uint64_t epoch = 0;
         bool writing = false;
     };
 
--- a/libs/control/src/rollout_desk.cpp
+++ b/libs/control/src/rollout_desk.cpp
@@ -122,7 +122,6 @@
         found = m_drivers.emplace(table.name, driven {.driver = std::move(driver)}).first;
     }
     driven &item = found->second;
-    item.epoch = epoch;
     item.driver.setWorkers(workersOf(table));
     const std::vector<load_order> orders =
         item.driver.tick(now, epoch, traffic.evidenceOf(table.name));
--- a/libs/limits/include/limits/limit_node.h
+++ b/libs/limits/include/limits/limit_node.h
@@ -147,9 +147,6 @@
 
     /// Returns the name of the instance that keeps @p team's limit, or "" where none is known.
     std::string ownerOf(std::string_view team) const;
-    /// Returns how many tokens of @p team could be had here at @p now, for the status report:
-    /// nothing unless this instance owns the team's shard.
-    std::optional<double> level(timestamp now, std::string_view team);
 
 private:
     struct waiting
--- a/libs/limits/include/limits/token_account.h
+++ b/libs/limits/include/limits/token_account.h
@@ -71,8 +71,6 @@
 
     /// Returns the tokens to be had at @p now.
     double level(timestamp now);
-    /// Returns the tokens granted away and not expired at @p now.
-    double held(timestamp now);
     /// Returns how much may be granted at @p now, whatever the level is.
     double grantRoom(timestamp now);
     /// Returns how long until @p amount could be had if nobody takes any meanwhile; nothing when
@@ -80,8 +78,6 @@
     std::optional<duration> waitFor(timestamp now, double amount);
     /// Returns the limit in force.
     const token_limit &limit() const { return m_limit; }
-    /// Returns how many reservations and grants are not settled.
-    std::size_t unsettled() const { return m_segments.size() + m_grants.size(); }
 
     /// @}
 
--- a/libs/limits/src/limit_node.cpp
+++ b/libs/limits/src/limit_node.cpp
@@ -408,12 +408,4 @@
     return record ? record->owner : std::string();
 }
 
-std::optional<double> limit_node::level(timestamp now, std::string_view team)
-{
-    const auto found = m_teams.find(team);
-    if (found == m_teams.end() || !owns(now, found->second))
-        return std::nullopt;
-    return found->second.account->level(now);
-}
-
 } // namespace trefoil
--- a/libs/limits/src/token_account.cpp
+++ b/libs/limits/src/token_account.cpp
@@ -174,12 +174,6 @@
     return m_level;
 }
 
-double token_account::held(timestamp now)
-{
-    advance(now);
-    return m_held;
-}
-
 std::optional<duration> token_account::waitFor(timestamp now, double amount)
 {
     advance(now);
--- a/libs/routing/include/routing/placement.h
+++ b/libs/routing/include/routing/placement.h
@@ -77,7 +77,6 @@
     /// Ways that are switched off by the benchmark to measure what each brings.
     bool useBelief = true;
     bool useHomes = true;
-    bool useOwnSends = true;
 };
 
 /// Picks the backend server of least expected time to the first token: the wait in its queue plus
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -77,8 +77,7 @@
 {
     double tokens = backlogAt(now, state);
     // Requests of this instance without a first token are still there, whatever was estimated.
-    if (m_options.useOwnSends)
-        tokens = std::max(tokens, state.waitingTokens);
+    tokens = std::max(tokens, state.waitingTokens);
     return tokens / rateOf(state);
 }
 
@@ -180,8 +179,7 @@
     server_state &state = found->second;
     const double work = missingTokens(chain, static_cast<double>(believedBlocks));
     state.backlog = backlogAt(now, state);
-    if (m_options.useOwnSends)
-        state.backlog += work;
+    state.backlog += work;
     state.backlogAt = now;
     state.waitingTokens += work;
     state.belief.noteSent(now, chain.blocks);
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -167,12 +167,7 @@
         session = std::make_unique<Poco::Net::HTTPClientSession>(place.host, place.port);
         session->setKeepAlive(true);
     }
-    session->setTimeout(toTimespan(connectTimeout), toTimespan(timeout), toTimespan(timeout));
-    // A kept connection has the timeouts of its last use.
-    if (session->connected()) {
-        session->socket().setReceiveTimeout(toTimespan(timeout));
-        session->socket().setSendTimeout(toTimespan(timeout));
-    }
+    setTimeouts(*session, connectTimeout, timeout);
     return std::make_unique<backend_exchange>(*this, place, std::move(session));
 }
 
@@ -184,8 +179,7 @@
             std::make_unique<Poco::Net::HTTPClientSession>(poll.address.host, poll.address.port);
         session->setKeepAlive(true);
     }
-    session->setTimeout(toTimespan(stateTimeout), toTimespan(stateTimeout),
-                        toTimespan(stateTimeout));
+    setTimeouts(*session, stateTimeout, stateTimeout);
     const result<http_answer> answer =
         httpCall(*session,
                  {.path = "/state?from=" + std::to_string(poll.fromSequence),
--- a/trefoilrouter/src/http_platform.cpp
+++ b/trefoilrouter/src/http_platform.cpp
@@ -61,7 +61,7 @@
     if (!m_budget.take(boot_clock::now()))
         return failure(platform_errors::refused, "the budget of calls to the platform is spent");
     session_ptr session = takeSession();
-    session->setTimeout(toTimespan(callTimeout), toTimespan(timeout), toTimespan(timeout));
+    setTimeouts(*session, callTimeout, timeout);
     const result<http_answer> answer = httpCall(*session, request);
     if (!answer) {
         const bool isWrite = request.method != "GET";
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -71,10 +71,20 @@
 result<http_answer> httpCallOnce(const endpoint &place, const http_call &call, duration timeout)
 {
     Poco::Net::HTTPClientSession session(place.host, place.port);
-    session.setTimeout(toTimespan(timeout), toTimespan(timeout), toTimespan(timeout));
+    setTimeouts(session, timeout, timeout);
     return httpCall(session, call);
 }
 
+void setTimeouts(Poco::Net::HTTPClientSession &session, duration connect, duration transfer)
+{
+    const Poco::Timespan each = toTimespan(transfer);
+    session.setTimeout(toTimespan(connect), each, each);
+    if (!session.connected())
+        return;
+    session.socket().setSendTimeout(each);
+    session.socket().setReceiveTimeout(each);
+}
+
 bool isReusable(Poco::Net::HTTPClientSession &session)
 {
     return session.connected()
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -54,6 +54,10 @@
 /// Makes one call on a new connection to @p place. Thread-safe.
 result<http_answer> httpCallOnce(const endpoint &place, const http_call &call, duration timeout);
 
+/// Sets the timeouts of @p session, also of a kept connection, which otherwise has those of its
+/// last use. Not thread-safe on the same session.
+void setTimeouts(Poco::Net::HTTPClientSession &session, duration connect, duration transfer);
+
 /// Returns whether an idle kept connection may be used again: one that has something to read was
 /// closed by the other side. Not thread-safe on the same session.
 bool isReusable(Poco::Net::HTTPClientSession &session);
--- a/trefoilrouter/src/peer_link.cpp
+++ b/trefoilrouter/src/peer_link.cpp
@@ -98,7 +98,7 @@
     }
     session_ptr session = std::make_unique<Poco::Net::HTTPClientSession>(place.host, place.port);
     session->setKeepAlive(true);
-    session->setTimeout(toTimespan(peerTimeout), toTimespan(peerTimeout), toTimespan(peerTimeout));
+    setTimeouts(*session, peerTimeout, peerTimeout);
     return session;
 }
 
