Count the age of weights from the first newer version; learn orders from reports

The entry's "sequence" is a heartbeat count, so every first order was refused (39 of 96 orders). Ruled out: the lease (held throughout), lost orders (none).

--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -138,8 +138,8 @@
     void setServers(std::span<const registered_server> servers);
     /// Sets the services' traits and the store of KV cache.
     void setTables(const serving_tables &tables);
-    /// Names the newest weights of @p model, known since @p since.
-    void setNewestWeights(std::string_view model, std::uint64_t version, timestamp since);
+    /// Notes that @p version of @p model was named at @p since.
+    void noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since);
     /// Notes that @p server runs @p version of @p model; older versions than known are ignored.
     void noteWeights(std::string_view server, std::string_view model, std::uint64_t version);
     /// Notes that @p server refused a request for weights that it was believed to run: it runs the
@@ -216,11 +216,8 @@
         bool isModel = false;
         bool wasSilent = false;
     };
-    struct newest_weights
-    {
-        std::uint64_t version = 0;
-        timestamp since;
-    };
+    /// Weights that were named, with the time, in rising order.
+    using named_versions = std::map<std::uint64_t, timestamp>;
     struct cost_inputs;
 
     bool mayTake(timestamp now, const server_state &state, const work_item &work) const;
@@ -239,7 +236,7 @@
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, engine_traits, std::less<>> m_engines;
     std::optional<endpoint> m_store;
-    std::map<std::string, newest_weights, std::less<>> m_newest;
+    std::map<std::string, named_versions, std::less<>> m_named;
     std::unordered_map<std::uint64_t, timestamp> m_storeParts;
     std::map<std::uint64_t, ticket_state> m_tickets;
     std::uint64_t m_nextTicket = 1;
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -147,8 +147,6 @@
     bool isLeaving = false;
     /// Model weights that it runs.
     std::map<std::string, std::uint64_t, std::less<>> weights;
-    /// Orders that it has accepted since its start.
-    std::uint64_t acceptedOrders = 0;
     /// When it started, in milliseconds since 1970; tells a restart under the same id.
     std::uint64_t startedAtMs = 0;
 };
--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -104,12 +104,14 @@
     {
         std::uint64_t startedAtMs = 0;
         stage at = stage::Idle;
+        std::string model;
         std::uint64_t version = 0;
         bool ordersKnown = false;
         std::uint64_t acceptedOrders = 0;
         timestamp since;
         timestamp notBefore;
         bool isAsked = false;
+        bool wasAsked = false;
     };
 
     progress &progressOf(const registered_server &server);
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -105,11 +105,9 @@
     m_store = store != nullptr ? store->cacheStore : std::nullopt;
 }
 
-void load_board::setNewestWeights(std::string_view model, std::uint64_t version, timestamp since)
+void load_board::noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since)
 {
-    newest_weights &newest = m_newest[std::string(model)];
-    if (version > newest.version)
-        newest = {.version = version, .since = since};
+    m_named[std::string(model)].try_emplace(version, since);
 }
 
 void load_board::noteWeights(std::string_view server, std::string_view model, std::uint64_t version)
@@ -127,16 +125,16 @@
 
 void load_board::noteOtherWeights(std::string_view server, std::string_view model)
 {
-    const auto newest = m_newest.find(model);
-    if (newest != m_newest.end())
-        noteWeights(server, model, newest->second.version);
+    const auto named = m_named.find(model);
+    if (named != m_named.end())
+        noteWeights(server, model, named->second.rbegin()->first);
 }
 
 std::map<std::string, std::uint64_t, std::less<>> load_board::newestWeights() const
 {
     std::map<std::string, std::uint64_t, std::less<>> newest;
-    for (auto it = m_newest.begin(); it != m_newest.end(); ++it)
-        newest[it->first] = it->second.version;
+    for (auto it = m_named.begin(); it != m_named.end(); ++it)
+        newest[it->first] = it->second.rbegin()->first;
     return newest;
 }
 
@@ -198,16 +196,18 @@
 double load_board::weightsCost(timestamp now, const server_state &state,
                                const work_item &work) const
 {
-    const auto newest = m_newest.find(work.model);
-    if (newest == m_newest.end())
+    const auto named = m_named.find(work.model);
+    if (named == m_named.end())
         return 0;
     const auto runs = state.info.weights.find(work.model);
     const std::uint64_t version = runs == state.info.weights.end() ? 0 : runs->second;
-    const duration age = now - newest->second.since;
-    if (version >= newest->second.version || age < m_options.olderWeightsAfter)
+    // The bound counts from the first newer version, however many were named since.
+    const auto newer = named->second.upper_bound(version);
+    if (newer == named->second.end() || now - newer->second < m_options.olderWeightsAfter)
         return 0;
-    return age < m_options.olderWeightsLimit ? m_options.olderWeightsMs
-                                             : std::numeric_limits<double>::infinity();
+    return now - newer->second < m_options.olderWeightsLimit
+        ? m_options.olderWeightsMs
+        : std::numeric_limits<double>::infinity();
 }
 
 std::optional<endpoint> load_board::findSource(timestamp now, const server_state &target,
--- a/libs/dispatch/src/weights_plan.cpp
+++ b/libs/dispatch/src/weights_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 namespace trefoil {
 
@@ -21,6 +22,13 @@
     return std::nullopt;
 }
 
+/// Returns whether @p server runs @p version of @p model or newer.
+bool runsOrdered(const registered_server &server, std::string_view model, std::uint64_t version)
+{
+    const auto runs = server.weights.find(model);
+    return runs != server.weights.end() && runs->second >= version;
+}
+
 } // namespace
 
 weights_plan::progress &weights_plan::progressOf(const registered_server &server)
@@ -28,9 +36,7 @@
     progress &state = m_progress[server.id];
     if (state.startedAtMs != server.startedAtMs) {
         // A restarted server has forgotten its orders.
-        state = progress {.startedAtMs = server.startedAtMs,
-                          .ordersKnown = true,
-                          .acceptedOrders = server.acceptedOrders};
+        state = progress {.startedAtMs = server.startedAtMs};
     }
     return state;
 }
@@ -51,7 +57,8 @@
         progress &state = progressOf(server);
         const std::optional<std::string> model = outdatedModel(server, newest);
         if (state.at != stage::Idle) {
-            const bool isDone = !model;
+            // What was ordered may have been superseded meanwhile.
+            const bool isDone = !model || runsOrdered(server, state.model, state.version);
             const bool isLost = now - state.since > m_options.orderTimeout;
             if (isDone || isLost) {
                 state.at = stage::Idle;
@@ -66,27 +73,29 @@
                 continue;
             }
         }
-        if (!model || now < state.notBefore)
-            continue;
         // A leaving server is not worth a load: it gets no new requests.
-        if (server.isLeaving)
-            continue;
-        if (!state.ordersKnown) {
-            if (!state.isAsked) {
-                state.isAsked = true;
-                due.questions.push_back(server);
-            }
+        if (server.isLeaving || now < state.notBefore)
             continue;
+        // Asked ahead of need, so that the first order of new weights goes out at once.
+        if (!state.ordersKnown && !state.isAsked && (model || !state.wasAsked)) {
+            state.isAsked = true;
+            state.wasAsked = true;
+            due.questions.push_back(server);
         }
+        if (!model || !state.ordersKnown)
+            continue;
         waiting.push_back(&server);
     }
-    const auto load = [&running](const registered_server *server) {
-        const auto found = running.find(server->id);
-        return found == running.end() ? 0 : found->second;
+    // The oldest weights first, because they run out of time; among equals the least loaded.
+    const auto rank = [&](const registered_server *server) {
+        const auto load = running.find(server->id);
+        const std::string model = *outdatedModel(*server, newest);
+        return std::pair(server->weights.find(model)->second,
+                         load == running.end() ? 0 : load->second);
     };
     std::stable_sort(waiting.begin(), waiting.end(),
-                     [&load](const registered_server *left, const registered_server *right) {
-                         return load(left) < load(right);
+                     [&rank](const registered_server *left, const registered_server *right) {
+                         return rank(left) < rank(right);
                      });
     for (const registered_server *server : waiting) {
         const int most = std::max(
@@ -98,6 +107,7 @@
         const std::string model = *outdatedModel(*server, newest);
         progress &state = progressOf(*server);
         state.at = stage::Ordered;
+        state.model = model;
         state.version = newest.find(model)->second;
         state.since = now;
         due.orders.push_back({.server = server->id,
@@ -139,6 +149,9 @@
     known.isAsked = false;
     known.notBefore = now + m_options.askEvery;
     if (state == nullptr) {
+        // It may have crashed, and its load with it.
+        known.at = stage::Idle;
+        known.ordersKnown = false;
         known.notBefore = now + m_options.retryAfter;
         return;
     }
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -350,7 +350,7 @@
             continue;
         }
         m_state.with([&weights, now](edge_beliefs &beliefs) {
-            beliefs.board.setNewestWeights(weights->model, weights->version, now);
+            beliefs.board.noteNamedWeights(weights->model, weights->version, now);
         });
         writeEvent(event_line("weights", "named")
                        .add("model", weights->model)
