--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -138,7 +138,7 @@
     void setServers(std::span<const registered_server> servers);
     /// Sets the services' traits and the store of KV cache.
     void setTables(const serving_tables &tables);
-    /// Notes that @p version of @p model was named at @p since.
+    /// Notes that @p version of @p model was named at @p since or before.
     void noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since);
     /// Notes that @p server runs @p version of @p model; older versions than known are ignored.
     void noteWeights(std::string_view server, std::string_view model, std::uint64_t version);
@@ -173,6 +173,12 @@
 
     /// Returns the servers that are known.
     std::vector<registered_server> servers() const;
+    /// Returns all weights named, by model and version, with the time.
+    const std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> &
+    namedWeights() const
+    {
+        return m_named;
+    }
     /// Returns the newest weights named, by model.
     std::map<std::string, std::uint64_t, std::less<>> newestWeights() const;
     /// Returns the releases of the servers of @p service, each once.
@@ -216,8 +222,6 @@
         bool isModel = false;
         bool wasSilent = false;
     };
-    /// Weights that were named, with the time, in rising order.
-    using named_versions = std::map<std::uint64_t, timestamp>;
     struct cost_inputs;
 
     bool mayTake(timestamp now, const server_state &state, const work_item &work) const;
@@ -236,7 +240,7 @@
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, engine_traits, std::less<>> m_engines;
     std::optional<endpoint> m_store;
-    std::map<std::string, named_versions, std::less<>> m_named;
+    std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> m_named;
     std::unordered_map<std::uint64_t, timestamp> m_storeParts;
     std::map<std::uint64_t, ticket_state> m_tickets;
     std::uint64_t m_nextTicket = 1;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -50,6 +50,8 @@
     std::vector<std::string> loading;
     /// Newest weights seen in answers, by server; model names are joined in front of "=".
     std::map<std::string, std::uint64_t, std::less<>> weights;
+    /// Milliseconds since weights were named, by "model=version": a restarted instance can't know.
+    std::map<std::string, std::uint64_t, std::less<>> namedAgeMs;
     /// Epoch of the duty that the instance holds, 0 for none.
     std::uint64_t dutyEpoch = 0;
     std::vector<release_outcomes> releases;
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -107,7 +107,8 @@
 
 void load_board::noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since)
 {
-    m_named[std::string(model)].try_emplace(version, since);
+    timestamp &known = m_named[std::string(model)].try_emplace(version, since).first->second;
+    known = std::min(known, since);
 }
 
 void load_board::noteWeights(std::string_view server, std::string_view model, std::uint64_t version)
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -163,6 +163,7 @@
         loading.append(server);
     value["loading"] = loading;
     value["weights"] = numbersToJson(report.weights);
+    value["named_age_ms"] = numbersToJson(report.namedAgeMs);
     value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
     value["releases"] = releasesToJson(report.releases);
     return writeJson(value);
@@ -192,6 +193,7 @@
         }
     }
     numbersFromJson(fields["weights"], report.weights);
+    numbersFromJson(fields["named_age_ms"], report.namedAgeMs);
     releasesFromJson(fields["releases"], report.releases);
     return report;
 }
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <http/message.h>
 #include <telemetry/event_log.h>
 
 namespace trefoil {
@@ -88,6 +89,13 @@
             for (auto it = server.weights.begin(); it != server.weights.end(); ++it)
                 report.weights[server.id + "=" + it->first] = it->second;
         }
+        const auto &named = beliefs.board.namedWeights();
+        for (auto model = named.begin(); model != named.end(); ++model) {
+            for (auto it = model->second.begin(); it != model->second.end(); ++it)
+                report.namedAgeMs[model->first + "=" + std::to_string(it->first)] =
+                    static_cast<std::uint64_t>(
+                        std::max<std::int64_t>(0, toMilliseconds(now - it->second)));
+        }
         for (const member_entry &other : others) {
             const bool isAlive = beliefs.members.isAlive(now, other.name);
             const auto before = m_wasAlive.find(other.name);
@@ -143,6 +151,15 @@
                 beliefs.board.noteWeights(it->first.substr(0, end), it->first.substr(end + 1),
                                           it->second);
         }
+        for (auto it = report.namedAgeMs.begin(); it != report.namedAgeMs.end(); ++it) {
+            const std::size_t end = it->first.rfind('=');
+            const std::optional<std::uint64_t> version = end == std::string::npos
+                ? std::nullopt
+                : parseDecimal(std::string_view(it->first).substr(end + 1));
+            if (version)
+                beliefs.board.noteNamedWeights(it->first.substr(0, end), *version,
+                                               now - std::chrono::milliseconds(it->second));
+        }
         beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted);
         // A fresh instance takes over what one that ran before it knows.
         if (!m_adoptedLevels && report.incarnation < m_state.incarnation()) {
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -29,6 +29,9 @@
 /// A copy that is behind for this long is fetched from another instance: the store's own watch
 /// brings changes sooner.
 constexpr duration overdueTime = std::chrono::milliseconds(700);
+/// Age that is taken for weights found at the start, when they may have been named long ago: half
+/// of the time within which they must be everywhere, until another instance tells more.
+constexpr duration unknownWeightsAge = std::chrono::seconds(5);
 constexpr duration fetchTimeout = std::chrono::milliseconds(800);
 
 std::string bareName(const std::string &name) { return name.substr(name.find('/') + 1); }
@@ -341,6 +344,8 @@
 void store_watch::applyWeights(const std::map<std::string, object, std::less<>> &objects)
 {
     const timestamp now = boot_clock::now();
+    const timestamp since = m_hasWeights ? now : now - unknownWeightsAge;
+    m_hasWeights = true;
     for (auto it = objects.begin(); it != objects.end(); ++it) {
         const result<named_weights> weights = decodeNamedWeights(it->second.value);
         if (!weights) {
@@ -349,8 +354,8 @@
                            .add("reason", weights.error().message));
             continue;
         }
-        m_state.with([&weights, now](edge_beliefs &beliefs) {
-            beliefs.board.noteNamedWeights(weights->model, weights->version, now);
+        m_state.with([&weights, since](edge_beliefs &beliefs) {
+            beliefs.board.noteNamedWeights(weights->model, weights->version, since);
         });
         writeEvent(event_line("weights", "named")
                        .add("model", weights->model)
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -67,6 +67,7 @@
     /// Serialises the appliers, so that an older copy can't overwrite a newer one.
     std::mutex m_applyMutex;
     std::map<std::string, std::string, std::less<>> m_knownServers;
+    bool m_hasWeights = false;
 };
 
 } // namespace trefoil
