Take over the duty sooner; remember when weights were named; end without joining watches

Each take-over cost 6 s: 1 s silence, a lease of 1.2 s, rank delays beyond a read's validity so that a restarted holder never took its own record, and 3.3 s of quiet for all servers. Quiet is needed only on servers that the holder before may have ordered, which its reports name. Instances that restart together did not know how old the weights were. Ruled out: placement by age (0.5 s margin held where the age was known).

--- a/libs/dispatch/include/dispatch/duty_lease.h
+++ b/libs/dispatch/include/dispatch/duty_lease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,9 @@
     std::uint64_t renewal = 0;
     /// Whether the holder gave the duty up after its last order had been answered.
     bool isReleased = false;
+    /// Wall clock in milliseconds at which weights were named, by "model=version": the memory of
+    /// that when all instances restart together.
+    std::map<std::string, std::uint64_t, std::less<>> namedAtMs;
 
     bool operator==(const duty_record &) const = default;
 };
@@ -37,11 +41,12 @@
     std::string self;
     /// The holder acts this long after it sent its last acknowledged renewal. Short, because its
     /// successor waits for it; several renewals long, so that a lost answer costs nothing.
-    duration life = std::chrono::milliseconds(1200);
+    duration life = std::chrono::milliseconds(1000);
     /// Time between renewals: a third of the life.
-    duration renewEvery = std::chrono::milliseconds(400);
-    /// A successor gives no order for this long after the end of the lease before it: the bound
-    /// within which backend servers must not see two holders, and an order's time on the way.
+    duration renewEvery = std::chrono::milliseconds(350);
+    /// A successor that doesn't know what the holder before it ordered gives no order for this long
+    /// after the end of that lease: the bound within which backend servers must not see two
+    /// holders, and an order's time on the way.
     duration quietTime = std::chrono::milliseconds(3300);
     /// Wait of a candidate for each one before it in rank, so that they don't write at once.
     duration rankDelay = std::chrono::milliseconds(300);
@@ -70,8 +75,9 @@
     /// from @p now. With @p release the duty is given up; no order may be on the way then.
     duty_record startWrite(timestamp now, bool release);
     /// Takes the outcome of the write that startWrite() began: the new revision, or that it was
-    /// not acknowledged.
-    void onWritten(timestamp now, std::optional<std::uint64_t> revision);
+    /// not acknowledged. @p knowsOrders tells that the reports of the holder before were heard, so
+    /// that each server it may have ordered is known.
+    void onWritten(timestamp now, std::optional<std::uint64_t> revision, bool knowsOrders);
 
     /// Returns whether orders may be sent at @p now.
     bool mayAct(timestamp now) const;
@@ -92,6 +98,8 @@
     std::uint64_t m_revision = 0;
     bool m_isKnown = false;
     bool m_isHeld = false;
+    /// The record names this instance, from before a restart or a lapse.
+    bool m_isOwnFormer = false;
     /// A write had no known outcome: the revision must be read before the next one.
     bool m_mustRead = false;
     /// Since when the record of another holder was seen unchanged.
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -29,6 +29,9 @@
     std::string zone;
     /// A member not heard for longer is taken for dead: five reports.
     duration silence = std::chrono::milliseconds(1000);
+    /// A holder of a duty not heard for longer may be succeeded: three reports. Short, because
+    /// the successor asks the store whether it is right.
+    duration holderSilence = std::chrono::milliseconds(650);
     /// Callers spread over all zones where their own has fewer live instances.
     std::size_t leastInZone = 2;
     /// Instances named in an answer.
@@ -60,6 +63,9 @@
     /// Returns whether @p name is alive and holds a duty with @p epoch.
     bool holdsDuty(timestamp now, std::string_view name, std::uint64_t epoch) const;
 
+    /// Returns whether the last report of @p name said that it holds a duty with @p epoch.
+    bool heardDuty(std::string_view name, std::uint64_t epoch) const;
+
     /// Returns the instances that a caller in @p zone is to use. @p isSelfUsable tells whether this
     /// one takes callers.
     std::vector<endpoint> entry(timestamp now, std::string_view zone, bool isSelfUsable) const;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -57,6 +57,18 @@
     std::vector<release_outcomes> releases;
 };
 
+/// Weights as reports and records name them.
+struct weights_name
+{
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// Returns "model=version". Thread-safe.
+std::string weightsKey(std::string_view model, std::uint64_t version);
+/// Parses what weightsKey() wrote; nothing on any other text. Thread-safe.
+std::optional<weights_name> parseWeightsKey(std::string_view text);
+
 /// Returns the datagram. Thread-safe.
 std::string toText(const peer_report &report);
 
--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -82,12 +82,22 @@
         std::vector<registered_server> questions;
     };
 
-    /// Returns what is due. @p servers are all known servers with what they are believed to run,
-    /// @p running their requests by id, @p newest the version wanted by model, @p models the models
-    /// by service.
-    actions next(timestamp now, std::uint64_t epoch, std::span<const registered_server> servers,
-                 const std::map<std::string, int, std::less<>> &running,
-                 const std::map<std::string, std::uint64_t, std::less<>> &newest);
+    /// What is known when the plan is made.
+    struct inputs
+    {
+        /// All known servers with what they are believed to run.
+        std::span<const registered_server> servers;
+        /// Requests running by server.
+        std::map<std::string, int, std::less<>> running;
+        /// Version wanted by model.
+        std::map<std::string, std::uint64_t, std::less<>> newest;
+        /// Servers that another holder may have ordered lately, and until when they get no order
+        /// from this one.
+        std::map<std::string, timestamp, std::less<>> barredUntil;
+    };
+
+    /// Returns what is due.
+    actions next(timestamp now, std::uint64_t epoch, const inputs &known);
     /// Takes the answer to an order.
     void onAnswer(timestamp now, std::string_view server, order_answer answer);
     /// Takes what a server reported; @p state is empty where it did not answer.
--- a/libs/dispatch/src/duty_lease.cpp
+++ b/libs/dispatch/src/duty_lease.cpp
@@ -22,6 +22,9 @@
     value["epoch"] = Json::UInt64(record.epoch);
     value["renewal"] = Json::UInt64(record.renewal);
     value["released"] = record.isReleased;
+    value["named_at_ms"] = Json::Value(Json::objectValue);
+    for (auto it = record.namedAtMs.begin(); it != record.namedAtMs.end(); ++it)
+        value["named_at_ms"][it->first] = Json::UInt64(it->second);
     return writeJson(value);
 }
 
@@ -30,11 +33,19 @@
     const result<Json::Value> value = parseJson(text, "duty record");
     if (!value || !value->isObject() || !(*value)["holder"].isString())
         return std::nullopt;
-    return duty_record {.holder = textOr(*value, "holder"),
+    duty_record record {.holder = textOr(*value, "holder"),
                         .epoch = integerOr(*value, "epoch"),
                         .renewal = integerOr(*value, "renewal"),
                         .isReleased =
                             (*value)["released"].isBool() && (*value)["released"].asBool()};
+    const Json::Value &named = (*value)["named_at_ms"];
+    if (named.isObject()) {
+        for (auto it = named.begin(); it != named.end(); ++it) {
+            if (it->isUInt64())
+                record.namedAtMs[it.name()] = it->asUInt64();
+        }
+    }
+    return record;
 }
 
 duty_step duty_lease::next(timestamp now, int rank, bool isHolderAlive, bool mayHold)
@@ -51,12 +62,13 @@
     }
     if (!mayHold || (m_isKnown && isHolderAlive))
         return duty_step::None;
-    const duration patience = m_record.isReleased || m_record.holder.empty()
-        ? duration::zero()
-        : m_options.life + clockMargin;
-    const bool isOver = m_isKnown && m_readAt - m_unchangedSince >= patience;
-    if (isOver && now - m_unchangedSince >= patience + m_options.rankDelay * rank
-        && now - m_readAt < readEvery)
+    // A holder never waits for itself, and nobody waits for one that gave the duty up.
+    const bool isFree = m_record.isReleased || m_record.holder.empty() || m_isOwnFormer;
+    const duration patience = isFree ? duration::zero() : m_options.life + clockMargin;
+    const duration turn = m_isOwnFormer ? duration::zero() : m_options.rankDelay * rank;
+    const bool isOver = m_isKnown && m_readAt - m_unchangedSince >= patience
+        && now - m_unchangedSince >= patience + turn;
+    if (isOver && now - m_readAt < readEvery)
         return duty_step::Write;
     return !m_isKnown || now - m_readAt >= readEvery ? duty_step::Read : duty_step::None;
 }
@@ -73,13 +85,9 @@
         m_revision = revision;
         return;
     }
-    const bool isOwnLate = record && seen.holder == m_options.self;
+    m_isOwnFormer = seen.holder == m_options.self;
     if (!m_isKnown || revision != m_revision)
         m_unchangedSince = now;
-    // The record of this instance from before a lapse or a restart: nobody took over, and a holder
-    // never waits for itself.
-    if (isOwnLate)
-        m_unchangedSince = now - m_options.life - clockMargin;
     m_isHeld = false;
     m_record = seen;
     m_revision = revision;
@@ -99,7 +107,7 @@
     return m_writing;
 }
 
-void duty_lease::onWritten(timestamp now, std::optional<std::uint64_t> revision)
+void duty_lease::onWritten(timestamp now, std::optional<std::uint64_t> revision, bool knowsOrders)
 {
     if (!revision) {
         // It may have been written or not, or somebody else was first: look before the next one.
@@ -108,15 +116,16 @@
         return;
     }
     const bool isTakeOver = !isOwn();
-    const bool waitsForOther =
-        isTakeOver && !m_record.holder.empty() && m_record.holder != m_options.self;
+    const bool waitsForOther = !m_record.holder.empty() && !m_isOwnFormer && !knowsOrders;
+    const timestamp endOfOther =
+        m_record.isReleased ? m_unchangedSince : m_unchangedSince + m_options.life;
     m_record = m_writing;
     m_revision = *revision;
     m_isHeld = true;
     m_isKnown = true;
     m_heldUntil = m_writeStartedAt + m_options.life;
     if (isTakeOver)
-        m_actsFrom = waitsForOther ? now + m_options.quietTime : now;
+        m_actsFrom = waitsForOther ? endOfOther + m_options.quietTime : now;
 }
 
 bool duty_lease::holds(timestamp now) const
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -73,10 +73,16 @@
 bool member_table::holdsDuty(timestamp now, std::string_view name, std::uint64_t epoch) const
 {
     const auto found = m_members.find(name);
-    return found != m_members.end() && now - found->second.heardAt <= m_options.silence
+    return found != m_members.end() && now - found->second.heardAt <= m_options.holderSilence
         && found->second.dutyEpoch == epoch && epoch != 0;
 }
 
+bool member_table::heardDuty(std::string_view name, std::uint64_t epoch) const
+{
+    const auto found = m_members.find(name);
+    return found != m_members.end() && found->second.dutyEpoch == epoch && epoch != 0;
+}
+
 std::vector<endpoint> member_table::entry(timestamp now, std::string_view zone,
                                           bool isSelfUsable) const
 {
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -1,6 +1,7 @@
 #include <dispatch/peer_report.h>
 
 #include <core/json.h>
+#include <http/message.h>
 
 namespace trefoil {
 
@@ -145,6 +146,22 @@
 
 } // namespace
 
+std::string weightsKey(std::string_view model, std::uint64_t version)
+{
+    return std::string(model) + "=" + std::to_string(version);
+}
+
+std::optional<weights_name> parseWeightsKey(std::string_view text)
+{
+    const std::size_t end = text.rfind('=');
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    const std::optional<std::uint64_t> version = parseDecimal(text.substr(end + 1));
+    if (!version)
+        return std::nullopt;
+    return weights_name {.model = std::string(text.substr(0, end)), .version = *version};
+}
+
 std::string toText(const peer_report &report)
 {
     Json::Value value(Json::objectValue);
--- a/libs/dispatch/src/weights_plan.cpp
+++ b/libs/dispatch/src/weights_plan.cpp
@@ -41,21 +41,18 @@
     return state;
 }
 
-weights_plan::actions
-weights_plan::next(timestamp now, std::uint64_t epoch, std::span<const registered_server> servers,
-                   const std::map<std::string, int, std::less<>> &running,
-                   const std::map<std::string, std::uint64_t, std::less<>> &newest)
+weights_plan::actions weights_plan::next(timestamp now, std::uint64_t epoch, const inputs &known)
 {
     actions due;
     std::map<std::string, int> atOnce;
     std::map<std::string, int> poolSize;
     std::vector<const registered_server *> waiting;
-    for (const registered_server &server : servers) {
+    for (const registered_server &server : known.servers) {
         if (server.weights.empty())
             continue;
         poolSize[server.service] += server.isLeaving ? 0 : 1;
         progress &state = progressOf(server);
-        const std::optional<std::string> model = outdatedModel(server, newest);
+        const std::optional<std::string> model = outdatedModel(server, known.newest);
         if (state.at != stage::Idle) {
             // What was ordered may have been superseded meanwhile.
             const bool isDone = !model || runsOrdered(server, state.model, state.version);
@@ -82,16 +79,17 @@
             state.wasAsked = true;
             due.questions.push_back(server);
         }
-        if (!model || !state.ordersKnown)
+        const auto bar = known.barredUntil.find(server.id);
+        if (!model || !state.ordersKnown || (bar != known.barredUntil.end() && now < bar->second))
             continue;
         waiting.push_back(&server);
     }
     // The oldest weights first, because they run out of time; among equals the least loaded.
     const auto rank = [&](const registered_server *server) {
-        const auto load = running.find(server->id);
-        const std::string model = *outdatedModel(*server, newest);
+        const auto load = known.running.find(server->id);
+        const std::string model = *outdatedModel(*server, known.newest);
         return std::pair(server->weights.find(model)->second,
-                         load == running.end() ? 0 : load->second);
+                         load == known.running.end() ? 0 : load->second);
     };
     std::stable_sort(waiting.begin(), waiting.end(),
                      [&rank](const registered_server *left, const registered_server *right) {
@@ -104,11 +102,11 @@
         if (atOnce[server->service] >= most)
             continue;
         atOnce[server->service] += 1;
-        const std::string model = *outdatedModel(*server, newest);
+        const std::string model = *outdatedModel(*server, known.newest);
         progress &state = progressOf(*server);
         state.at = stage::Ordered;
         state.model = model;
-        state.version = newest.find(model)->second;
+        state.version = known.newest.find(model)->second;
         state.since = now;
         due.orders.push_back({.server = server->id,
                               .address = server->address,
--- a/libs/platform/include/platform/object_mirror.h
+++ b/libs/platform/include/platform/object_mirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -40,6 +41,12 @@
     std::uint64_t upTo() const { return m_upTo; }
     /// Returns the version of the newest change seen: instances compare it.
     std::uint64_t newestChange() const { return m_newestChange; }
+    /// Notes that a copy as new as this one knows of a change at @p version, a removal that left
+    /// nothing behind.
+    void noteNewestChange(std::uint64_t version)
+    {
+        m_newestChange = std::max(m_newestChange, version);
+    }
 
 private:
     duration m_returnTime;
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -97,9 +97,51 @@
     m_wasHeld = isHeld;
 }
 
+bool duty_runner::knowsOrdersOf(const duty_record &holder)
+{
+    return m_state.with([&holder](edge_beliefs &beliefs) {
+        return beliefs.members.heardDuty(holder.holder, holder.epoch);
+    });
+}
+
+std::map<std::string, std::uint64_t, std::less<>> duty_runner::namedTimes()
+{
+    const timestamp now = boot_clock::now();
+    const std::uint64_t wall = wallMilliseconds();
+    std::map<std::string, std::uint64_t, std::less<>> times;
+    m_state.with([&](edge_beliefs &beliefs) {
+        const auto &named = beliefs.board.namedWeights();
+        for (auto model = named.begin(); model != named.end(); ++model) {
+            for (auto it = model->second.begin(); it != model->second.end(); ++it)
+                times[weightsKey(model->first, it->first)] =
+                    wall - static_cast<std::uint64_t>(toMilliseconds(now - it->second));
+        }
+    });
+    return times;
+}
+
+void duty_runner::takeNamedTimes(const duty_record &record)
+{
+    const timestamp now = boot_clock::now();
+    const std::uint64_t wall = wallMilliseconds();
+    m_state.with([&](edge_beliefs &beliefs) {
+        for (auto it = record.namedAtMs.begin(); it != record.namedAtMs.end(); ++it) {
+            const std::optional<weights_name> name = parseWeightsKey(it->first);
+            if (name && it->second <= wall)
+                beliefs.board.noteNamedWeights(name->model, name->version,
+                                               now - std::chrono::milliseconds(wall - it->second));
+        }
+    });
+}
+
 void duty_runner::readLease()
 {
     const result<object> got = m_store.get(dutyObject);
+    if (got) {
+        const std::optional<duty_record> record = dutyFromText(got->value);
+        if (record)
+            takeNamedTimes(*record);
+    }
     const std::lock_guard<std::mutex> lock(m_mutex);
     const timestamp now = boot_clock::now();
     if (got)
@@ -111,16 +153,20 @@
 void duty_runner::writeLease(bool release)
 {
     duty_record record;
+    duty_record before;
     std::uint64_t revision = 0;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
+        before = m_lease.record();
         record = m_lease.startWrite(boot_clock::now(), release);
         revision = m_lease.revision();
     }
+    record.namedAtMs = namedTimes();
+    const bool knowsOrders = knowsOrdersOf(before);
     const result<std::uint64_t> written = m_store.put(dutyObject, toText(record), revision);
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_lease.onWritten(boot_clock::now(),
-                      written ? std::optional<std::uint64_t>(*written) : std::nullopt);
+                      written ? std::optional<std::uint64_t>(*written) : std::nullopt, knowsOrders);
     if (!written)
         writeEvent(event_line("duty", "lease_write_failed")
                        .add("epoch", record.epoch)
@@ -141,15 +187,19 @@
             m_planEpoch = m_lease.epoch();
         }
         std::vector<registered_server> servers;
-        std::map<std::string, int, std::less<>> running;
-        std::map<std::string, std::uint64_t, std::less<>> newest;
+        weights_plan::inputs known;
+        const duration quietTime = m_state.settings().dutyQuietTime + quietMargin;
         m_state.with([&](edge_beliefs &beliefs) {
             servers = beliefs.board.servers();
-            newest = beliefs.board.newestWeights();
+            known.newest = beliefs.board.newestWeights();
             for (const registered_server &server : servers)
-                running[server.id] = beliefs.board.totalLoad(now, server.id).running;
+                known.running[server.id] = beliefs.board.totalLoad(now, server.id).running;
+            for (auto it = beliefs.orderedElsewhere.begin(); it != beliefs.orderedElsewhere.end();
+                 ++it)
+                known.barredUntil[it->first] = it->second + quietTime;
         });
-        due = m_plan.next(now, m_lease.epoch(), servers, running, newest);
+        known.servers = servers;
+        due = m_plan.next(now, m_lease.epoch(), known);
     }
     if (!due.orders.empty()) {
         m_state.with([&](edge_beliefs &beliefs) {
--- a/trefoilrouter/src/edge/duty_runner.h
+++ b/trefoilrouter/src/edge/duty_runner.h
@@ -32,6 +32,9 @@
     void keepLease();
     void readLease();
     void writeLease(bool release);
+    bool knowsOrdersOf(const duty_record &holder);
+    std::map<std::string, std::uint64_t, std::less<>> namedTimes();
+    void takeNamedTimes(const duty_record &record);
     void planWeights(peer_exchange &exchange);
     void order(const weights_order &each);
     void ask(const registered_server &server);
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -1,5 +1,6 @@
 #include "edge/edge_instance.h"
 
+#include <cstdlib>
 #include <thread>
 
 #include <adapter/documents.h>
@@ -93,13 +94,18 @@
         ended = true;
     });
     waitForStop(signals, ended);
-    if (!ended)
+    if (!ended) {
         drain();
-    tree.request_stop();
+        writeEvent(
+            event_line("instance", "stopped").add("open_requests", m_state.openRequests().load()));
+        stopEventLog();
+        // Watches of the store block for seconds: nothing is left to be saved, so the process ends
+        // without joining them.
+        std::_Exit(0);
+    }
     tree.join();
-    writeEvent(event_line("instance", "stopped")
-                   .add("open_requests", m_state.openRequests().load())
-                   .add("outcome", outcome ? "ok" : outcome.error().message.c_str()));
+    writeEvent(event_line("instance", "failed")
+                   .add("reason", outcome ? "all parts ended" : outcome.error().message.c_str()));
     return outcome;
 }
 
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -23,8 +23,9 @@
     explicit edge_instance(const machine_settings &settings);
 
     /// Runs until one of the stop signals in @p signals comes, then leaves without cutting a
-    /// request. SIGHUP in @p signals reads the settings again. Precondition: @p signals are blocked
-    /// in all threads. Errors: those of the supervisor tree.
+    /// request and ends the process. Returns only when a part keeps failing. SIGHUP in @p signals
+    /// reads the settings again. Precondition: @p signals are blocked in all threads. Errors: those
+    /// of the supervisor tree.
     result<void> run(const sigset_t &signals);
 
 private:
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -38,6 +38,8 @@
     /// Retry budgets by service.
     std::map<std::string, retry_budget, std::less<>> budgets;
     retry_budget_options budgetOptions;
+    /// Servers that another holder of the duty loads, with the time of its last report of it.
+    std::map<std::string, timestamp, std::less<>> orderedElsewhere;
     /// Outcomes on releases that are moved to, told to the others.
     std::map<std::string, release_outcomes, std::less<>> ownOutcomes;
 };
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -4,7 +4,6 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <http/message.h>
 #include <telemetry/event_log.h>
 
 namespace trefoil {
@@ -31,21 +30,21 @@
 
 duration peer_exchange::period() const
 {
-    return std::max<duration>(reportEvery, reportEveryForEach * m_others);
+    return std::max<duration>(reportEvery, reportEveryForEach * m_others.load());
 }
 
 result<void> peer_exchange::run(const std::stop_token &stop)
 {
     const endpoint &own = m_state.settings().peers;
     try {
-        Poco::Net::DatagramSocket socket;
+        Poco::Net::DatagramSocket &socket = m_socket;
         socket.bind(Poco::Net::SocketAddress(own.host, own.port), true);
         std::string room(maxDatagramBytes, '\0');
         timestamp next = boot_clock::now();
         while (!stop.stop_requested()) {
             const timestamp now = boot_clock::now();
-            if (now >= next || m_isUrgent.exchange(false)) {
-                send(socket);
+            if (now >= next) {
+                sendNow();
                 next = now + period();
             }
             const std::int64_t waitUs =
@@ -63,10 +62,11 @@
     }
 }
 
-void peer_exchange::send(Poco::Net::DatagramSocket &socket)
+void peer_exchange::sendNow()
 {
-    const timestamp now = boot_clock::now();
     const duty_view duty = m_duty();
+    const std::lock_guard<std::mutex> lock(m_sendMutex);
+    const timestamp now = boot_clock::now();
     peer_report report {.from = m_state.settings().name,
                         .incarnation = m_state.incarnation(),
                         .sequence = ++m_sequence,
@@ -92,9 +92,8 @@
         const auto &named = beliefs.board.namedWeights();
         for (auto model = named.begin(); model != named.end(); ++model) {
             for (auto it = model->second.begin(); it != model->second.end(); ++it)
-                report.namedAgeMs[model->first + "=" + std::to_string(it->first)] =
-                    static_cast<std::uint64_t>(
-                        std::max<std::int64_t>(0, toMilliseconds(now - it->second)));
+                report.namedAgeMs[weightsKey(model->first, it->first)] = static_cast<std::uint64_t>(
+                    std::max<std::int64_t>(0, toMilliseconds(now - it->second)));
         }
         for (const member_entry &other : others) {
             const bool isAlive = beliefs.members.isAlive(now, other.name);
@@ -109,8 +108,8 @@
     const std::string text = toText(report);
     for (const member_entry &other : others) {
         try {
-            socket.sendTo(text.data(), static_cast<int>(text.size()),
-                          Poco::Net::SocketAddress(other.peers.host, other.peers.port));
+            m_socket.sendTo(text.data(), static_cast<int>(text.size()),
+                            Poco::Net::SocketAddress(other.peers.host, other.peers.port));
         } catch (const Poco::Exception &) {
             // The peer is gone or the link is full: the next report says the same.
             m_state.metrics().counterOf("trefoil_reports_unsent_total").add();
@@ -143,8 +142,10 @@
         }
         beliefs.board.takePeerLoad(now, report.from, report.load);
         beliefs.board.notePlacedParts(now, report.placed);
-        for (const std::string &server : report.loading)
+        for (const std::string &server : report.loading) {
             beliefs.board.noteLoading(server, now + loadingLife);
+            beliefs.orderedElsewhere[server] = now;
+        }
         for (auto it = report.weights.begin(); it != report.weights.end(); ++it) {
             const std::size_t end = it->first.rfind('=');
             if (end != std::string::npos)
@@ -152,12 +153,9 @@
                                           it->second);
         }
         for (auto it = report.namedAgeMs.begin(); it != report.namedAgeMs.end(); ++it) {
-            const std::size_t end = it->first.rfind('=');
-            const std::optional<std::uint64_t> version = end == std::string::npos
-                ? std::nullopt
-                : parseDecimal(std::string_view(it->first).substr(end + 1));
-            if (version)
-                beliefs.board.noteNamedWeights(it->first.substr(0, end), *version,
+            const std::optional<weights_name> name = parseWeightsKey(it->first);
+            if (name)
+                beliefs.board.noteNamedWeights(name->model, name->version,
                                                now - std::chrono::milliseconds(it->second));
         }
         beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted);
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -28,12 +28,11 @@
 
     /// Returns the child that sends and receives.
     child_spec child();
-    /// Sends a report at once, when something changed that others should know soon. Thread-safe.
-    void sendNow() { m_isUrgent = true; }
+    /// Sends a report, which is on its way when this returns. Thread-safe.
+    void sendNow();
 
 private:
     result<void> run(const std::stop_token &stop);
-    void send(Poco::Net::DatagramSocket &socket);
     void receive(std::string_view datagram);
     void learn(timestamp now, const peer_report &report);
     duration period() const;
@@ -41,9 +40,10 @@
     edge_state &m_state;
     store_watch &m_watch;
     std::function<duty_view()> m_duty;
-    std::atomic<bool> m_isUrgent = false;
+    Poco::Net::DatagramSocket m_socket;
+    std::mutex m_sendMutex;
     std::uint64_t m_sequence = 0;
-    std::size_t m_others = 0;
+    std::atomic<std::size_t> m_others = 0;
     bool m_adoptedLevels = false;
     std::map<std::string, bool, std::less<>> m_wasAlive;
     /// Outcomes last reported by instance and release, to add only what is new.
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-/// A waiting watch lasts this long, after which silence shows that its connection is dead. Config,
-/// servers and weights have bounds of seconds; the others change rarely.
-constexpr duration shortPatience = std::chrono::milliseconds(2500);
-constexpr duration longPatience = std::chrono::seconds(8);
+/// A waiting watch lasts this long, after which silence shows that its connection is dead. Another
+/// instance's report shows sooner that this one is behind.
+constexpr duration shortPatience = std::chrono::seconds(5);
+constexpr duration longPatience = std::chrono::seconds(10);
 /// Wait after a watch that brought changes: what comes in quick succession is read in one call.
 constexpr duration gatherTime = std::chrono::milliseconds(120);
 /// Wait after a call that failed.
@@ -208,6 +208,7 @@
     if (known == m_kinds.end())
         return writeJson(copy);
     copy["up_to"] = Json::UInt64(known->second.mirror.upTo());
+    copy["newest_change"] = Json::UInt64(known->second.mirror.newestChange());
     Json::Value list(Json::arrayValue);
     const std::map<std::string, object, std::less<>> &objects = known->second.mirror.objects();
     for (auto it = objects.begin(); it != objects.end(); ++it) {
@@ -240,8 +241,10 @@
     bool hasChanged = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        hasChanged = m_kinds.find(kind)->second.mirror.takeSnapshot(
-            boot_clock::now(), objects, integerOr(*copy, "up_to"), false);
+        object_mirror &mirror = m_kinds.find(kind)->second.mirror;
+        hasChanged =
+            mirror.takeSnapshot(boot_clock::now(), objects, integerOr(*copy, "up_to"), false);
+        mirror.noteNewestChange(integerOr(*copy, "newest_change"));
     }
     writeEvent(event_line("store", "copy_fetched").add("kind", kind).add("changed", hasChanged));
     if (hasChanged)
