--- a/libs/dispatch/include/dispatch/duty_lease.h
+++ b/libs/dispatch/include/dispatch/duty_lease.h
@@ -22,6 +22,9 @@
     std::uint64_t renewal = 0;
     /// Whether the holder gave the duty up after its last order had been answered.
     bool isReleased = false;
+    /// Whether the holder before this one has been quiet for long enough on all servers. Until then
+    /// a holder that restarts has to wait, since it has forgotten what the other one ordered.
+    bool isSettled = false;
     /// Wall clock in milliseconds at which weights were named, by "model=version": the memory of
     /// that when all instances restart together.
     std::map<std::string, std::uint64_t, std::less<>> namedAtMs;
@@ -108,6 +111,8 @@
     timestamp m_writeStartedAt;
     timestamp m_heldUntil;
     timestamp m_actsFrom;
+    /// When the holder before has been quiet for long enough.
+    timestamp m_settledFrom;
     duty_record m_writing;
 };
 
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -44,6 +44,7 @@
     std::map<std::string, server_load, std::less<>> load;
     admitted_totals admitted;
     admitted_totals levels;
+    admitted_totals askedRates;
     std::vector<placed_parts> placed;
     std::vector<crash_note> crashes;
     /// Servers that load weights by this instance's order.
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -11,8 +11,8 @@
 
 namespace trefoil {
 
-/// Units that an instance has admitted for each team since it started. Only grows, so that a lost
-/// report is made up for by the next.
+/// Units of each team since an instance started. Totals only grow, so that a lost report is made up
+/// for by the next.
 using admitted_totals = std::map<std::string, double, std::less<>>;
 
 /// Options of the limits.
@@ -21,6 +21,11 @@
     /// An instance not heard for longer is taken to spend an equal share of each limit. Five of
     /// the reports that instances exchange.
     duration silence = std::chrono::milliseconds(1000);
+    /// Below this part of the burst an instance admits no more than its part of the rate, by what
+    /// callers ask of it: else all would spend the same rest until the next report.
+    double sharedLevel = 0.5;
+    /// Time over which the asking is averaged: a few reports.
+    duration askedTime = std::chrono::milliseconds(800);
 };
 
 /// Limits of teams over all instances. Each instance keeps a copy of the one bucket of each team
@@ -55,12 +60,14 @@
     void setPeers(timestamp now, const std::vector<std::string> &peers);
     /// Takes the totals of @p peer. @p incarnation tells a restart, after which totals start at 0.
     void takeReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                    const admitted_totals &totals);
+                    const admitted_totals &admitted, const admitted_totals &askedRates);
     /// Lowers levels to those that an instance reports which has counted for longer than this one.
     void adoptLevels(timestamp now, const admitted_totals &levels);
 
     /// Returns what this instance has admitted since it started.
     const admitted_totals &totals() const { return m_totals; }
+    /// Returns the units a second that callers ask of this instance.
+    admitted_totals askedRates(timestamp now);
     /// Returns the level of each bucket at @p now.
     admitted_totals levels(timestamp now);
 
@@ -71,12 +78,17 @@
         double burst = 0;
         double level = 0;
         timestamp filledAt;
+        /// What may be admitted here while the level is low.
+        double allowance = 0;
+        /// Units asked lately, fading over askedTime.
+        double asked = 0;
     };
     struct peer_usage
     {
         double total = 0;
         /// Units a second between the last two reports.
         double rate = 0;
+        double askedRate = 0;
         /// Already taken from the bucket for the time since the last report.
         double expected = 0;
     };
@@ -89,6 +101,7 @@
 
     void bring(timestamp now, std::string_view team, bucket &account);
     double shareOfSilent(const bucket &account) const;
+    double ownPart(std::string_view team, const bucket &account) const;
 
     team_limit_options m_options;
     std::map<std::string, bucket, std::less<>> m_buckets;
--- a/libs/dispatch/src/duty_lease.cpp
+++ b/libs/dispatch/src/duty_lease.cpp
@@ -13,6 +13,11 @@
 /// Margin between the end of a lease and a take-over, for clocks that run at different rates.
 constexpr duration clockMargin = std::chrono::milliseconds(200);
 
+bool flag(const Json::Value &object, const char *name)
+{
+    return object[name].isBool() && object[name].asBool();
+}
+
 } // namespace
 
 std::string toText(const duty_record &record)
@@ -22,6 +27,7 @@
     value["epoch"] = Json::UInt64(record.epoch);
     value["renewal"] = Json::UInt64(record.renewal);
     value["released"] = record.isReleased;
+    value["settled"] = record.isSettled;
     value["named_at_ms"] = Json::Value(Json::objectValue);
     for (auto it = record.namedAtMs.begin(); it != record.namedAtMs.end(); ++it)
         value["named_at_ms"][it->first] = Json::UInt64(it->second);
@@ -36,8 +42,8 @@
     duty_record record {.holder = textOr(*value, "holder"),
                         .epoch = integerOr(*value, "epoch"),
                         .renewal = integerOr(*value, "renewal"),
-                        .isReleased =
-                            (*value)["released"].isBool() && (*value)["released"].asBool()};
+                        .isReleased = flag(*value, "released"),
+                        .isSettled = flag(*value, "settled")};
     const Json::Value &named = (*value)["named_at_ms"];
     if (named.isObject()) {
         for (auto it = named.begin(); it != named.end(); ++it) {
@@ -100,6 +106,7 @@
     m_writing = m_record;
     m_writing.renewal += 1;
     m_writing.isReleased = release;
+    m_writing.isSettled = isOwn() && now >= m_settledFrom;
     if (!isOwn()) {
         m_writing.holder = m_options.self;
         m_writing.epoch = m_record.epoch + 1;
@@ -116,16 +123,25 @@
         return;
     }
     const bool isTakeOver = !isOwn();
-    const bool waitsForOther = !m_record.holder.empty() && !m_isOwnFormer && !knowsOrders;
-    const timestamp endOfOther =
-        m_record.isReleased ? m_unchangedSince : m_unchangedSince + m_options.life;
+    const duty_record before = m_record;
     m_record = m_writing;
     m_revision = *revision;
     m_isHeld = true;
     m_isKnown = true;
     m_heldUntil = m_writeStartedAt + m_options.life;
-    if (isTakeOver)
-        m_actsFrom = waitsForOther ? endOfOther + m_options.quietTime : now;
+    if (!isTakeOver)
+        return;
+    if (before.holder.empty() || (m_isOwnFormer && before.isSettled)) {
+        m_settledFrom = now;
+        m_actsFrom = now;
+        return;
+    }
+    // An own record that isn't settled says nothing of when the holder before it acted last.
+    timestamp endOfOther = now;
+    if (!m_isOwnFormer)
+        endOfOther = before.isReleased ? m_unchangedSince : m_unchangedSince + m_options.life;
+    m_settledFrom = endOfOther + m_options.quietTime;
+    m_actsFrom = knowsOrders && !m_isOwnFormer ? now : m_settledFrom;
 }
 
 bool duty_lease::holds(timestamp now) const
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -172,6 +172,7 @@
     value["revisions"] = numbersToJson(report.revisions);
     value["load"] = loadToJson(report.load);
     value["admitted"] = numbersToJson(report.admitted);
+    value["asked_rates"] = numbersToJson(report.askedRates);
     value["levels"] = numbersToJson(report.levels);
     value["placed"] = placedToJson(report.placed);
     value["crashes"] = crashesToJson(report.crashes);
@@ -200,6 +201,7 @@
     numbersFromJson(fields["revisions"], report.revisions);
     loadFromJson(fields["load"], report.load);
     numbersFromJson(fields["admitted"], report.admitted);
+    numbersFromJson(fields["asked_rates"], report.askedRates);
     numbersFromJson(fields["levels"], report.levels);
     placedFromJson(fields["placed"], report.placed);
     crashesFromJson(fields["crashes"], report.crashes);
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -1,18 +1,30 @@
 #include <dispatch/team_limits.h>
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace trefoil {
 
+namespace {
+
+/// Seconds of its part of a rate that an instance may save up.
+constexpr double allowanceSeconds = 0.1;
+/// Least part of a rate that a refused caller's wait is worked out with.
+constexpr double leastPart = 0.01;
+
+} // namespace
+
 void team_limits::setLimit(timestamp now, std::string_view team, double rate, double burst)
 {
     const auto found = m_buckets.find(team);
     if (found == m_buckets.end()) {
         // A fresh instance does not know what others spent: it starts with its share of the burst.
         const double share = burst / static_cast<double>(m_peers.size() + 1);
-        m_buckets.emplace(std::string(team),
-                          bucket {.rate = rate, .burst = burst, .level = share, .filledAt = now});
+        m_buckets.emplace(
+            std::string(team),
+            bucket {
+                .rate = rate, .burst = burst, .level = share, .filledAt = now, .allowance = share});
         return;
     }
     bring(now, team, found->second);
@@ -48,8 +60,23 @@
     }
     account.level =
         std::min(account.burst, account.level + account.rate * elapsed - spentElsewhere);
-    // A debt past one burst would punish a team for estimates.
-    account.level = std::max(account.level, -account.burst);
+    account.asked *= std::exp(-elapsed / toSeconds(m_options.askedTime));
+    const double ownRate = account.rate * ownPart(team, account);
+    // A tenth of a second's worth at most: what is saved up would be spent by all at once.
+    const double most = std::max(account.allowance, ownRate * allowanceSeconds);
+    account.allowance = std::min(account.allowance + ownRate * elapsed, most);
+}
+
+double team_limits::ownPart(std::string_view team, const bucket &account) const
+{
+    const double own = account.asked / toSeconds(m_options.askedTime);
+    double all = own;
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
+        const auto usage = it->second.teams.find(team);
+        if (usage != it->second.teams.end())
+            all += usage->second.askedRate;
+    }
+    return all > 0 ? own / all : 1;
 }
 
 std::optional<duration> team_limits::admit(timestamp now, std::string_view team, double units)
@@ -59,9 +86,14 @@
         return std::nullopt;
     bucket &account = found->second;
     bring(now, team, account);
+    account.asked += units;
     if (account.level <= 0)
         return fromSeconds((units - account.level) / account.rate);
+    if (account.level < account.burst * m_options.sharedLevel && account.allowance <= 0)
+        return fromSeconds((units - account.allowance)
+                           / (account.rate * std::max(leastPart, ownPart(team, account))));
     account.level -= units;
+    account.allowance -= units;
     const auto total = m_totals.try_emplace(std::string(team), 0).first;
     total->second += units;
     return std::nullopt;
@@ -82,12 +114,13 @@
     std::erase_if(m_peers, [&peers](const auto &each) {
         return std::find(peers.begin(), peers.end(), each.first) == peers.end();
     });
+    // One that was never heard counts as silent from the start.
     for (const std::string &name : peers)
-        m_peers.try_emplace(name, peer_state {.heardAt = now});
+        m_peers.try_emplace(name, peer_state {.heardAt = now - 2 * m_options.silence});
 }
 
 void team_limits::takeReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                             const admitted_totals &totals)
+                             const admitted_totals &admitted, const admitted_totals &askedRates)
 {
     const auto found = m_peers.find(peer);
     if (found == m_peers.end())
@@ -97,7 +130,7 @@
     const bool wasSilent = now - state.heardAt > m_options.silence;
     const double age = toSeconds(now - state.heardAt);
     const bool isKnown = state.incarnation == incarnation;
-    for (auto it = totals.begin(); it != totals.end(); ++it) {
+    for (auto it = admitted.begin(); it != admitted.end(); ++it) {
         const auto account = m_buckets.find(it->first);
         if (account == m_buckets.end())
             continue;
@@ -106,12 +139,15 @@
         const double delta = it->second - (isKnown ? usage.total : 0);
         if (!wasSilent && (isKnown || state.incarnation != 0))
             account->second.level += usage.expected - delta;
-        account->second.level =
-            std::clamp(account->second.level, -account->second.burst, account->second.burst);
+        account->second.level = std::min(account->second.level, account->second.burst);
         usage.rate = isKnown && age > 0 ? std::max(0.0, delta / age) : 0;
         usage.total = it->second;
         usage.expected = 0;
     }
+    for (auto it = state.teams.begin(); it != state.teams.end(); ++it)
+        it->second.askedRate = 0;
+    for (auto it = askedRates.begin(); it != askedRates.end(); ++it)
+        state.teams[it->first].askedRate = it->second;
     state.incarnation = incarnation;
     state.heardAt = now;
 }
@@ -127,6 +163,17 @@
     }
 }
 
+admitted_totals team_limits::askedRates(timestamp now)
+{
+    admitted_totals rates;
+    for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
+        bring(now, it->first, it->second);
+        if (it->second.asked >= 1)
+            rates[it->first] = it->second.asked / toSeconds(m_options.askedTime);
+    }
+    return rates;
+}
+
 admitted_totals team_limits::levels(timestamp now)
 {
     admitted_totals all;
--- a/libs/dispatch/tests/duty_lease_test.cpp
+++ b/libs/dispatch/tests/duty_lease_test.cpp
@@ -1,1 +1,160 @@
+#include <dispatch/duty_lease.h>
+
+#include <array>
+#include <random>
+#include <vector>
+
 #include <gtest/gtest.h>
+
+namespace trefoil {
+
+namespace {
+
+constexpr duration stepTime = std::chrono::milliseconds(50);
+
+duty_lease_options optionsOf(const char *name) { return {.self = name}; }
+
+/// The store's object, and writes that are carried out late.
+struct fake_store
+{
+    std::optional<duty_record> record;
+    std::uint64_t revision = 0;
+
+    std::optional<std::uint64_t> write(const duty_record &next, std::uint64_t expected)
+    {
+        if (expected != revision)
+            return std::nullopt;
+        record = next;
+        return ++revision;
+    }
+};
+
+struct candidate
+{
+    explicit candidate(const char *name) : lease(optionsOf(name)) { }
+
+    duty_lease lease;
+    bool isDown = false;
+    timestamp lastActed;
+    bool hasActed = false;
+};
+
+/// Lets one candidate make its next call to the store. @p loses tells that the answer is lost.
+void stepCandidate(timestamp now, candidate &each, int rank, bool isHolderAlive, fake_store &store,
+                   bool isOut, bool loses)
+{
+    const duty_step next = each.lease.next(now, rank, isHolderAlive, true);
+    if (next == duty_step::Read && !isOut)
+        each.lease.onRead(now, store.record, store.revision);
+    if (next != duty_step::Write)
+        return;
+    const duty_record record = each.lease.startWrite(now, false);
+    const std::uint64_t expected = each.lease.revision();
+    const std::optional<std::uint64_t> written =
+        isOut ? std::nullopt : store.write(record, expected);
+    each.lease.onWritten(now, loses ? std::nullopt : written, false);
+}
+
+} // namespace
+
+TEST(DutyLease, TwoHoldersNeverActWithinTheQuietTime)
+{
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        fake_store store;
+        std::array<candidate, 3> all {candidate("a"), candidate("b"), candidate("c")};
+        const auto chance = [&random](int inThousand) {
+            return static_cast<int>(random() % 1000) < inThousand;
+        };
+        bool isOut = false;
+        int lastHolder = -1;
+        timestamp lastAct {};
+        int acts = 0;
+        for (timestamp now {}; now < timestamp {} + std::chrono::seconds(60); now += stepTime) {
+            isOut = chance(isOut ? 50 : 5) ? !isOut : isOut;
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                candidate &each = all[i];
+                if (chance(10))
+                    each.isDown = !each.isDown;
+                if (each.isDown)
+                    continue;
+                stepCandidate(now, each, static_cast<int>(i), false, store, isOut, chance(30));
+                if (!each.lease.mayAct(now))
+                    continue;
+                if (lastHolder >= 0 && lastHolder != static_cast<int>(i)) {
+                    EXPECT_GE(now - lastAct, std::chrono::milliseconds(3000)) << "seed " << seed;
+                }
+                lastHolder = static_cast<int>(i);
+                lastAct = now;
+                ++acts;
+            }
+        }
+        EXPECT_GT(acts, 100) << "seed " << seed;
+    }
+}
+
+TEST(DutyLease, ARestartedHolderTakesItsOwnRecordAtOnce)
+{
+    fake_store store {.record = duty_record {.holder = "b", .epoch = 4, .isSettled = true},
+                      .revision = 9};
+    candidate again("b");
+    timestamp now {};
+    // Two others stand before it in rank: they have to wait, it has not.
+    for (int i = 0; i < 4 && !again.lease.mayAct(now); ++i, now += stepTime)
+        stepCandidate(now, again, 2, false, store, false, false);
+    EXPECT_TRUE(again.lease.mayAct(now));
+    EXPECT_EQ(again.lease.epoch(), 5u);
+    EXPECT_LE(now - timestamp {}, std::chrono::milliseconds(200));
+}
+
+TEST(DutyLease, ARestartedHolderThatMayHaveActedAfterAnotherWaits)
+{
+    fake_store store {.record = duty_record {.holder = "b", .epoch = 4}, .revision = 9};
+    candidate again("b");
+    timestamp now {};
+    for (; now < timestamp {} + std::chrono::seconds(3); now += stepTime) {
+        stepCandidate(now, again, 0, false, store, false, false);
+        EXPECT_FALSE(again.lease.mayAct(now));
+    }
+    for (; now < timestamp {} + std::chrono::seconds(4); now += stepTime)
+        stepCandidate(now, again, 0, false, store, false, false);
+    EXPECT_TRUE(again.lease.mayAct(now));
+}
+
+TEST(DutyLease, AHolderThatWasPausedPastItsLeaseDoesNotAct)
+{
+    fake_store store;
+    candidate holder("a");
+    timestamp now {};
+    for (int i = 0; i < 4; ++i, now += stepTime)
+        stepCandidate(now, holder, 0, false, store, false, false);
+    ASSERT_TRUE(holder.lease.mayAct(now));
+    now += std::chrono::seconds(5);
+    EXPECT_FALSE(holder.lease.mayAct(now));
+    EXPECT_EQ(holder.lease.next(now, 0, false, true), duty_step::Read);
+}
+
+TEST(DutyLease, NobodyWaitsForADutyThatWasGivenUp)
+{
+    fake_store store {.record = duty_record {.holder = "a", .epoch = 1, .isReleased = true},
+                      .revision = 3};
+    candidate next("b");
+    timestamp now {};
+    for (int i = 0; i < 4; ++i, now += stepTime)
+        stepCandidate(now, next, 0, false, store, false, false);
+    EXPECT_TRUE(next.lease.holds(now));
+}
+
+TEST(DutyLease, TheRecordSurvivesItsText)
+{
+    const duty_record record {.holder = "a",
+                              .epoch = 7,
+                              .renewal = 12,
+                              .isReleased = true,
+                              .namedAtMs = {{"m=2", 1771762944016}}};
+    EXPECT_EQ(dutyFromText(toText(record)), record);
+    EXPECT_FALSE(dutyFromText("{}"));
+    EXPECT_FALSE(dutyFromText("not json"));
+}
+
+} // namespace trefoil
--- a/libs/dispatch/tests/load_board_test.cpp
+++ b/libs/dispatch/tests/load_board_test.cpp
@@ -1,1 +1,252 @@
+#include <dispatch/load_board.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
+
+namespace trefoil {
+
+namespace {
+
+serving_tables engineTables()
+{
+    serving_tables tables;
+    tables.services["llm"] = {.name = "llm",
+                              .engine = engine_traits {.slots = 64,
+                                                       .memoryTokens = 128000,
+                                                       .bytesPerToken = 35136,
+                                                       .linkMbps = 550000,
+                                                       .models = {"m"}}};
+    tables.services["plain"] = {.name = "plain"};
+    tables.services["store"] = {.name = "store",
+                                .cacheStore = endpoint {.host = "10.0.9.9", .port = 9}};
+    return tables;
+}
+
+std::vector<registered_server> serversOf(const char *service, int count, bool isModel)
+{
+    std::vector<registered_server> servers;
+    for (int i = 0; i < count; ++i) {
+        registered_server server {
+            .id = std::string(service) + std::to_string(i),
+            .service = service,
+            .address = {.host = "10.0.0." + std::to_string(i + 1), .port = 80},
+            .zone = i % 3 == 0 ? "z1"
+                : i % 3 == 1   ? "z2"
+                               : "z3",
+            .release = "v1",
+            .slots = 6,
+            .startedAtMs = 1};
+        if (isModel)
+            server.weights["m"] = 1;
+        servers.push_back(std::move(server));
+    }
+    return servers;
+}
+
+load_board boardOf(const std::vector<registered_server> &servers)
+{
+    load_board board({.zone = "z1", .randomSeed = 1});
+    board.setTables(engineTables());
+    board.setServers(servers);
+    return board;
+}
+
+const std::vector<prompt_part> prompt {{"terms", 2500}, {"group", 3800}, {"own", 2900}};
+
+work_item promptWork()
+{
+    return {.service = "llm", .model = "m", .prompt = prompt, .outputTokens = 13};
+}
+
+} // namespace
+
+TEST(LoadBoard, ASharedPromptGoesToOneHomeUntilItsQueueCostsMoreThanACopy)
+{
+    load_board board = boardOf(serversOf("llm", 18, true));
+    timestamp now {};
+    const std::string home = board.choose(now, promptWork())->server;
+    EXPECT_EQ(board.choose(now, promptWork())->server, home);
+    std::set<std::string> used;
+    for (int i = 0; i < 40; ++i) {
+        const work_placement placed = *board.choose(now, promptWork());
+        used.insert(placed.server);
+        board.begin(now, placed, promptWork());
+    }
+    // The hot part is copied to other engines, each of which reads it from one that has it.
+    EXPECT_GT(used.size(), 3u);
+    EXPECT_TRUE(used.contains(home));
+}
+
+TEST(LoadBoard, APartThatAnotherInstancePlacedIsCopiedNotComputed)
+{
+    const std::vector<registered_server> servers = serversOf("llm", 2, true);
+    load_board other = boardOf(servers);
+    load_board board = boardOf(servers);
+    timestamp now {};
+    const work_placement first = *other.choose(now, promptWork());
+    other.begin(now, first, promptWork());
+    board.notePlacedParts(now, other.takePlacedParts());
+    const std::vector<std::string> tried {first.server};
+    work_item again = promptWork();
+    again.tried = tried;
+    const work_placement second = *board.choose(now, again);
+    EXPECT_EQ(second.missingTokens, 2900);
+    EXPECT_TRUE(second.cacheSource.has_value());
+    EXPECT_FALSE(second.keepInStore);
+}
+
+TEST(LoadBoard, CacheOfOlderWeightsOrBehindAWallIsNeverNamed)
+{
+    EXPECT_NE(cacheNameOf("m", 1, ""), cacheNameOf("m", 2, ""));
+    EXPECT_NE(cacheNameOf("m", 1, ""), cacheNameOf("m", 1, "reef"));
+    EXPECT_NE(cacheNameOf("m", 1, "reef"), cacheNameOf("m", 1, "cove"));
+    load_board board = boardOf(serversOf("llm", 1, true));
+    timestamp now {};
+    const work_placement before = *board.choose(now, promptWork());
+    board.begin(now, before, promptWork());
+    EXPECT_EQ(board.choose(now, promptWork())->missingTokens, 2900);
+    board.noteWeights("llm0", "m", 2);
+    const work_placement after = *board.choose(now, promptWork());
+    EXPECT_NE(before.cacheName, after.cacheName);
+    EXPECT_EQ(after.weights, 2u);
+    EXPECT_EQ(after.missingTokens, 9200);
+}
+
+TEST(LoadBoard, NothingStartsOnOldWeightsPastTheLimitHoweverManyWereNamedSince)
+{
+    load_board board = boardOf(serversOf("llm", 2, true));
+    timestamp now {};
+    board.noteWeights("llm0", "m", 2);
+    board.noteNamedWeights("m", 2, now);
+    board.noteNamedWeights("m", 3, now + std::chrono::seconds(8));
+    now += std::chrono::seconds(12);
+    for (int i = 0; i < 20; ++i) {
+        const std::optional<work_placement> placed = board.choose(now, promptWork());
+        ASSERT_TRUE(placed);
+        EXPECT_EQ(placed->server, "llm0");
+        board.begin(now, *placed, promptWork());
+    }
+    EXPECT_FALSE(board.choose(now + std::chrono::seconds(8), promptWork()));
+}
+
+TEST(LoadBoard, NewWeightsDontDrawAllRequestsToTheFewServersThatHaveThem)
+{
+    load_board board = boardOf(serversOf("llm", 18, true));
+    timestamp now {};
+    board.noteWeights("llm0", "m", 2);
+    board.noteNamedWeights("m", 2, now);
+    now += std::chrono::seconds(3);
+    int onNew = 0;
+    for (int i = 0; i < 60; ++i) {
+        const std::vector<prompt_part> own {
+            {"terms", 2500}, {"g" + std::to_string(i), 3800}, {"own", 2900}};
+        work_item work = promptWork();
+        work.prompt = own;
+        const work_placement placed = *board.choose(now, work);
+        onNew += placed.server == "llm0" ? 1 : 0;
+        board.begin(now, placed, work);
+    }
+    EXPECT_GT(onNew, 0);
+    EXPECT_LT(onNew, 20);
+}
+
+TEST(LoadBoard, InstancesThatHearEachOtherDontMeetOnOneIdleServer)
+{
+    const std::vector<registered_server> servers = serversOf("plain", 6, false);
+    std::vector<load_board> boards;
+    for (int i = 0; i < 8; ++i)
+        boards.push_back(boardOf(servers));
+    std::map<std::string, int> counts;
+    const timestamp now {};
+    for (int round = 0; round < 6; ++round) {
+        for (std::size_t i = 0; i < boards.size(); ++i) {
+            const work_item work {.service = "plain"};
+            const work_placement placed = *boards[i].choose(now, work);
+            boards[i].begin(now, placed, work);
+            ++counts[placed.server];
+        }
+        for (std::size_t from = 0; from < boards.size(); ++from) {
+            for (std::size_t to = 0; to < boards.size(); ++to) {
+                if (from != to)
+                    boards[to].takePeerLoad(now, "i" + std::to_string(from),
+                                            boards[from].ownLoad());
+            }
+        }
+    }
+    for (auto it = counts.begin(); it != counts.end(); ++it)
+        EXPECT_LE(it->second, 2 * 48 / 6) << it->first;
+    EXPECT_EQ(counts.size(), 6u);
+}
+
+TEST(LoadBoard, AServerThatLosesRequestsIsLeftAloneAndTriedAgain)
+{
+    load_board board = boardOf(serversOf("plain", 3, false));
+    timestamp now {};
+    const work_item work {.service = "plain"};
+    work_placement bad = *board.choose(now, work);
+    for (int i = 0; i < 2; ++i)
+        board.end(now, board.begin(now, bad, work), work_outcome::Lost);
+    EXPECT_TRUE(board.isSuspect(now, bad.server));
+    for (int i = 0; i < 30; ++i)
+        EXPECT_NE(board.choose(now, work)->server, bad.server);
+    EXPECT_FALSE(board.isSuspect(now + std::chrono::seconds(1), bad.server));
+}
+
+TEST(LoadBoard, ServersThatAllFailAreStillUsed)
+{
+    load_board board = boardOf(serversOf("plain", 3, false));
+    timestamp now {};
+    const work_item work {.service = "plain"};
+    for (int i = 0; i < 30; ++i)
+        board.end(now, board.begin(now, *board.choose(now, work), work), work_outcome::Lost);
+    EXPECT_TRUE(board.choose(now, work));
+}
+
+TEST(LoadBoard, AFullEngineIsPassedOver)
+{
+    load_board board = boardOf(serversOf("llm", 2, true));
+    timestamp now {};
+    const std::vector<prompt_part> large {{"own", 60000}};
+    const work_item work {.service = "llm", .model = "m", .prompt = large, .outputTokens = 10};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 2; ++i) {
+        const work_placement placed = *board.choose(now, work);
+        ++counts[placed.server];
+        board.begin(now, placed, work);
+    }
+    EXPECT_EQ(counts.size(), 2u);
+    // Both memories are nearly taken: a third one would wait, and its expected time says so.
+    EXPECT_GT(board.choose(now, work)->expectedMs, 1000);
+}
+
+TEST(LoadBoard, LeavingLoadingAndTriedServersGetNothing)
+{
+    std::vector<registered_server> servers = serversOf("plain", 4, false);
+    servers[0].isLeaving = true;
+    load_board board = boardOf(servers);
+    timestamp now {};
+    board.noteLoading("plain1", now + std::chrono::seconds(1));
+    const std::vector<std::string> tried {"plain2"};
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(board.choose(now, {.service = "plain", .tried = tried})->server, "plain3");
+    const std::vector<std::string> barred {"v1"};
+    EXPECT_FALSE(board.choose(now, {.service = "plain", .barredReleases = barred}));
+}
+
+TEST(LoadBoard, ARestartedServerStartsWithoutBelief)
+{
+    std::vector<registered_server> servers = serversOf("llm", 1, true);
+    load_board board = boardOf(servers);
+    timestamp now {};
+    board.begin(now, *board.choose(now, promptWork()), promptWork());
+    servers[0].startedAtMs = 2;
+    board.setServers(servers);
+    EXPECT_EQ(board.totalLoad(now, "llm0").running, 0);
+    EXPECT_TRUE(board.choose(now, promptWork())->cacheSource.has_value());
+}
+
+} // namespace trefoil
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -1,1 +1,60 @@
+#include <dispatch/peer_report.h>
+
 #include <gtest/gtest.h>
+
+namespace trefoil {
+
+TEST(PeerReport, SurvivesItsText)
+{
+    peer_report report {
+        .from = "edge-1",
+        .incarnation = 1771762944016,
+        .sequence = 9,
+        .isLeaving = true,
+        .revisions = {{"config/", 77}},
+        .load = {{"s1", {.running = 3, .pendingTokens = 900, .memoryTokens = 4000}}},
+        .admitted = {{"reef", 12.5}},
+        .levels = {{"reef", -3}},
+        .placed = {{.server = "s1", .inStore = true, .parts = {1, ~std::uint64_t {0}}}},
+        .crashes = {{.request = digestOf("x"), .event = "s1"}},
+        .loading = {"s2"},
+        .weights = {{"s1=m", 4}},
+        .namedAgeMs = {{"m=4", 1500}},
+        .dutyEpoch = 3,
+        .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2}}}};
+    const std::optional<peer_report> read = peerReportFromText(toText(report));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->incarnation, report.incarnation);
+    EXPECT_TRUE(read->isLeaving);
+    EXPECT_EQ(read->revisions, report.revisions);
+    EXPECT_EQ(read->load.at("s1").memoryTokens, 4000);
+    EXPECT_EQ(read->admitted, report.admitted);
+    EXPECT_EQ(read->levels, report.levels);
+    ASSERT_EQ(read->placed.size(), 1u);
+    EXPECT_EQ(read->placed[0].parts, report.placed[0].parts);
+    EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
+    EXPECT_EQ(read->loading, report.loading);
+    EXPECT_EQ(read->weights, report.weights);
+    EXPECT_EQ(read->namedAgeMs, report.namedAgeMs);
+    EXPECT_EQ(read->releases[0].counts, report.releases[0].counts);
+}
+
+TEST(PeerReport, RefusesBytesThatAreNoReport)
+{
+    for (const char *text : {"", "[]", "{}", "{\"from\":3}", "\xff\xfe"})
+        EXPECT_FALSE(peerReportFromText(text)) << text;
+    EXPECT_TRUE(peerReportFromText(
+        "{\"from\":\"a\",\"load\":{\"s\":[1]},\"placed\":[[1]],\"releases\":[3]}"));
+}
+
+TEST(PeerReport, WeightsHaveOneName)
+{
+    const std::optional<weights_name> name = parseWeightsKey(weightsKey("a=b", 12));
+    ASSERT_TRUE(name);
+    EXPECT_EQ(name->model, "a=b");
+    EXPECT_EQ(name->version, 12u);
+    EXPECT_FALSE(parseWeightsKey("a"));
+    EXPECT_FALSE(parseWeightsKey("a=x"));
+}
+
+} // namespace trefoil
--- a/libs/dispatch/tests/weights_plan_test.cpp
+++ b/libs/dispatch/tests/weights_plan_test.cpp
@@ -1,1 +1,173 @@
+#include <dispatch/weights_plan.h>
+
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
+
+namespace trefoil {
+
+namespace {
+
+constexpr const char *model = "m";
+constexpr duration stepTime = std::chrono::milliseconds(50);
+
+/// Servers that carry out orders in a fixed time, or lose them.
+struct weights_pool
+{
+    explicit weights_pool(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            servers.push_back({.id = "s" + std::to_string(i),
+                               .service = "llm",
+                               .weights = {{model, 1}},
+                               .startedAtMs = 1});
+    }
+
+    registered_server &find(const std::string &id)
+    {
+        return *std::find_if(servers.begin(), servers.end(),
+                             [&id](const registered_server &each) { return each.id == id; });
+    }
+
+    /// Runs the plan until @p end. Returns the most servers that loaded at once.
+    std::size_t run(timestamp &now, timestamp end, weights_plan &plan)
+    {
+        std::size_t most = 0;
+        for (; now < end; now += stepTime) {
+            for (auto it = loads.begin(); it != loads.end();) {
+                if (it->second.first > now) {
+                    ++it;
+                    continue;
+                }
+                find(it->first).weights[model] = it->second.second;
+                it = loads.erase(it);
+            }
+            const weights_plan::actions due = plan.next(
+                now, 1, {.servers = servers, .newest = {{model, newest}}, .barredUntil = barred});
+            for (const registered_server &each : due.questions) {
+                const order_state state {.acceptedOrders = orders[each.id],
+                                         .isBusy = loads.contains(each.id),
+                                         .weights = find(each.id).weights};
+                plan.onState(now, each.id, &state);
+            }
+            for (const weights_order &each : due.orders)
+                plan.onAnswer(now, each.server, answer(now, each));
+            most = std::max(most, loads.size());
+        }
+        return most;
+    }
+
+    order_answer answer(timestamp now, const weights_order &order)
+    {
+        ++sent;
+        if (losing.contains(order.server)) {
+            losing.erase(order.server);
+            return order_answer::Unknown;
+        }
+        if (loads.contains(order.server) || order.expectedOrders != orders[order.server])
+            return order_answer::Conflict;
+        orders[order.server] += 1;
+        loads[order.server] = {now + std::chrono::milliseconds(1500), order.version};
+        return order_answer::Accepted;
+    }
+
+    bool isAll(std::uint64_t version) const
+    {
+        return std::all_of(servers.begin(), servers.end(),
+                           [version](const registered_server &each) {
+                               return each.weights.find(model)->second == version;
+                           });
+    }
+
+    std::vector<registered_server> servers;
+    std::map<std::string, std::uint64_t> orders;
+    std::map<std::string, std::pair<timestamp, std::uint64_t>> loads;
+    std::set<std::string> losing;
+    std::map<std::string, timestamp, std::less<>> barred;
+    std::uint64_t newest = 1;
+    int sent = 0;
+};
+
+} // namespace
+
+TEST(WeightsPlan, BringsNamedWeightsEverywhereInTimeAndKeepsMostServersInService)
+{
+    weights_pool pool(18);
+    weights_plan plan({});
+    timestamp now {};
+    pool.run(now, now + std::chrono::seconds(1), plan);
+    EXPECT_EQ(pool.sent, 0);
+    pool.newest = 2;
+    const std::size_t most = pool.run(now, now + std::chrono::seconds(10), plan);
+    EXPECT_TRUE(pool.isAll(2));
+    EXPECT_LE(most, 7u);
+    EXPECT_EQ(pool.sent, 18);
+}
+
+TEST(WeightsPlan, ASupersededVersionIsSkippedAndHoldsNoPlace)
+{
+    weights_pool pool(18);
+    weights_plan plan({});
+    timestamp now {};
+    pool.newest = 2;
+    pool.run(now, now + std::chrono::seconds(2), plan);
+    pool.newest = 3;
+    pool.run(now, now + std::chrono::seconds(9), plan);
+    EXPECT_TRUE(pool.isAll(3));
+    EXPECT_LE(pool.sent, 18 + 14);
+}
+
+TEST(WeightsPlan, LostOrdersAreLookedAtAndGivenAgain)
+{
+    weights_pool pool(6);
+    pool.losing = {"s0", "s3", "s5"};
+    weights_plan plan({});
+    timestamp now {};
+    pool.newest = 2;
+    pool.run(now, now + std::chrono::seconds(10), plan);
+    EXPECT_TRUE(pool.isAll(2));
+}
+
+TEST(WeightsPlan, ARestartedServerIsAskedForItsOrders)
+{
+    weights_pool pool(3);
+    weights_plan plan({});
+    timestamp now {};
+    pool.newest = 2;
+    pool.run(now, now + std::chrono::seconds(4), plan);
+    pool.find("s1").startedAtMs = 2;
+    pool.find("s1").weights[model] = 1;
+    pool.orders["s1"] = 0;
+    pool.run(now, now + std::chrono::seconds(4), plan);
+    EXPECT_TRUE(pool.isAll(2));
+}
+
+TEST(WeightsPlan, ServersOrderedByTheHolderBeforeAreLeftAloneForItsQuietTime)
+{
+    weights_pool pool(4);
+    weights_plan plan({});
+    timestamp now {};
+    pool.barred = {{"s2", now + std::chrono::seconds(3)}};
+    pool.newest = 2;
+    pool.run(now, now + std::chrono::milliseconds(2900), plan);
+    EXPECT_EQ(pool.orders["s2"], 0u);
+    pool.run(now, now + std::chrono::seconds(3), plan);
+    EXPECT_TRUE(pool.isAll(2));
+}
+
+TEST(WeightsPlan, TheOldestWeightsGoFirst)
+{
+    weights_pool pool(12);
+    pool.newest = 3;
+    for (int i = 0; i < 12; ++i)
+        pool.servers[static_cast<std::size_t>(i)].weights[model] = i < 8 ? 2 : 1;
+    weights_plan plan({.shareAtOnce = 0.25, .leastAtOnce = 3});
+    timestamp now {};
+    pool.run(now, now + std::chrono::milliseconds(200), plan);
+    for (auto it = pool.loads.begin(); it != pool.loads.end(); ++it)
+        EXPECT_EQ(pool.find(it->first).weights[model], 1u) << it->first;
+    EXPECT_EQ(pool.loads.size(), 3u);
+}
+
+} // namespace trefoil
--- a/libs/http/tests/message_test.cpp
+++ b/libs/http/tests/message_test.cpp
@@ -1,1 +1,95 @@
+#include <http/message.h>
+
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
+
+namespace trefoil {
+
+TEST(Message, ReadsARequestAndItsFields)
+{
+    const result<request_head> head =
+        parseRequestHead("POST /a/b?x=1 HTTP/1.1\r\nHost: shop.example\r\nX-Two: a\r\nx-two: b");
+    ASSERT_TRUE(head);
+    EXPECT_EQ(head->method, "POST");
+    EXPECT_EQ(head->target, "/a/b?x=1");
+    EXPECT_EQ(head->headers.value("HOST"), "shop.example");
+    EXPECT_EQ(head->headers.count("X-Two"), 2u);
+}
+
+TEST(Message, RefusesRequestsThatOthersMayReadInAnotherWay)
+{
+    const std::vector<std::string> refused {
+        "GET / HTTP/1.1\r\nHost: a\r\nHost: b",
+        "GET / HTTP/1.1",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-One : 1",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-One: 1\r\n folded",
+        "GET / HTTP/1.1\r\nHost: a\nX-One: 1",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-One: 1\rX: 2",
+        "GET / HTTP/1.1\r\nHost: a\r\nNoColon",
+        "GET / HTTP/2\r\nHost: a",
+        "GET  / HTTP/1.1\r\nHost: a",
+        "GET http://other/ HTTP/1.1\r\nHost: a",
+        "G(T / HTTP/1.1\r\nHost: a",
+        std::string("GET / HTTP/1.1\r\nHost: a\r\nX: \0", 32),
+    };
+    for (const std::string &text : refused)
+        EXPECT_FALSE(parseRequestHead(text)) << text;
+}
+
+TEST(Message, RefusesTwoFramingsOfOneBody)
+{
+    const std::vector<std::string> refused {
+        "Content-Length: 3\r\nContent-Length: 3",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Content-Length: +3",
+        "Content-Length: 3, 3",
+        "Content-Length: 0x3",
+        "Content-Length: ",
+        "Content-Length: 99999999999999999999",
+    };
+    for (const std::string &fields : refused) {
+        const result<request_head> head =
+            parseRequestHead("POST / HTTP/1.1\r\nHost: a\r\n" + fields);
+        ASSERT_TRUE(head) << fields;
+        EXPECT_FALSE(framingOf(*head)) << fields;
+    }
+}
+
+TEST(Message, TellsHowAnAnswerEnds)
+{
+    const result<response_head> plain = parseResponseHead("HTTP/1.1 200 OK\r\nX: y");
+    ASSERT_TRUE(plain);
+    EXPECT_EQ(framingOf(*plain, "GET")->end, body_end::Close);
+    EXPECT_EQ(framingOf(*plain, "HEAD")->end, body_end::None);
+    const result<response_head> empty = parseResponseHead("HTTP/1.1 204 No Content");
+    ASSERT_TRUE(empty);
+    EXPECT_EQ(framingOf(*empty, "GET")->end, body_end::None);
+    const result<response_head> sized =
+        parseResponseHead("HTTP/1.1 500 Oops\r\nContent-Length: 12");
+    ASSERT_TRUE(sized);
+    EXPECT_EQ(framingOf(*sized, "GET")->length, 12u);
+}
+
+TEST(Message, RefusesBytesThatAreNoAnswer)
+{
+    for (const char *text : {"", "garbage", "HTTP/1.1 OK", "HTTP/1.1 2000", "HTTP/1.1 099 no",
+                             "HTTP/1.1 200 OK\r\nbroken line"})
+        EXPECT_FALSE(parseResponseHead(text)) << text;
+}
+
+TEST(Message, KnowsWhatConcernsOneConnection)
+{
+    const result<request_head> head =
+        parseRequestHead("GET / HTTP/1.1\r\nHost: a\r\nConnection: close, X-Mine\r\nX-Mine: 1");
+    ASSERT_TRUE(head);
+    EXPECT_FALSE(keepsConnection(head->headers, false));
+    EXPECT_TRUE(isHopByHop("x-mine", head->headers));
+    EXPECT_TRUE(isHopByHop("Transfer-Encoding", head->headers));
+    EXPECT_FALSE(isHopByHop("Host", head->headers));
+}
+
+} // namespace trefoil
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -25,7 +25,7 @@
 /// Callers hear of the leaving within the life of an entry answer; until then they come.
 constexpr duration leastLeaveTime = std::chrono::milliseconds(4500);
 /// Time for the last answers before the platform kills the process.
-constexpr duration killMargin = std::chrono::milliseconds(900);
+constexpr duration killMargin = std::chrono::milliseconds(400);
 constexpr duration drainStep = std::chrono::milliseconds(50);
 /// Idle connections close within this time once the instance has drained.
 constexpr duration closeTime = std::chrono::milliseconds(100);
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -73,7 +73,16 @@
     /// Returns whether the instance stops and takes no new callers.
     bool isLeaving() const { return m_isLeaving; }
     /// Starts leaving.
-    void leave() { m_isLeaving = true; }
+    void leave()
+    {
+        m_leftAt = boot_clock::now();
+        m_isLeaving = true;
+    }
+    /// Returns whether so much of the time to stop is over that a new request might be cut.
+    bool isTooLateToServe() const
+    {
+        return m_isLeaving && boot_clock::now() - m_leftAt.load() > lateLeaveTime;
+    }
     /// Returns whether idle connections are to be closed.
     bool isClosing() const { return m_isClosing; }
     /// Closes idle connections: all callers have had time to go elsewhere.
@@ -98,6 +107,11 @@
     timestamp m_publishedAt;
     std::mutex m_mutex;
     edge_beliefs m_beliefs;
+    /// Callers that come later after the stop signal are sent elsewhere at once: a request may last
+    /// longer than what is left of the usual eight seconds.
+    static constexpr duration lateLeaveTime = std::chrono::milliseconds(2800);
+
+    std::atomic<timestamp> m_leftAt {timestamp {}};
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_isClosing = false;
     std::atomic<bool> m_isStoreReachable = false;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -79,6 +79,7 @@
         others = beliefs.members.others();
         report.load = beliefs.board.ownLoad();
         report.admitted = beliefs.limits.totals();
+        report.askedRates = beliefs.limits.askedRates(now);
         report.levels = beliefs.limits.levels(now);
         report.placed = beliefs.board.takePlacedParts();
         for (const std::pair<timestamp, crash_note> &each : beliefs.ownCrashes)
@@ -158,7 +159,8 @@
                 beliefs.board.noteNamedWeights(name->model, name->version,
                                                now - std::chrono::milliseconds(it->second));
         }
-        beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted);
+        beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted,
+                                  report.askedRates);
         // A fresh instance takes over what one that ran before it knows.
         if (!m_adoptedLevels && report.incarnation < m_state.incarnation()) {
             beliefs.limits.adoptLevels(now, report.levels);
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -101,6 +101,8 @@
     const timestamp now = boot_clock::now();
     if (!m_tables)
         return refusal {unavailable, "no configuration yet", spread(shortestRetry * 2)};
+    if (m_state.isTooLateToServe())
+        return refusal {unavailable, "the instance is stopping", shortestRetry};
     if (m_fields.requestId.empty())
         return refusal {badRequest, "the request has no id", std::nullopt};
     m_route =
