Learn of late orders and replaced servers; bound retries by a sliding window

Orders that were carried out late moved servers to weights nobody knew of; a wrong guess of the newest was spread as knowledge, and servers that had crashed stayed listed for seconds while others answered at their addresses. The saved-up retry budget was spent after six rejections on an instance, and 718 requests were refused. Change: the next named version is tried by the one that was refused, an answer confirms it; a server whose address answers as another is left out everywhere; one refused connection is enough for suspicion; retries are bounded in each span of ten seconds as the platform counts them.

--- a/libs/delivery/include/delivery/retry_budget.h
+++ b/libs/delivery/include/delivery/retry_budget.h
@@ -2,25 +2,13 @@
 
 namespace trefoil {
 
-/// Options of a retry budget.
-struct retry_budget_options
-{
-    /// Retries for each request in the long run.
-    double retriesPerRequest = 0.1;
-    /// Retries at hand at the start, so that the first failures can be retried.
-    double atStart = 3;
-    /// Retries saved up at most: a crash of one server cuts about this many requests at once.
-    double most = 20;
-};
-
 /// Bounds retries to a share of the traffic, so that a failing pool is not met with more load than
 /// a healthy one. Not thread-safe.
 class retry_budget
 {
 public:
-    explicit retry_budget(const retry_budget_options &options = {})
-        : m_options(options), m_level(options.atStart)
-    { }
+    /// Retries for each request in the long run.
+    static constexpr double retriesPerRequest = 0.1;
 
     /// Notes a request, which earns a part of a retry.
     void noteRequest();
@@ -28,8 +16,8 @@
     bool takeRetry();
 
 private:
-    retry_budget_options m_options;
-    double m_level;
+    // Starts with a few, so that the first failures after a start can be retried.
+    double m_level = 3;
 };
 
 } // namespace trefoil
--- a/libs/delivery/src/retry_budget.cpp
+++ b/libs/delivery/src/retry_budget.cpp
@@ -4,10 +4,14 @@
 
 namespace trefoil {
 
-void retry_budget::noteRequest()
-{
-    m_level = std::min(m_options.most, m_level + m_options.retriesPerRequest);
-}
+namespace {
+
+/// Retries saved up at most: a crash of one server cuts about this many requests at once.
+constexpr double maxLevel = 20;
+
+} // namespace
+
+void retry_budget::noteRequest() { m_level = std::min(maxLevel, m_level + retriesPerRequest); }
 
 bool retry_budget::takeRetry()
 {
--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -69,8 +69,10 @@
     Failed,
     /// The server did not run it.
     Rejected,
-    /// No connection, a reset, silence or bytes that are no answer.
+    /// A reset, silence or bytes that are no answer.
     Lost,
+    /// No connection came about: nothing was sent.
+    Unreachable,
     /// The caller left or its time ran out: says nothing about the server.
     Abandoned
 };
@@ -142,9 +144,14 @@
     void noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since);
     /// Notes that @p server runs @p version of @p model; older versions than known are ignored.
     void noteWeights(std::string_view server, std::string_view model, std::uint64_t version);
-    /// Notes that @p server refused a request for weights that it was believed to run: it runs the
-    /// newest, or they are not known.
-    void noteOtherWeights(std::string_view server, std::string_view model);
+    /// Notes that @p server refused a request because it doesn't run @p tried: it has carried out
+    /// an order that is not known of. The next named version is tried, which is no knowledge yet.
+    void noteOtherWeights(timestamp now, std::string_view server, std::string_view model,
+                          std::uint64_t tried);
+    /// Notes that another server answers at the address of @p server, which is gone.
+    void noteGone(std::string_view server);
+    /// Returns the servers that were noted as gone and are still listed.
+    std::vector<std::string> goneServers() const;
     /// Notes that @p server loads weights until it reports newer ones, at most until @p until.
     void noteLoading(std::string_view server, timestamp until);
 
@@ -205,6 +212,9 @@
         double failureShare = 0;
         int lostInARow = 0;
         int suspicions = 0;
+        bool isGone = false;
+        /// Weights to try after a refusal, 0 for those that are known.
+        std::uint64_t guessedWeights = 0;
         /// Measured milliseconds to the first event over expected ones.
         double slowness = 1;
         double callMs = 0;
@@ -224,6 +234,7 @@
     };
     struct cost_inputs;
 
+    static std::uint64_t weightsOf(const server_state &state, std::string_view model);
     bool mayTake(timestamp now, const server_state &state, const work_item &work) const;
     double weightsCost(timestamp now, const server_state &state, const work_item &work) const;
     void estimateEngine(timestamp now, server_state &state, const work_item &work,
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -31,6 +31,8 @@
 constexpr double copySetupMs = 4;
 /// Cost of a full engine, as milliseconds for each whole memory over its room.
 constexpr double overfullMs = 1500;
+/// A server that runs none of the weights to be tried is left alone for this long.
+constexpr duration otherWeightsRest = std::chrono::milliseconds(400);
 /// Megabits a second times this gives bits a millisecond.
 constexpr double bitsPerMsPerMbps = 1000;
 constexpr double bitsPerByte = 8;
@@ -117,6 +119,8 @@
     if (found == m_servers.end())
         return;
     std::uint64_t &known = found->second.info.weights[std::string(model)];
+    if (version >= found->second.guessedWeights)
+        found->second.guessedWeights = 0;
     if (version <= known)
         return;
     known = version;
@@ -124,11 +128,47 @@
     found->second.parts.clear();
 }
 
-void load_board::noteOtherWeights(std::string_view server, std::string_view model)
+void load_board::noteOtherWeights(timestamp now, std::string_view server, std::string_view model,
+                                  std::uint64_t tried)
 {
+    const auto found = m_servers.find(server);
     const auto named = m_named.find(model);
-    if (named != m_named.end())
-        noteWeights(server, model, named->second.rbegin()->first);
+    if (found == m_servers.end())
+        return;
+    server_state &state = found->second;
+    state.guessedWeights = 0;
+    if (named != m_named.end()) {
+        const auto next = named->second.upper_bound(tried);
+        if (next != named->second.end())
+            state.guessedWeights = next->first;
+    }
+    if (state.guessedWeights == 0)
+        state.loadingUntil = std::max(state.loadingUntil, now + otherWeightsRest);
+}
+
+void load_board::noteGone(std::string_view server)
+{
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end())
+        found->second.isGone = true;
+}
+
+std::vector<std::string> load_board::goneServers() const
+{
+    std::vector<std::string> gone;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (it->second.isGone)
+            gone.push_back(it->first);
+    }
+    return gone;
+}
+
+std::uint64_t load_board::weightsOf(const server_state &state, std::string_view model)
+{
+    if (state.guessedWeights != 0)
+        return state.guessedWeights;
+    const auto runs = state.info.weights.find(model);
+    return runs == state.info.weights.end() ? 0 : runs->second;
 }
 
 std::map<std::string, std::uint64_t, std::less<>> load_board::newestWeights() const
@@ -184,7 +224,7 @@
 bool load_board::mayTake(timestamp now, const server_state &state, const work_item &work) const
 {
     const registered_server &info = state.info;
-    if (info.service != work.service || info.isLeaving)
+    if (info.service != work.service || info.isLeaving || state.isGone)
         return false;
     const std::span<const std::string> barred = work.barredReleases;
     if (std::find(barred.begin(), barred.end(), info.release) != barred.end())
@@ -200,8 +240,7 @@
     const auto named = m_named.find(work.model);
     if (named == m_named.end())
         return 0;
-    const auto runs = state.info.weights.find(work.model);
-    const std::uint64_t version = runs == state.info.weights.end() ? 0 : runs->second;
+    const std::uint64_t version = weightsOf(state, work.model);
     // The bound counts from the first newer version, however many were named since.
     const auto newer = named->second.upper_bound(version);
     if (newer == named->second.end() || now - newer->second < m_options.olderWeightsAfter)
@@ -237,8 +276,7 @@
 void load_board::estimateEngine(timestamp now, server_state &state, const work_item &work,
                                 const engine_traits &engine, work_placement &placed) const
 {
-    const auto runs = state.info.weights.find(work.model);
-    placed.weights = runs == state.info.weights.end() ? 0 : runs->second;
+    placed.weights = weightsOf(state, work.model);
     placed.cacheName = cacheNameOf(work.model, placed.weights, work.isolatedTeam);
     double copied = 0;
     bool isHeld = true;
@@ -480,7 +518,10 @@
         }
         return;
     }
-    target.lostInARow += outcome == work_outcome::Lost ? 1 : 0;
+    // A server that lives never refuses a connection, so one is enough.
+    target.lostInARow += outcome == work_outcome::Unreachable ? lossesToSuspect
+        : outcome == work_outcome::Lost                       ? 1
+                                                              : 0;
     const bool isWorse = target.failureShare > suspectShare
         && poolFailureShare(target.info.service) < target.failureShare / 2;
     if (target.lostInARow >= lossesToSuspect || isWorse)
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -27,6 +27,24 @@
     }
 }
 
+Json::Value namesToJson(const std::vector<std::string> &names)
+{
+    Json::Value list(Json::arrayValue);
+    for (const std::string &name : names)
+        list.append(name);
+    return list;
+}
+
+void namesFromJson(const Json::Value &list, std::vector<std::string> &names)
+{
+    if (!list.isArray())
+        return;
+    for (const Json::Value &name : list) {
+        if (name.isString())
+            names.push_back(name.asString());
+    }
+}
+
 Json::Value loadToJson(const std::map<std::string, server_load, std::less<>> &load)
 {
     Json::Value value(Json::objectValue);
@@ -176,10 +194,8 @@
     value["levels"] = numbersToJson(report.levels);
     value["placed"] = placedToJson(report.placed);
     value["crashes"] = crashesToJson(report.crashes);
-    Json::Value loading(Json::arrayValue);
-    for (const std::string &server : report.loading)
-        loading.append(server);
-    value["loading"] = loading;
+    value["loading"] = namesToJson(report.loading);
+    value["gone"] = namesToJson(report.gone);
     value["weights"] = numbersToJson(report.weights);
     value["named_age_ms"] = numbersToJson(report.namedAgeMs);
     value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
@@ -205,12 +221,8 @@
     numbersFromJson(fields["levels"], report.levels);
     placedFromJson(fields["placed"], report.placed);
     crashesFromJson(fields["crashes"], report.crashes);
-    if (fields["loading"].isArray()) {
-        for (const Json::Value &server : fields["loading"]) {
-            if (server.isString())
-                report.loading.push_back(server.asString());
-        }
-    }
+    namesFromJson(fields["loading"], report.loading);
+    namesFromJson(fields["gone"], report.gone);
     numbersFromJson(fields["weights"], report.weights);
     numbersFromJson(fields["named_age_ms"], report.namedAgeMs);
     releasesFromJson(fields["releases"], report.releases);
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -20,7 +20,7 @@
 /// Connections that ask for the entry or readiness at once.
 constexpr int entryThreads = 48;
 constexpr int peerThreads = 8;
-constexpr duration houseEvery = std::chrono::milliseconds(200);
+constexpr duration houseEvery = std::chrono::milliseconds(100);
 constexpr duration listedCheckEvery = std::chrono::milliseconds(300);
 /// Callers hear of the leaving within the life of an entry answer; until then they come.
 constexpr duration leastLeaveTime = std::chrono::milliseconds(4500);
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -6,18 +6,17 @@
 
 namespace {
 
-/// Part of the allowed retries that instances use: the rest covers arrivals that are counted in
-/// another window than the requests that earned them.
-constexpr double budgetUse = 0.7;
+/// Part of the allowed retries that instances use: the rest covers arrivals that fall into another
+/// window than the requests that earned them.
+constexpr double budgetUse = 0.85;
 /// Instances that share the extra retries at the least.
 constexpr double leastSharers = 8;
 
-retry_budget_options budgetOptionsOf(const machine_settings &settings)
+retry_window_options budgetOptionsOf(const machine_settings &settings)
 {
-    const double extra = settings.extraRetries * budgetUse / leastSharers;
-    return {.retriesPerRequest = settings.retriesPerRequest * budgetUse,
-            .atStart = extra,
-            .most = extra + 1};
+    return {.length = settings.retryWindow,
+            .retriesPerRequest = settings.retriesPerRequest * budgetUse,
+            .extra = settings.extraRetries * budgetUse / leastSharers};
 }
 
 } // namespace
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -10,7 +10,7 @@
 
 #include <adapter/machine_settings.h>
 #include <core/clock.h>
-#include <delivery/retry_budget.h>
+#include <delivery/retry_window.h>
 #include <dispatch/load_board.h>
 #include <dispatch/member_table.h>
 #include <dispatch/peer_report.h>
@@ -35,9 +35,9 @@
     crash_ledger crashes;
     /// Crashes seen here, told to the others until they are old.
     std::vector<std::pair<timestamp, crash_note>> ownCrashes;
-    /// Retry budgets by service.
-    std::map<std::string, retry_budget, std::less<>> budgets;
-    retry_budget_options budgetOptions;
+    /// Retries by service.
+    std::map<std::string, retry_window, std::less<>> budgets;
+    retry_window_options budgetOptions;
     /// Servers that another holder of the duty loads, with the time of its last report of it.
     std::map<std::string, timestamp, std::less<>> orderedElsewhere;
     /// Outcomes on releases that are moved to, told to the others.
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -81,6 +81,7 @@
         report.admitted = beliefs.limits.totals();
         report.askedRates = beliefs.limits.askedRates(now);
         report.levels = beliefs.limits.levels(now);
+        report.gone = beliefs.board.goneServers();
         report.placed = beliefs.board.takePlacedParts();
         for (const std::pair<timestamp, crash_note> &each : beliefs.ownCrashes)
             report.crashes.push_back(each.second);
@@ -143,6 +144,8 @@
         }
         beliefs.board.takePeerLoad(now, report.from, report.load);
         beliefs.board.notePlacedParts(now, report.placed);
+        for (const std::string &server : report.gone)
+            beliefs.board.noteGone(server);
         for (const std::string &server : report.loading) {
             beliefs.board.noteLoading(server, now + loadingLife);
             beliefs.orderedElsewhere[server] = now;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -37,8 +37,10 @@
 /// Part of the remaining time that the expected wait may take; beyond it a request is rejected at
 /// once instead of dying in a queue.
 constexpr double usefulPart = 0.8;
-/// A server that rejected a request for being full or loading is left alone for this long.
-constexpr duration rejectionRest = std::chrono::milliseconds(150);
+/// An engine that rejected a request is full or loads weights, which takes more than a second; a
+/// plain server is full for the time of a call.
+constexpr duration engineRest = std::chrono::milliseconds(900);
+constexpr duration plainRest = std::chrono::milliseconds(40);
 /// Shortest and longest time that a rejected caller is told to wait.
 constexpr duration shortestRetry = std::chrono::milliseconds(150);
 constexpr duration longestRetry = std::chrono::milliseconds(1500);
@@ -119,7 +121,8 @@
     const std::string_view team = m_team == nullptr ? std::string_view {} : m_team->name;
     m_bodyDigest = digestOf(m_request.body, digestOf(m_request.head.target, digestOf(team)));
     const bool isSuspect = m_state.with([&](edge_beliefs &beliefs) {
-        beliefs.budgets.try_emplace(m_service, beliefs.budgetOptions).first->second.noteRequest();
+        beliefs.budgets.try_emplace(m_service, beliefs.budgetOptions)
+            .first->second.noteRequest(now);
         return beliefs.crashes.isRefused(now, m_bodyDigest);
     });
     if (isSuspect)
@@ -252,7 +255,7 @@
         return true;
     return m_state.with([this](edge_beliefs &beliefs) {
         return beliefs.budgets.try_emplace(m_service, beliefs.budgetOptions)
-            .first->second.takeRetry();
+            .first->second.takeRetry(boot_clock::now());
     });
 }
 
@@ -445,10 +448,14 @@
     m_state.with([&](edge_beliefs &beliefs) {
         const bool isOther =
             !current.fields.server.empty() && current.fields.server != current.placed.server;
-        if (current.fields.isMisdirected && !isOther && current.placed.weights > 0)
-            beliefs.board.noteOtherWeights(current.placed.server, m_fields.model);
+        if (current.fields.isMisdirected && isOther)
+            beliefs.board.noteGone(current.placed.server);
+        else if (current.fields.isMisdirected && current.placed.weights > 0)
+            beliefs.board.noteOtherWeights(now, current.placed.server, m_fields.model,
+                                           current.placed.weights);
         else
-            beliefs.board.noteLoading(current.placed.server, now + rejectionRest);
+            beliefs.board.noteLoading(current.placed.server,
+                                      now + (current.placed.weights > 0 ? engineRest : plainRest));
     });
     return attempt_end::NotRun;
 }
@@ -575,7 +582,7 @@
 {
     work_outcome outcome = work_outcome::Done;
     if (end == attempt_end::NotRun)
-        outcome = current.wasSent ? work_outcome::Rejected : work_outcome::Lost;
+        outcome = current.wasSent ? work_outcome::Rejected : work_outcome::Unreachable;
     else if (end == attempt_end::Broken)
         outcome = work_outcome::Lost;
     else if (end == attempt_end::Failed
@@ -676,6 +683,8 @@
                    .add("end", words[static_cast<std::size_t>(end)])
                    .add("status", current.head.status)
                    .add("sent", current.wasSent)
+                   .add("weights", current.placed.weights)
+                   .add("answered_weights", current.fields.weights.value_or(0))
                    .add("runs", m_runs)
                    .add("ms", toMilliseconds(boot_clock::now() - current.sentAt)));
 }
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -16,7 +16,7 @@
 
 /// A waiting watch lasts this long, after which silence shows that its connection is dead. Another
 /// instance's report shows sooner that this one is behind.
-constexpr duration shortPatience = std::chrono::seconds(5);
+constexpr duration shortPatience = std::chrono::seconds(3);
 constexpr duration longPatience = std::chrono::seconds(10);
 /// Wait after a watch that brought changes: what comes in quick succession is read in one call.
 constexpr duration gatherTime = std::chrono::milliseconds(120);
@@ -28,11 +28,11 @@
 constexpr duration afterOutage = std::chrono::milliseconds(2500);
 /// A copy that is behind for this long is fetched from another instance: the store's own watch
 /// brings changes sooner.
-constexpr duration overdueTime = std::chrono::milliseconds(700);
+constexpr duration overdueTime = std::chrono::milliseconds(350);
 /// Age that is taken for weights found at the start, when they may have been named long ago: half
 /// of the time within which they must be everywhere, until another instance tells more.
 constexpr duration unknownWeightsAge = std::chrono::seconds(5);
-constexpr duration fetchTimeout = std::chrono::milliseconds(800);
+constexpr duration fetchTimeout = std::chrono::milliseconds(400);
 
 std::string bareName(const std::string &name) { return name.substr(name.find('/') + 1); }
 
