--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -155,6 +155,10 @@
     /// Notes that @p server loads weights until it reports newer ones, at most until @p until.
     void noteLoading(std::string_view server, timestamp until);
 
+    /// Notes whether the store of KV cache answers, and the epoch of its start: a restarted one
+    /// holds nothing.
+    void noteStoreState(bool isReachable, std::uint64_t epoch);
+
     /// Returns the best server, or nothing where none may take the request.
     std::optional<work_placement> choose(timestamp now, const work_item &work);
     /// Counts @p placed as sent. Returns its ticket.
@@ -178,6 +182,8 @@
     /// Notes placements of another instance.
     void notePlacedParts(timestamp now, std::span<const placed_parts> placements);
 
+    /// Returns the store of KV cache, where there is one.
+    std::optional<endpoint> cacheStore() const { return m_store; }
     /// Returns the servers that are known.
     std::vector<registered_server> servers() const;
     /// Returns all weights named, by model and version, with the time.
@@ -234,6 +240,7 @@
     };
     struct cost_inputs;
 
+    bool isStoreUsable() const { return m_store.has_value() && m_isStoreReachable; }
     static std::uint64_t weightsOf(const server_state &state, std::string_view model);
     bool mayTake(timestamp now, const server_state &state, const work_item &work) const;
     double weightsCost(timestamp now, const server_state &state, const work_item &work) const;
@@ -251,6 +258,8 @@
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, engine_traits, std::less<>> m_engines;
     std::optional<endpoint> m_store;
+    bool m_isStoreReachable = true;
+    std::uint64_t m_storeEpoch = 0;
     std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> m_named;
     std::unordered_map<std::uint64_t, timestamp> m_storeParts;
     std::map<std::uint64_t, ticket_state> m_tickets;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -58,6 +58,9 @@
     /// Epoch of the duty that the instance holds, 0 for none.
     std::uint64_t dutyEpoch = 0;
     std::vector<release_outcomes> releases;
+    /// Epoch of the store of KV cache as the holder of the duty sees it, 0 while it doesn't answer.
+    /// Nothing from instances that don't ask it.
+    std::optional<std::uint64_t> storeEpoch;
 };
 
 /// Weights as reports and records name them.
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t maxStoreParts = 65536;
 /// Placements kept for the next report.
 constexpr std::size_t maxPlacedParts = 256;
+/// A part used on an engine within this time is still there: memory turns over in seconds.
+constexpr duration surelyHeld = std::chrono::milliseconds(1500);
 /// Milliseconds to set up a copy between engines.
 constexpr double copySetupMs = 4;
 /// Cost of a full engine, as milliseconds for each whole memory over its room.
@@ -107,6 +109,17 @@
     m_store = store != nullptr ? store->cacheStore : std::nullopt;
 }
 
+void load_board::noteStoreState(bool isReachable, std::uint64_t epoch)
+{
+    if (isReachable && epoch != m_storeEpoch) {
+        // It restarted with nothing.
+        if (m_storeEpoch != 0)
+            m_storeParts.clear();
+        m_storeEpoch = epoch;
+    }
+    m_isStoreReachable = isReachable;
+}
+
 void load_board::noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since)
 {
     timestamp &known = m_named[std::string(model)].try_emplace(version, since).first->second;
@@ -258,7 +271,9 @@
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const server_state &state = it->second;
         const auto held = state.parts.find(part);
-        if (&state == &target || held == state.parts.end() || now - held->second > partLife)
+        const bool isUsable = &state != &target && !state.isGone && now >= state.loadingUntil
+            && now >= state.suspectUntil;
+        if (!isUsable || held == state.parts.end() || now - held->second > partLife)
             continue;
         const bool isNear = state.info.zone == target.info.zone;
         const bool bestIsNear = best != nullptr && best->info.zone == target.info.zone;
@@ -268,8 +283,11 @@
             bestUse = held->second;
         }
     }
-    if (best == nullptr)
-        return std::nullopt;
+    // An engine may have dropped a part that the store still keeps, and computing it again costs
+    // far more than the longer way. Just used, it is there for sure.
+    const bool isInStore = isStoreUsable() && isFresh(m_storeParts, part, now);
+    if (best == nullptr || (isInStore && now - bestUse > surelyHeld))
+        return isInStore ? m_store : std::nullopt;
     return best->info.address;
 }
 
@@ -294,17 +312,23 @@
             placed.missingTokens += part.tokens;
             continue;
         }
-        const bool isInStore = m_store && isFresh(m_storeParts, key, now);
+        const bool isInStore = isStoreUsable() && isFresh(m_storeParts, key, now);
         isKept = isKept && isInStore;
         const std::optional<endpoint> source = findSource(now, state, key);
         if (source)
             placed.cacheSource = source;
-        else if (m_store)
+        (source ? copied : placed.missingTokens) += part.tokens;
+    }
+    // The engine may have dropped what it is believed to hold, and the store may hold what is not
+    // known of: a miss costs a millisecond.
+    if (!placed.cacheSource && work.prompt.size() > 1) {
+        const std::uint64_t lastShared =
+            partKey(placed.cacheName, work.prompt[work.prompt.size() - 2].id);
+        placed.cacheSource = findSource(now, state, lastShared);
+        if (!placed.cacheSource && isStoreUsable())
             placed.cacheSource = m_store;
-        const bool isComputed = !source && !isInStore;
-        (isComputed ? placed.missingTokens : copied) += part.tokens;
     }
-    placed.keepInStore = m_store.has_value() && !isKept;
+    placed.keepInStore = isStoreUsable() && !isKept;
     const server_load load = totalLoad(now, state.info.id);
     const double readMs =
         (load.pendingTokens + placed.missingTokens) / m_options.prefillTokensPerMs;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -199,6 +199,8 @@
     value["weights"] = numbersToJson(report.weights);
     value["named_age_ms"] = numbersToJson(report.namedAgeMs);
     value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
+    if (report.storeEpoch)
+        value["store_epoch"] = Json::UInt64(*report.storeEpoch);
     value["releases"] = releasesToJson(report.releases);
     return writeJson(value);
 }
@@ -225,6 +227,8 @@
     namesFromJson(fields["gone"], report.gone);
     numbersFromJson(fields["weights"], report.weights);
     numbersFromJson(fields["named_age_ms"], report.namedAgeMs);
+    if (fields["store_epoch"].isUInt64())
+        report.storeEpoch = fields["store_epoch"].asUInt64();
     releasesFromJson(fields["releases"], report.releases);
     return report;
 }
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -19,6 +19,9 @@
 constexpr duration loadingTime = std::chrono::seconds(6);
 /// An instance silent for this long is taken off the list; it lists itself again if it lives.
 constexpr duration deadMemberTime = std::chrono::seconds(8);
+/// A waiting call to the store of KV cache, and the pause between calls that don't wait.
+constexpr duration storePatience = std::chrono::milliseconds(800);
+constexpr duration storePause = std::chrono::milliseconds(400);
 /// Margin on the platform's bound for two holders.
 constexpr duration quietMargin = std::chrono::milliseconds(300);
 
@@ -39,10 +42,49 @@
       m_plan({})
 { }
 
-child_spec duty_runner::child(peer_exchange &exchange)
+std::vector<child_spec> duty_runner::children(peer_exchange &exchange)
 {
-    return {.name = "duty",
-            .body = [this, &exchange](const std::stop_token &stop) { return run(stop, exchange); }};
+    return {
+        {.name = "duty",
+         .body = [this, &exchange](const std::stop_token &stop) { return run(stop, exchange); }},
+        {.name = "cache-store",
+         .body = [this](const std::stop_token &stop) { return watchCacheStore(stop); }}};
+}
+
+result<void> duty_runner::watchCacheStore(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        const std::optional<endpoint> store =
+            m_state.with([](edge_beliefs &beliefs) { return beliefs.board.cacheStore(); });
+        bool isHolder = false;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            isHolder = m_lease.holds(boot_clock::now());
+            if (!isHolder)
+                m_storeEpoch.reset();
+        }
+        if (!store || !isHolder) {
+            std::this_thread::sleep_for(storePause);
+            continue;
+        }
+        const timestamp start = boot_clock::now();
+        const result<std::uint64_t> epoch = readCacheStoreEpoch(*store, storePatience);
+        m_state.with([&epoch](edge_beliefs &beliefs) {
+            beliefs.board.noteStoreState(epoch.has_value(), epoch.value_or(0));
+        });
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            if (m_storeEpoch && (*m_storeEpoch != 0) != epoch.has_value())
+                writeEvent(event_line("store", epoch ? "dependency_regained" : "dependency_lost")
+                               .add("dependency", "kv-cache store")
+                               .add("reason", epoch ? "" : epoch.error().message.c_str()));
+            m_storeEpoch = epoch.value_or(0);
+        }
+        // Calls that don't wait are charged as health checks.
+        if (boot_clock::now() - start < storePause)
+            std::this_thread::sleep_for(storePause);
+    }
+    return {};
 }
 
 result<void> duty_runner::run(const std::stop_token &stop, peer_exchange &exchange)
@@ -63,7 +105,7 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (!m_lease.holds(now))
         return {};
-    return {.epoch = m_lease.epoch(), .loading = m_plan.loading()};
+    return {.epoch = m_lease.epoch(), .loading = m_plan.loading(), .storeEpoch = m_storeEpoch};
 }
 
 void duty_runner::keepLease()
--- a/trefoilrouter/src/edge/duty_runner.h
+++ b/trefoilrouter/src/edge/duty_runner.h
@@ -22,13 +22,14 @@
     /// Precondition: the arguments outlive this object.
     duty_runner(edge_state &state, store_client &store, work_queue &queue);
 
-    /// Returns the child that runs the duty. @p exchange tells others at once what is ordered.
-    child_spec child(peer_exchange &exchange);
+    /// Returns the children that run the duty. @p exchange tells others at once what is ordered.
+    std::vector<child_spec> children(peer_exchange &exchange);
     /// Returns what the others are told. Thread-safe.
     duty_view view();
 
 private:
     result<void> run(const std::stop_token &stop, peer_exchange &exchange);
+    result<void> watchCacheStore(const std::stop_token &stop);
     void keepLease();
     void readLease();
     void writeLease(bool release);
@@ -49,6 +50,8 @@
     weights_plan m_plan;
     std::uint64_t m_planEpoch = 0;
     std::atomic<int> m_ordersOnTheWay = 0;
+    /// Epoch of the store of KV cache, 0 while it doesn't answer; nothing while it isn't asked.
+    std::optional<std::uint64_t> m_storeEpoch;
     bool m_wasHeld = false;
     std::map<std::string, rollout_stage, std::less<>> m_writtenStages;
     std::map<std::string, timestamp, std::less<>> m_silentSince;
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -51,7 +51,8 @@
     all.push_back(m_exchange.child());
     for (child_spec &worker : m_queue.workers("orders", queueThreads))
         all.push_back(std::move(worker));
-    all.push_back(m_duty.child(m_exchange));
+    for (child_spec &each : m_duty.children(m_exchange))
+        all.push_back(std::move(each));
     all.push_back({.name = "peer-listener",
                    .body = httpListener({.place = m_settings.peers,
                                          .threads = peerThreads,
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -73,7 +73,8 @@
                         .isLeaving = m_state.isLeaving(),
                         .revisions = m_watch.newestChanges(),
                         .loading = duty.loading,
-                        .dutyEpoch = duty.epoch};
+                        .dutyEpoch = duty.epoch,
+                        .storeEpoch = duty.storeEpoch};
     std::vector<member_entry> others;
     m_state.with([&](edge_beliefs &beliefs) {
         others = beliefs.members.others();
@@ -142,6 +143,8 @@
             if (other.name == report.from)
                 peer = other.peers;
         }
+        if (report.storeEpoch)
+            beliefs.board.noteStoreState(*report.storeEpoch != 0, *report.storeEpoch);
         beliefs.board.takePeerLoad(now, report.from, report.load);
         beliefs.board.notePlacedParts(now, report.placed);
         for (const std::string &server : report.gone)
