Try connections to servers in doubt instead of sending callers' requests there

Change: a server in doubt is tried by a connection of the instance's own, every half second, and gets no request until it comes about; doubts are told to the others.

--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -172,6 +172,16 @@
     /// Takes the load that @p server reports with an answer.
     void noteReportedLoad(timestamp now, std::string_view server, int running, int waiting);
 
+    /// Returns the servers to which a connection is to be tried now: those that were silent, lost
+    /// requests or refused a connection. They get no requests until one comes about.
+    std::vector<registered_server> serversToProbe(timestamp now);
+    /// Takes the outcome of such a try.
+    void noteProbe(std::string_view server, bool isReachable);
+    /// Notes that another instance can't reach @p server: it is tried from here as well.
+    void noteDoubt(timestamp now, std::string_view server);
+    /// Returns the servers that can't be reached from here.
+    std::vector<std::string> unreachableServers() const;
+
     /// Returns the load that this instance has put on each server.
     std::map<std::string, server_load, std::less<>> ownLoad() const;
     /// Takes the load that @p peer has put on each server.
@@ -219,6 +229,10 @@
         int lostInARow = 0;
         int suspicions = 0;
         bool isGone = false;
+        /// Whether no request goes there until a connection comes about.
+        bool isUnreachable = false;
+        bool needsProbe = false;
+        timestamp probedAt;
         /// Weights to try after a refusal, 0 for those that are known.
         std::uint64_t guessedWeights = 0;
         /// Measured milliseconds to the first event over expected ones.
@@ -242,7 +256,9 @@
 
     bool isStoreUsable() const { return m_store.has_value() && m_isStoreReachable; }
     static std::uint64_t weightsOf(const server_state &state, std::string_view model);
-    bool mayTake(timestamp now, const server_state &state, const work_item &work) const;
+    static bool mayTake(timestamp now, const server_state &state, const work_item &work);
+    std::optional<work_placement> chooseAmong(timestamp now, const work_item &work,
+                                              bool isLastResort);
     double weightsCost(timestamp now, const server_state &state, const work_item &work) const;
     void estimateEngine(timestamp now, server_state &state, const work_item &work,
                         const engine_traits &engine, work_placement &placed) const;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -51,6 +51,8 @@
     std::vector<std::string> loading;
     /// Servers at whose addresses others answer.
     std::vector<std::string> gone;
+    /// Servers that can't be reached from there.
+    std::vector<std::string> unreachable;
     /// Newest weights seen in answers, by server; model names are joined in front of "=".
     std::map<std::string, std::uint64_t, std::less<>> weights;
     /// Milliseconds since weights were named, by "model=version": a restarted instance can't know.
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -18,6 +18,10 @@
 /// First time under suspicion; doubled with each one up to the longest.
 constexpr duration firstSuspicion = std::chrono::milliseconds(700);
 constexpr duration longestSuspicion = std::chrono::seconds(6);
+/// Time between tries to connect to a server that can't be reached.
+constexpr duration probeEvery = std::chrono::milliseconds(500);
+/// What another instance can't reach is tried from here at most this often.
+constexpr duration doubtEvery = std::chrono::milliseconds(1500);
 /// Weight of the newest measurement of a server's speed.
 constexpr double speedWeight = 0.1;
 /// A part not used for this long is not relied on: engines drop the least recently used ones.
@@ -234,7 +238,7 @@
     return found != m_servers.end() && now < found->second.suspectUntil;
 }
 
-bool load_board::mayTake(timestamp now, const server_state &state, const work_item &work) const
+bool load_board::mayTake(timestamp now, const server_state &state, const work_item &work)
 {
     const registered_server &info = state.info;
     if (info.service != work.service || info.isLeaving || state.isGone)
@@ -367,6 +371,14 @@
 }
 
 std::optional<work_placement> load_board::choose(timestamp now, const work_item &work)
+{
+    std::optional<work_placement> best = chooseAmong(now, work, false);
+    // When none can be reached, belief is more likely wrong than all servers gone.
+    return best ? best : chooseAmong(now, work, true);
+}
+
+std::optional<work_placement> load_board::chooseAmong(timestamp now, const work_item &work,
+                                                      bool isLastResort)
 {
     const auto engine = m_engines.find(work.service);
     const bool isModel = engine != m_engines.end() && !work.model.empty();
@@ -376,7 +388,7 @@
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         server_state &state = it->second;
-        if (!mayTake(now, state, work))
+        if (!mayTake(now, state, work) || (state.isUnreachable && !isLastResort))
             continue;
         work_placement placed {.server = state.info.id,
                                .address = state.info.address,
@@ -495,6 +507,48 @@
         std::min(firstSuspicion * (1 << std::min(state.suspicions, 4)), longestSuspicion);
     state.suspectUntil = now + time;
     state.suspicions += 1;
+    state.needsProbe = true;
+}
+
+std::vector<registered_server> load_board::serversToProbe(timestamp now)
+{
+    std::vector<registered_server> due;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        server_state &state = it->second;
+        if (!state.needsProbe || state.isGone || now - state.probedAt < probeEvery)
+            continue;
+        state.probedAt = now;
+        due.push_back(state.info);
+    }
+    return due;
+}
+
+void load_board::noteProbe(std::string_view server, bool isReachable)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return;
+    found->second.isUnreachable = !isReachable;
+    found->second.needsProbe = !isReachable;
+    if (isReachable)
+        found->second.lostInARow = 0;
+}
+
+void load_board::noteDoubt(timestamp now, std::string_view server)
+{
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end() && now - found->second.probedAt > doubtEvery)
+        found->second.needsProbe = true;
+}
+
+std::vector<std::string> load_board::unreachableServers() const
+{
+    std::vector<std::string> names;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (it->second.isUnreachable)
+            names.push_back(it->first);
+    }
+    return names;
 }
 
 double load_board::poolFailureShare(std::string_view service) const
@@ -548,6 +602,11 @@
                                                               : 0;
     const bool isWorse = target.failureShare > suspectShare
         && poolFailureShare(target.info.service) < target.failureShare / 2;
+    if (outcome == work_outcome::Unreachable) {
+        target.isUnreachable = true;
+        target.needsProbe = true;
+        target.probedAt = now;
+    }
     if (target.lostInARow >= lossesToSuspect || isWorse)
         suspect(now, target);
 }
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -196,6 +196,7 @@
     value["crashes"] = crashesToJson(report.crashes);
     value["loading"] = namesToJson(report.loading);
     value["gone"] = namesToJson(report.gone);
+    value["unreachable"] = namesToJson(report.unreachable);
     value["weights"] = numbersToJson(report.weights);
     value["named_age_ms"] = numbersToJson(report.namedAgeMs);
     value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
@@ -225,6 +226,7 @@
     crashesFromJson(fields["crashes"], report.crashes);
     namesFromJson(fields["loading"], report.loading);
     namesFromJson(fields["gone"], report.gone);
+    namesFromJson(fields["unreachable"], report.unreachable);
     numbersFromJson(fields["weights"], report.weights);
     numbersFromJson(fields["named_age_ms"], report.namedAgeMs);
     if (fields["store_epoch"].isUInt64())
--- a/libs/dispatch/tests/load_board_test.cpp
+++ b/libs/dispatch/tests/load_board_test.cpp
@@ -196,6 +196,39 @@
     EXPECT_FALSE(board.isSuspect(now + std::chrono::seconds(1), bad.server));
 }
 
+TEST(LoadBoard, DarkServersGetNoRequestsHoweverLongTheQueuesElsewhere)
+{
+    load_board board = boardOf(serversOf("plain", 3, false));
+    timestamp now {};
+    const work_item work {.service = "plain"};
+    const work_placement dark = *board.choose(now, work);
+    board.end(now, board.begin(now, dark, work), work_outcome::Unreachable);
+    for (int i = 0; i < 200; ++i) {
+        const work_placement placed = *board.choose(now, work);
+        EXPECT_NE(placed.server, dark.server);
+        board.begin(now, placed, work);
+    }
+    EXPECT_EQ(board.unreachableServers(), std::vector<std::string> {dark.server});
+    // A connection is tried now and then, not by a caller's request.
+    EXPECT_TRUE(board.serversToProbe(now).empty());
+    now += std::chrono::milliseconds(600);
+    ASSERT_EQ(board.serversToProbe(now).size(), 1u);
+    EXPECT_TRUE(board.serversToProbe(now).empty());
+    board.noteProbe(dark.server, true);
+    EXPECT_EQ(board.choose(now + std::chrono::seconds(1), work)->server, dark.server);
+}
+
+TEST(LoadBoard, WhatAnotherInstanceCantReachIsTriedFromHere)
+{
+    load_board board = boardOf(serversOf("plain", 3, false));
+    const timestamp now = timestamp {} + std::chrono::seconds(10);
+    board.noteDoubt(now, "plain1");
+    ASSERT_EQ(board.serversToProbe(now).size(), 1u);
+    board.noteProbe("plain1", true);
+    board.noteDoubt(now + std::chrono::milliseconds(300), "plain1");
+    EXPECT_TRUE(board.serversToProbe(now + std::chrono::milliseconds(900)).empty());
+}
+
 TEST(LoadBoard, ServersThatAllFailAreStillUsed)
 {
     load_board board = boardOf(serversOf("plain", 3, false));
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -21,6 +21,10 @@
 constexpr int entryThreads = 48;
 constexpr int peerThreads = 8;
 constexpr duration houseEvery = std::chrono::milliseconds(100);
+/// Time for a connection to a server that may be gone; the way there takes a few milliseconds.
+constexpr duration probeTimeout = std::chrono::milliseconds(350);
+/// A connection that a probe opened may be used for this long.
+constexpr duration probedIdleTime = std::chrono::seconds(1);
 constexpr duration listedCheckEvery = std::chrono::milliseconds(300);
 /// Callers hear of the leaving within the life of an entry answer; until then they come.
 constexpr duration leastLeaveTime = std::chrono::milliseconds(4500);
@@ -200,12 +204,34 @@
     return {};
 }
 
+void edge_instance::probeServers(timestamp now)
+{
+    const std::vector<registered_server> due =
+        m_state.with([now](edge_beliefs &beliefs) { return beliefs.board.serversToProbe(now); });
+    for (const registered_server &server : due)
+        m_queue.post([this, server] { probe(server); });
+}
+
+void edge_instance::probe(const registered_server &server)
+{
+    result<byte_stream> stream = byte_stream::connect(server.address, probeTimeout);
+    m_state.with(
+        [&](edge_beliefs &beliefs) { beliefs.board.noteProbe(server.id, stream.has_value()); });
+    writeEvent(event_line("servers", "server_probed")
+                   .add("server", server.id)
+                   .add("reachable", stream.has_value())
+                   .add("reason", stream ? "" : stream.error().code.c_str()));
+    if (stream)
+        m_connections.giveBack(server.id, std::move(*stream), probedIdleTime);
+}
+
 result<void> edge_instance::keepHouse(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
         const timestamp now = boot_clock::now();
         m_connections.prune(now);
         m_watch.fetchOverdue(now);
+        probeServers(now);
         std::this_thread::sleep_for(houseEvery);
     }
     return {};
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -32,6 +32,8 @@
     std::vector<child_spec> children();
     result<void> keepListed(const std::stop_token &stop);
     result<void> keepHouse(const std::stop_token &stop);
+    void probeServers(timestamp now);
+    void probe(const registered_server &server);
     bool list();
     void unlist();
     void waitForStop(const sigset_t &signals, const std::atomic<bool> &ended);
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -83,6 +83,7 @@
         report.askedRates = beliefs.limits.askedRates(now);
         report.levels = beliefs.limits.levels(now);
         report.gone = beliefs.board.goneServers();
+        report.unreachable = beliefs.board.unreachableServers();
         report.placed = beliefs.board.takePlacedParts();
         for (const std::pair<timestamp, crash_note> &each : beliefs.ownCrashes)
             report.crashes.push_back(each.second);
@@ -149,6 +150,8 @@
         beliefs.board.notePlacedParts(now, report.placed);
         for (const std::string &server : report.gone)
             beliefs.board.noteGone(server);
+        for (const std::string &server : report.unreachable)
+            beliefs.board.noteDoubt(now, server);
         for (const std::string &server : report.loading) {
             beliefs.board.noteLoading(server, now + loadingLife);
             beliefs.orderedElsewhere[server] = now;
