--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -48,8 +48,9 @@
 /// Options of a plan.
 struct weights_plan_options
 {
-    /// Part of a pool that may load at once: the rest carries the load meanwhile.
-    double shareAtOnce = 0.34;
+    /// Part of a pool that may load at once: more slow each other down and leave too few servers
+    /// for the load.
+    double shareAtOnce = 0.2;
     /// Servers that may load at once in any pool.
     int leastAtOnce = 3;
     /// A load takes about this long; the server is asked from then on.
