--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -64,6 +64,20 @@
     /// Lowers levels to those that an instance reports which has counted for longer than this one.
     void adoptLevels(timestamp now, const admitted_totals &levels);
 
+    /// State of a team's limit that decided about a request.
+    struct team_view
+    {
+        double rate = 0;
+        double level = 0;
+        /// Part of the rate that falls to this instance while the level is low.
+        double part = 1;
+        /// Other instances heard lately, and all that are known.
+        int heard = 0;
+        int known = 0;
+    };
+    /// Returns the state of @p team's limit.
+    team_view view(timestamp now, std::string_view team) const;
+
     /// Returns what this instance has admitted since it started.
     const admitted_totals &totals() const { return m_totals; }
     /// Returns the units a second that callers ask of this instance.
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -163,6 +163,21 @@
     }
 }
 
+team_limits::team_view team_limits::view(timestamp now, std::string_view team) const
+{
+    team_view seen;
+    const auto found = m_buckets.find(team);
+    if (found != m_buckets.end()) {
+        seen.rate = found->second.rate;
+        seen.level = found->second.level;
+        seen.part = ownPart(team, found->second);
+    }
+    seen.known = static_cast<int>(m_peers.size());
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
+        seen.heard += now - it->second.heardAt <= m_options.silence ? 1 : 0;
+    return seen;
+}
+
 admitted_totals team_limits::askedRates(timestamp now)
 {
     admitted_totals rates;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -206,6 +206,7 @@
         attempt current;
         const std::optional<work_placement> placed = place(now);
         if (!placed || isTooLate(now, *placed)) {
+            logUnplaced(now, placed);
             if (m_failure)
                 break;
             if (m_runs > 0)
@@ -656,6 +657,18 @@
     return m_caller.write(text, boot_clock::now() + std::chrono::seconds(1));
 }
 
+void request_runner::logUnplaced(timestamp now, const std::optional<work_placement> &best) const
+{
+    writeEvent(event_line("proxy", "rejected")
+                   .add("request", m_fields.requestId)
+                   .add("service", m_service)
+                   .add("best_server", best ? best->server : "")
+                   .add("expected_ms", best ? best->expectedMs : 0.0)
+                   .add("left_ms", toMilliseconds(m_deadline - now))
+                   .add("tried", static_cast<int>(m_tried.size()))
+                   .add("config_version", m_tables->version));
+}
+
 void request_runner::logPlaced(const attempt &current) const
 {
     const work_placement &placed = current.placed;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -111,6 +111,7 @@
     bool writeFailure();
     work_item work() const;
     bool mayRepeat() const { return m_route->mayRepeat(); }
+    void logUnplaced(timestamp now, const std::optional<work_placement> &best) const;
     void logPlaced(const attempt &current) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
     void logEnd(std::string_view outcome, int status) const;
--- a/trefoilrouter/src/main.cpp
+++ b/trefoilrouter/src/main.cpp
@@ -46,6 +46,9 @@
         {"status",
          {"prints members, configuration in force, limits and rollouts",
           "trefoilrouter status --instance ADDRESS:PORT [--format text|json]"}},
+        {"explain",
+         {"prints what the logs of several instances say of one request",
+          "trefoilrouter explain REQUEST-ID [FILE...] [--format text|json]"}},
         {"keys",
          {"issues, lists and withdraws callers' keys",
           "trefoilrouter keys issue --platform ADDRESS:PORT --team TEAM [--name NAME]\n"
@@ -94,6 +97,10 @@
                                   .poolsFile = absl::GetFlag(FLAGS_pools)});
     if (verb == "status")
         return trefoil::runStatus({.instance = absl::GetFlag(FLAGS_instance), .format = format()});
+    if (verb == "explain")
+        return trefoil::runExplain({.request = rest.empty() ? "" : rest.front(),
+                                    .files = {rest.begin() + (rest.empty() ? 0 : 1), rest.end()},
+                                    .format = format()});
     if (verb == "keys")
         return trefoil::runKeys({.platform = absl::GetFlag(FLAGS_platform),
                                  .action = rest.empty() ? "" : rest.front(),
--- a/trefoilrouter/src/verbs.h
+++ b/trefoilrouter/src/verbs.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace trefoil {
 
@@ -31,6 +32,16 @@
 };
 int runEdge(const edge_options &options);
 
+/// Prints what the logs of several instances say of one request, in the order of time.
+struct explain_options
+{
+    std::string request;
+    /// Log files; empty to read the standard input.
+    std::vector<std::string> files;
+    print_format format = print_format::Text;
+};
+int runExplain(const explain_options &options);
+
 /// Checks documents and prints every finding. Empty names are not checked.
 struct check_options
 {
