--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -109,7 +109,7 @@
     /// Cost of leaving the zone: the price of the prompt's text between zones, as milliseconds.
     double otherZoneMs = 30;
     /// Cost of a server that is not the home of the prompt's last shared part.
-    double notHomeMs = 20;
+    double notHomeMs = 40;
     /// Cost of weights older than the newest, as milliseconds; see olderWeightsAfter.
     double olderWeightsMs = 100;
     /// Answers on older weights count less from this time on after newer ones were named.
