Count the time to come back from the store's return; smaller reports in large fleets

The time now counts from the store's return. Ruled out: copies of other instances (all had removed it). Change: only weights that changed lately, levels in every fifth report, other zones every second report, silences that grow with the fleet; all but eight instances read the store's state at a tenth of the price, and gather changes longer.

--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -143,7 +143,8 @@
     /// Notes that @p version of @p model was named at @p since or before.
     void noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since);
     /// Notes that @p server runs @p version of @p model; older versions than known are ignored.
-    void noteWeights(std::string_view server, std::string_view model, std::uint64_t version);
+    void noteWeights(timestamp now, std::string_view server, std::string_view model,
+                     std::uint64_t version);
     /// Notes that @p server refused a request because it doesn't run @p tried: it has carried out
     /// an order that is not known of. The next named version is tried, which is no knowledge yet.
     void noteOtherWeights(timestamp now, std::string_view server, std::string_view model,
@@ -196,6 +197,9 @@
     std::optional<endpoint> cacheStore() const { return m_store; }
     /// Returns the servers that are known.
     std::vector<registered_server> servers() const;
+    /// Returns the servers whose weights were seen to change after @p since, with all that they
+    /// run.
+    std::vector<registered_server> serversWithNewWeights(timestamp since) const;
     /// Returns all weights named, by model and version, with the time.
     const std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> &
     namedWeights() const
@@ -235,6 +239,7 @@
         timestamp probedAt;
         /// Weights to try after a refusal, 0 for those that are known.
         std::uint64_t guessedWeights = 0;
+        timestamp weightsChangedAt;
         /// Measured milliseconds to the first event over expected ones.
         double slowness = 1;
         double callMs = 0;
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -32,6 +32,8 @@
     /// A holder of a duty not heard for longer may be succeeded: three reports. Short, because
     /// the successor asks the store whether it is right.
     duration holderSilence = std::chrono::milliseconds(650);
+    /// Added to both for each member: reports come less often in a large fleet.
+    duration silenceForEach = std::chrono::milliseconds(15);
     /// Callers spread over all zones where their own has fewer live instances.
     std::size_t leastInZone = 2;
     /// Instances named in an answer.
@@ -81,6 +83,12 @@
         std::uint64_t dutyEpoch = 0;
     };
 
+    duration silence() const { return m_options.silence + growth(); }
+    duration growth() const
+    {
+        return m_options.silenceForEach * static_cast<int>(m_members.size());
+    }
+
     member_table_options m_options;
     std::map<std::string, member_state, std::less<>> m_members;
 };
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -21,6 +21,8 @@
     /// An instance not heard for longer is taken to spend an equal share of each limit. Five of
     /// the reports that instances exchange.
     duration silence = std::chrono::milliseconds(1000);
+    /// Added for each other instance: reports come less often in a large fleet.
+    duration silenceForEach = std::chrono::milliseconds(15);
     /// Below this part of the burst an instance admits no more than its part of the rate, by what
     /// callers ask of it: else all would spend the same rest until the next report.
     double sharedLevel = 0.5;
@@ -113,6 +115,10 @@
         std::map<std::string, peer_usage, std::less<>> teams;
     };
 
+    duration silence() const
+    {
+        return m_options.silence + m_options.silenceForEach * static_cast<int>(m_peers.size());
+    }
     void bring(timestamp now, std::string_view team, bucket &account);
     double shareOfSilent(const bucket &account) const;
     double ownPart(std::string_view team, const bucket &account) const;
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -130,7 +130,8 @@
     known = std::min(known, since);
 }
 
-void load_board::noteWeights(std::string_view server, std::string_view model, std::uint64_t version)
+void load_board::noteWeights(timestamp now, std::string_view server, std::string_view model,
+                             std::uint64_t version)
 {
     const auto found = m_servers.find(server);
     if (found == m_servers.end())
@@ -141,6 +142,7 @@
     if (version <= known)
         return;
     known = version;
+    found->second.weightsChangedAt = now;
     found->second.loadingUntil = timestamp {};
     found->second.parts.clear();
 }
@@ -196,6 +198,16 @@
     return newest;
 }
 
+std::vector<registered_server> load_board::serversWithNewWeights(timestamp since) const
+{
+    std::vector<registered_server> changed;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (it->second.weightsChangedAt > since)
+            changed.push_back(it->second.info);
+    }
+    return changed;
+}
+
 std::vector<std::string> load_board::releasesOf(std::string_view service) const
 {
     std::vector<std::string> releases;
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -41,7 +41,7 @@
 {
     const auto found = m_members.find(name);
     return found != m_members.end() && !found->second.isLeaving
-        && now - found->second.heardAt <= m_options.silence;
+        && now - found->second.heardAt <= silence();
 }
 
 std::vector<member_entry> member_table::others() const
@@ -73,7 +73,8 @@
 bool member_table::holdsDuty(timestamp now, std::string_view name, std::uint64_t epoch) const
 {
     const auto found = m_members.find(name);
-    return found != m_members.end() && now - found->second.heardAt <= m_options.holderSilence
+    return found != m_members.end()
+        && now - found->second.heardAt <= m_options.holderSilence + growth()
         && found->second.dutyEpoch == epoch && epoch != 0;
 }
 
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -47,7 +47,7 @@
     double spentElsewhere = 0;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         peer_state &peer = it->second;
-        if (now - peer.heardAt > m_options.silence) {
+        if (now - peer.heardAt > silence()) {
             spentElsewhere += shareOfSilent(account) * elapsed;
             continue;
         }
@@ -116,7 +116,7 @@
     });
     // One that was never heard counts as silent from the start.
     for (const std::string &name : peers)
-        m_peers.try_emplace(name, peer_state {.heardAt = now - 2 * m_options.silence});
+        m_peers.try_emplace(name, peer_state {.heardAt = now - 2 * silence()});
 }
 
 void team_limits::takeReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
@@ -127,7 +127,7 @@
         return;
     peer_state &state = found->second;
     // Spending while it was silent was taken at its share; what it reports now covers that time.
-    const bool wasSilent = now - state.heardAt > m_options.silence;
+    const bool wasSilent = now - state.heardAt > silence();
     const double age = toSeconds(now - state.heardAt);
     const bool isKnown = state.incarnation == incarnation;
     for (auto it = admitted.begin(); it != admitted.end(); ++it) {
@@ -174,7 +174,7 @@
     }
     seen.known = static_cast<int>(m_peers.size());
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
-        seen.heard += now - it->second.heardAt <= m_options.silence ? 1 : 0;
+        seen.heard += now - it->second.heardAt <= silence() ? 1 : 0;
     return seen;
 }
 
--- a/libs/dispatch/tests/load_board_test.cpp
+++ b/libs/dispatch/tests/load_board_test.cpp
@@ -109,7 +109,7 @@
     const work_placement before = *board.choose(now, promptWork());
     board.begin(now, before, promptWork());
     EXPECT_EQ(board.choose(now, promptWork())->missingTokens, 2900);
-    board.noteWeights("llm0", "m", 2);
+    board.noteWeights(now, "llm0", "m", 2);
     const work_placement after = *board.choose(now, promptWork());
     EXPECT_NE(before.cacheName, after.cacheName);
     EXPECT_EQ(after.weights, 2u);
@@ -120,7 +120,7 @@
 {
     load_board board = boardOf(serversOf("llm", 2, true));
     timestamp now {};
-    board.noteWeights("llm0", "m", 2);
+    board.noteWeights(now, "llm0", "m", 2);
     board.noteNamedWeights("m", 2, now);
     board.noteNamedWeights("m", 3, now + std::chrono::seconds(8));
     now += std::chrono::seconds(12);
@@ -137,7 +137,7 @@
 {
     load_board board = boardOf(serversOf("llm", 18, true));
     timestamp now {};
-    board.noteWeights("llm0", "m", 2);
+    board.noteWeights(now, "llm0", "m", 2);
     board.noteNamedWeights("m", 2, now);
     now += std::chrono::seconds(3);
     int onNew = 0;
--- a/libs/platform/include/platform/object_mirror.h
+++ b/libs/platform/include/platform/object_mirror.h
@@ -16,22 +16,19 @@
 /// several sources, the store itself or another instance's copy, and never goes back.
 ///
 /// Answers an outage of the store during which entries lapse although their writers live: an object
-/// that a snapshot lacks right after an outage is kept until its writer has had time to write it
-/// again. Not thread-safe.
+/// that is missing right after an outage is kept until its writer has had time to write it again.
+/// That time counts from the store's return: a removal later on is one. Not thread-safe.
 class object_mirror
 {
 public:
-    /// @p returnTime is how long after an outage objects may come back; zero where objects don't
-    /// lapse by themselves.
-    explicit object_mirror(duration returnTime = duration::zero()) : m_returnTime(returnTime) { }
-
-    /// Takes all objects as of version @p upTo. @p isAfterOutage tells that the store could not be
-    /// reached before. Returns whether anything changed.
+    /// Takes all objects as of version @p upTo. Objects that are missing are kept until @p
+    /// lapseEnd. Returns whether anything changed.
     bool takeSnapshot(timestamp now, std::span<const object> objects, std::uint64_t upTo,
-                      bool isAfterOutage);
-    /// Takes changes up to version @p upTo. Returns whether anything changed.
+                      timestamp lapseEnd = {});
+    /// Takes changes up to version @p upTo. Objects that are removed are kept until @p lapseEnd.
+    /// Returns whether anything changed.
     bool takeChanges(timestamp now, std::span<const object> changed, std::uint64_t upTo,
-                     bool isAfterOutage);
+                     timestamp lapseEnd = {});
     /// Drops objects whose time to come back is over. Returns whether there were any.
     bool dropLapsed(timestamp now);
 
@@ -49,7 +46,6 @@
     }
 
 private:
-    duration m_returnTime;
     std::map<std::string, object, std::less<>> m_objects;
     /// Objects that a snapshot lacked, with the time until which they are kept.
     std::map<std::string, timestamp, std::less<>> m_missing;
--- a/libs/platform/include/platform/object_store.h
+++ b/libs/platform/include/platform/object_store.h
@@ -53,6 +53,9 @@
 inline constexpr const char *historyGone = "history-gone";
 } // namespace platform_errors
 
+/// Whether a read must see the newest state. One that may be seconds old costs the platform less.
+enum class read_freshness { Newest, MayBeOld };
+
 /// The platform's object API. Implementations are thread-safe and block the calling thread, so the
 /// control thread never calls one itself. An object may hold up to a megabyte.
 class object_store
@@ -70,6 +73,13 @@
                                       std::uint64_t expected) = 0;
     /// Reads all objects under @p prefix, and the store's version from which to watch.
     virtual result<object_changes> snapshot(const std::string &prefix);
+    /// Waits as watch() does; an implementation may ignore @p freshness.
+    virtual result<object_changes> watch(const std::string &prefix, std::uint64_t from,
+                                         duration patience, read_freshness freshness)
+    {
+        static_cast<void>(freshness);
+        return watch(prefix, from, patience);
+    }
     /// Waits up to @p patience for changes under @p prefix past version @p from. Errors:
     /// history-gone.
     virtual result<object_changes> watch(const std::string &prefix, std::uint64_t from,
--- a/libs/platform/src/object_mirror.cpp
+++ b/libs/platform/src/object_mirror.cpp
@@ -7,7 +7,7 @@
 namespace trefoil {
 
 bool object_mirror::takeSnapshot(timestamp now, std::span<const object> objects, std::uint64_t upTo,
-                                 bool isAfterOutage)
+                                 timestamp lapseEnd)
 {
     if (upTo < m_upTo)
         return false;
@@ -22,12 +22,12 @@
         known = each;
         m_missing.erase(each.name);
     }
-    const bool mayReturn = isAfterOutage && m_returnTime > duration::zero();
+    const bool mayReturn = now < lapseEnd;
     for (auto it = m_objects.begin(); it != m_objects.end();) {
         if (listed.contains(it->first)) {
             ++it;
         } else if (mayReturn || m_missing.contains(it->first)) {
-            m_missing.try_emplace(it->first, now + m_returnTime);
+            m_missing.try_emplace(it->first, lapseEnd);
             ++it;
         } else {
             hasChanged = true;
@@ -38,9 +38,9 @@
 }
 
 bool object_mirror::takeChanges(timestamp now, std::span<const object> changed, std::uint64_t upTo,
-                                bool isAfterOutage)
+                                timestamp lapseEnd)
 {
-    const bool mayReturn = isAfterOutage && m_returnTime > duration::zero();
+    const bool mayReturn = now < lapseEnd;
     bool hasChanged = false;
     for (const object &each : changed) {
         m_newestChange = std::max(m_newestChange, each.version);
@@ -51,7 +51,7 @@
             if (known == m_objects.end() || each.version < known->second.version)
                 continue;
             if (mayReturn) {
-                m_missing.try_emplace(each.name, now + m_returnTime);
+                m_missing.try_emplace(each.name, lapseEnd);
             } else {
                 m_objects.erase(known);
                 m_missing.erase(each.name);
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -12,8 +12,13 @@
 
 /// Time between reports: a fifth of the silence after which a member counts as dead.
 constexpr duration reportEvery = std::chrono::milliseconds(200);
-/// Added for each other instance, so that reports cost an instance the same in a large fleet.
-constexpr duration reportEveryForEach = std::chrono::milliseconds(6);
+/// Added for each other instance, so that reports don't fill the links of a large fleet.
+constexpr duration reportEveryForEach = std::chrono::milliseconds(3);
+/// In a fleet of more others than this, instances of other zones get every second report.
+constexpr std::size_t manyOthers = 24;
+/// Changes of weights are told for this long: many reports, so that lost ones do no harm.
+constexpr duration weightsTellTime = std::chrono::seconds(3);
+constexpr std::uint64_t levelsEvery = 5;
 /// Longest datagram.
 constexpr std::size_t maxDatagramBytes = 60000;
 
@@ -30,7 +35,7 @@
 
 duration peer_exchange::period() const
 {
-    return std::max<duration>(reportEvery, reportEveryForEach * m_others.load());
+    return reportEvery + reportEveryForEach * m_others.load();
 }
 
 result<void> peer_exchange::run(const std::stop_token &stop)
@@ -81,7 +86,9 @@
         report.load = beliefs.board.ownLoad();
         report.admitted = beliefs.limits.totals();
         report.askedRates = beliefs.limits.askedRates(now);
-        report.levels = beliefs.limits.levels(now);
+        // Only a fresh instance needs levels; it waits for a few reports.
+        if (m_sequence % levelsEvery == 0)
+            report.levels = beliefs.limits.levels(now);
         report.gone = beliefs.board.goneServers();
         report.unreachable = beliefs.board.unreachableServers();
         report.placed = beliefs.board.takePlacedParts();
@@ -89,7 +96,8 @@
             report.crashes.push_back(each.second);
         for (auto it = beliefs.ownOutcomes.begin(); it != beliefs.ownOutcomes.end(); ++it)
             report.releases.push_back(it->second);
-        for (const registered_server &server : beliefs.board.servers()) {
+        for (const registered_server &server :
+             beliefs.board.serversWithNewWeights(now - weightsTellTime)) {
             for (auto it = server.weights.begin(); it != server.weights.end(); ++it)
                 report.weights[server.id + "=" + it->first] = it->second;
         }
@@ -111,6 +119,9 @@
     m_others = others.size();
     const std::string text = toText(report);
     for (const member_entry &other : others) {
+        const bool isFar = other.zone != m_state.settings().zone;
+        if (isFar && others.size() > manyOthers && m_sequence % 2 != 0)
+            continue;
         try {
             m_socket.sendTo(text.data(), static_cast<int>(text.size()),
                             Poco::Net::SocketAddress(other.peers.host, other.peers.port));
@@ -159,7 +170,7 @@
         for (auto it = report.weights.begin(); it != report.weights.end(); ++it) {
             const std::size_t end = it->first.rfind('=');
             if (end != std::string::npos)
-                beliefs.board.noteWeights(it->first.substr(0, end), it->first.substr(end + 1),
+                beliefs.board.noteWeights(now, it->first.substr(0, end), it->first.substr(end + 1),
                                           it->second);
         }
         for (auto it = report.namedAgeMs.begin(); it != report.namedAgeMs.end(); ++it) {
@@ -171,7 +182,8 @@
         beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted,
                                   report.askedRates);
         // A fresh instance takes over what one that ran before it knows.
-        if (!m_adoptedLevels && report.incarnation < m_state.incarnation()) {
+        if (!m_adoptedLevels && !report.levels.empty()
+            && report.incarnation < m_state.incarnation()) {
             beliefs.limits.adoptLevels(now, report.levels);
             m_adoptedLevels = true;
         }
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -274,7 +274,7 @@
         return end;
     m_state.with([&](edge_beliefs &beliefs) {
         if (current.fields.weights)
-            beliefs.board.noteWeights(current.placed.server, m_fields.model,
+            beliefs.board.noteWeights(boot_clock::now(), current.placed.server, m_fields.model,
                                       *current.fields.weights);
         if (current.fields.running)
             beliefs.board.noteReportedLoad(boot_clock::now(), current.placed.server,
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -20,12 +20,15 @@
 constexpr duration longPatience = std::chrono::seconds(10);
 /// Wait after a watch that brought changes: what comes in quick succession is read in one call.
 constexpr duration gatherTime = std::chrono::milliseconds(120);
+/// Added for each other instance, since all are woken by each change: below a second in the largest
+/// fleet, a third of the time within which a leaving server must be noticed there.
+constexpr duration gatherTimeForEach = std::chrono::milliseconds(8);
+/// Instances that read the store's newest state; the others' reads may be old and cost a tenth.
+constexpr int mostFreshWatchers = 8;
 /// Wait after a call that failed.
 constexpr duration retryPause = std::chrono::milliseconds(250);
 /// Servers whose entries lapsed in an outage are back within two seconds of its end.
-constexpr duration serverReturnTime = std::chrono::seconds(2);
-/// Removals this long after an outage may still be lapses of it.
-constexpr duration afterOutage = std::chrono::milliseconds(2500);
+constexpr duration serverReturnTime = std::chrono::milliseconds(1900);
 /// A copy that is behind for this long is fetched from another instance: the store's own watch
 /// brings changes sooner.
 constexpr duration overdueTime = std::chrono::milliseconds(350);
@@ -41,8 +44,7 @@
 store_watch::store_watch(edge_state &state, store_client &store) : m_state(state), m_store(store)
 {
     const auto add = [this](const char *kind, duration patience, duration returnTime) {
-        m_kinds.emplace(kind,
-                        watched_kind {.mirror = object_mirror(returnTime), .patience = patience});
+        m_kinds.emplace(kind, watched_kind {.patience = patience, .returnTime = returnTime});
     };
     add(store_kinds::configuration, shortPatience, duration::zero());
     add(store_kinds::servers, shortPatience, serverReturnTime);
@@ -75,17 +77,19 @@
 {
     std::uint64_t from = 0;
     duration patience {};
-    bool isAfterOutage = false;
+    const fleet_view fleet = viewFleet();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const watched_kind &known = m_kinds.find(kind)->second;
         from = known.mirror.upTo();
         patience = known.patience;
-        isAfterOutage =
-            !known.isReachable || boot_clock::now() - known.lostAt < afterOutage + patience;
     }
+    // In a large fleet few instances need the newest state from the store itself: reports tell the
+    // others when they are behind.
+    const read_freshness freshness =
+        fleet.rank < mostFreshWatchers ? read_freshness::Newest : read_freshness::MayBeOld;
     const result<object_changes> got =
-        needsSnapshot ? m_store.snapshot(kind) : m_store.watch(kind, from, patience);
+        needsSnapshot ? m_store.snapshot(kind) : m_store.watch(kind, from, patience, freshness);
     if (!got) {
         if (got.error().code == platform_errors::historyGone) {
             needsSnapshot = true;
@@ -100,10 +104,11 @@
     bool hasChanged = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        object_mirror &mirror = m_kinds.find(kind)->second.mirror;
+        watched_kind &known = m_kinds.find(kind)->second;
+        object_mirror &mirror = known.mirror;
         hasChanged = needsSnapshot
-            ? mirror.takeSnapshot(now, got->changed, got->upTo, isAfterOutage)
-            : mirror.takeChanges(now, got->changed, got->upTo, isAfterOutage);
+            ? mirror.takeSnapshot(now, got->changed, got->upTo, known.lapseEnd)
+            : mirror.takeChanges(now, got->changed, got->upTo, known.lapseEnd);
         hasChanged = mirror.dropLapsed(now) || hasChanged;
     }
     const bool hadEvents = !needsSnapshot && !got->changed.empty();
@@ -111,7 +116,16 @@
     if (hasChanged)
         apply(kind);
     if (hadEvents)
-        std::this_thread::sleep_for(gatherTime);
+        std::this_thread::sleep_for(gatherTime + gatherTimeForEach * fleet.others);
+}
+
+store_watch::fleet_view store_watch::viewFleet()
+{
+    const timestamp now = boot_clock::now();
+    return m_state.with([now](edge_beliefs &beliefs) {
+        return fleet_view {.rank = beliefs.members.rank(now),
+                           .others = static_cast<int>(beliefs.members.others().size())};
+    });
 }
 
 void store_watch::noteReachable(const std::string &kind, bool reachable, const std::string &reason)
@@ -123,8 +137,8 @@
         watched_kind &known = m_kinds.find(kind)->second;
         hasChanged = known.isReachable != reachable;
         known.isReachable = reachable;
-        if (!reachable)
-            known.lostAt = boot_clock::now();
+        if (hasChanged && reachable)
+            known.lapseEnd = boot_clock::now() + known.returnTime;
         for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
             isAnyReachable = isAnyReachable || it->second.isReachable;
     }
@@ -242,8 +256,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         object_mirror &mirror = m_kinds.find(kind)->second.mirror;
-        hasChanged =
-            mirror.takeSnapshot(boot_clock::now(), objects, integerOr(*copy, "up_to"), false);
+        hasChanged = mirror.takeSnapshot(boot_clock::now(), objects, integerOr(*copy, "up_to"));
         mirror.noteNewestChange(integerOr(*copy, "newest_change"));
     }
     writeEvent(event_line("store", "copy_fetched").add("kind", kind).add("changed", hasChanged));
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -42,13 +42,24 @@
     {
         object_mirror mirror;
         duration patience;
+        /// How long after an outage objects may come back; zero where they don't lapse.
+        duration returnTime;
         bool isReachable = true;
-        timestamp lostAt;
+        /// End of that time after the last outage.
+        timestamp lapseEnd;
         /// Since when another instance is known to be ahead, and which.
         std::optional<timestamp> behindSince;
         endpoint ahead;
     };
 
+    /// The instance's place in the fleet.
+    struct fleet_view
+    {
+        int rank = 0;
+        int others = 0;
+    };
+
+    fleet_view viewFleet();
     result<void> watch(const std::string &kind, const std::stop_token &stop);
     void follow(const std::string &kind, bool &needsSnapshot);
     void noteReachable(const std::string &kind, bool reachable, const std::string &reason);
