--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -138,10 +138,23 @@
     if (m_team->unit == limit_unit::Tokens)
         m_cost = m_fields.hasTokens ? m_fields.promptTokens + m_fields.outputTokens
                                     : m_team->plainTokens;
-    const std::optional<duration> wait = m_state.with(
-        [&](edge_beliefs &beliefs) { return beliefs.limits.admit(now, m_team->name, m_cost); });
+    team_limits::team_view view;
+    const std::optional<duration> wait = m_state.with([&](edge_beliefs &beliefs) {
+        view = beliefs.limits.view(now, m_team->name);
+        return beliefs.limits.admit(now, m_team->name, m_cost);
+    });
     if (!wait)
         return std::nullopt;
+    writeEvent(event_line("limits", "over_limit")
+                   .add("request", m_fields.requestId)
+                   .add("team", m_team->name)
+                   .add("units", m_cost)
+                   .add("rate", view.rate)
+                   .add("level", view.level)
+                   .add("own_part", view.part)
+                   .add("instances_heard", view.heard)
+                   .add("instances_known", view.known)
+                   .add("wait_ms", toMilliseconds(*wait)));
     m_cost = 0;
     return refusal {overLimit, "the team is over its limit", spread(*wait)};
 }
@@ -211,8 +224,11 @@
                 break;
             if (m_runs > 0)
                 return refusal {badGateway, "no other backend server", std::nullopt};
-            return refusal {unavailable, placed ? "overloaded" : "no backend server",
-                            spread(shortestRetry * 2)};
+            // Room is to be had once the queues have shrunk to what still meets the aim.
+            duration wait = shortestRetry * 2;
+            if (placed)
+                wait = std::max(wait, fromSeconds(placed->expectedMs / 1000) - m_route->aim);
+            return refusal {unavailable, placed ? "overloaded" : "no backend server", spread(wait)};
         }
         current.placed = *placed;
         const attempt_end end = runAttempt(current);
--- a/trefoilrouter/tests/request_runner_test.cpp
+++ b/trefoilrouter/tests/request_runner_test.cpp
@@ -360,6 +360,37 @@
     EXPECT_EQ(server.requests().size(), 1u);
 }
 
+TEST_F(RequestRunner, WhatCantBeServedInTimeIsRejectedAtOnce)
+{
+    scripted_server server({says(plain(200, "x"))});
+    serve({&server});
+    // Sixty calls of 20 ms wait for four slots: far beyond what is left.
+    m_state.with([](edge_beliefs &beliefs) {
+        const work_item work {.service = "app"};
+        for (int i = 0; i < 60; ++i)
+            beliefs.board.begin(boot_clock::now(), *beliefs.board.choose(boot_clock::now(), work),
+                                work);
+    });
+    const timestamp start = boot_clock::now();
+    const std::string got = run("/unsafe/a", "X-Deadline-Ms: 200");
+    EXPECT_TRUE(got.starts_with("HTTP/1.1 503 ")) << got;
+    EXPECT_TRUE(has(got, "Retry-After: "));
+    EXPECT_LT(boot_clock::now() - start, 450ms);
+    EXPECT_TRUE(server.requests().empty());
+}
+
+TEST_F(RequestRunner, ATeamOverItsLimitIsToldWhenToComeBack)
+{
+    scripted_server server({says(plain(200, "x"))});
+    serve({&server});
+    m_state.with(
+        [](edge_beliefs &beliefs) { beliefs.limits.admit(boot_clock::now(), "reef", 2000); });
+    const std::string got = run("/unsafe/a");
+    EXPECT_TRUE(got.starts_with("HTTP/1.1 429 ")) << got;
+    EXPECT_TRUE(has(got, "Retry-After: "));
+    EXPECT_TRUE(server.requests().empty());
+}
+
 TEST_F(RequestRunner, WithoutAConfigurationCallersAreAskedToComeBack)
 {
     const std::string got = run("/unsafe/a");
