--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -142,9 +142,12 @@
     void setTables(const serving_tables &tables);
     /// Notes that @p version of @p model was named at @p since or before.
     void noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since);
-    /// Notes that @p server runs @p version of @p model; older versions than known are ignored.
-    void noteWeights(timestamp now, std::string_view server, std::string_view model,
-                     std::uint64_t version);
+    /// Notes that @p server runs @p version of @p model, as it said itself; older versions than
+    /// known are ignored.
+    void noteSeenWeights(timestamp now, std::string_view server, std::string_view model,
+                         std::uint64_t version);
+    /// Notes the same as another instance has told it. It is not told on.
+    void noteToldWeights(std::string_view server, std::string_view model, std::uint64_t version);
     /// Notes that @p server refused a request because it doesn't run @p tried: it has carried out
     /// an order that is not known of. The next named version is tried, which is no knowledge yet.
     void noteOtherWeights(timestamp now, std::string_view server, std::string_view model,
@@ -239,7 +242,7 @@
         timestamp probedAt;
         /// Weights to try after a refusal, 0 for those that are known.
         std::uint64_t guessedWeights = 0;
-        timestamp weightsChangedAt;
+        timestamp weightsSeenAt;
         /// Measured milliseconds to the first event over expected ones.
         double slowness = 1;
         double callMs = 0;
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -130,21 +130,32 @@
     known = std::min(known, since);
 }
 
-void load_board::noteWeights(timestamp now, std::string_view server, std::string_view model,
-                             std::uint64_t version)
+void load_board::noteSeenWeights(timestamp now, std::string_view server, std::string_view model,
+                                 std::uint64_t version)
 {
     const auto found = m_servers.find(server);
     if (found == m_servers.end())
         return;
-    std::uint64_t &known = found->second.info.weights[std::string(model)];
-    if (version >= found->second.guessedWeights)
-        found->second.guessedWeights = 0;
+    if (version > found->second.info.weights[std::string(model)])
+        found->second.weightsSeenAt = now;
+    noteToldWeights(server, model, version);
+}
+
+void load_board::noteToldWeights(std::string_view server, std::string_view model,
+                                 std::uint64_t version)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return;
+    server_state &state = found->second;
+    std::uint64_t &known = state.info.weights[std::string(model)];
+    if (version >= state.guessedWeights)
+        state.guessedWeights = 0;
     if (version <= known)
         return;
     known = version;
-    found->second.weightsChangedAt = now;
-    found->second.loadingUntil = timestamp {};
-    found->second.parts.clear();
+    state.loadingUntil = timestamp {};
+    state.parts.clear();
 }
 
 void load_board::noteOtherWeights(timestamp now, std::string_view server, std::string_view model,
@@ -202,7 +213,7 @@
 {
     std::vector<registered_server> changed;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (it->second.weightsChangedAt > since)
+        if (it->second.weightsSeenAt > since)
             changed.push_back(it->second.info);
     }
     return changed;
--- a/libs/dispatch/tests/load_board_test.cpp
+++ b/libs/dispatch/tests/load_board_test.cpp
@@ -109,18 +109,32 @@
     const work_placement before = *board.choose(now, promptWork());
     board.begin(now, before, promptWork());
     EXPECT_EQ(board.choose(now, promptWork())->missingTokens, 2900);
-    board.noteWeights(now, "llm0", "m", 2);
+    board.noteSeenWeights(now, "llm0", "m", 2);
     const work_placement after = *board.choose(now, promptWork());
     EXPECT_NE(before.cacheName, after.cacheName);
     EXPECT_EQ(after.weights, 2u);
     EXPECT_EQ(after.missingTokens, 9200);
 }
 
+TEST(LoadBoard, WeightsAreToldByThoseWhoSawThemAndTakenByAll)
+{
+    load_board seeing = boardOf(serversOf("llm", 2, true));
+    load_board told = boardOf(serversOf("llm", 2, true));
+    const timestamp now = timestamp {} + std::chrono::seconds(10);
+    seeing.noteSeenWeights(now, "llm1", "m", 2);
+    told.noteToldWeights("llm1", "m", 2);
+    const timestamp since = now - std::chrono::seconds(3);
+    ASSERT_EQ(seeing.serversWithNewWeights(since).size(), 1u);
+    EXPECT_TRUE(told.serversWithNewWeights(since).empty());
+    EXPECT_EQ(told.servers()[1].weights.at("m"), 2u);
+    EXPECT_TRUE(seeing.serversWithNewWeights(now + std::chrono::seconds(4)).empty());
+}
+
 TEST(LoadBoard, NothingStartsOnOldWeightsPastTheLimitHoweverManyWereNamedSince)
 {
     load_board board = boardOf(serversOf("llm", 2, true));
     timestamp now {};
-    board.noteWeights(now, "llm0", "m", 2);
+    board.noteSeenWeights(now, "llm0", "m", 2);
     board.noteNamedWeights("m", 2, now);
     board.noteNamedWeights("m", 3, now + std::chrono::seconds(8));
     now += std::chrono::seconds(12);
@@ -137,7 +151,7 @@
 {
     load_board board = boardOf(serversOf("llm", 18, true));
     timestamp now {};
-    board.noteWeights(now, "llm0", "m", 2);
+    board.noteSeenWeights(now, "llm0", "m", 2);
     board.noteNamedWeights("m", 2, now);
     now += std::chrono::seconds(3);
     int onNew = 0;
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -293,7 +293,7 @@
     if (state) {
         m_state.with([&](edge_beliefs &beliefs) {
             for (auto it = state->weights.begin(); it != state->weights.end(); ++it)
-                beliefs.board.noteWeights(boot_clock::now(), server.id, it->first, it->second);
+                beliefs.board.noteSeenWeights(boot_clock::now(), server.id, it->first, it->second);
         });
     } else {
         writeEvent(event_line("duty", "server_state_unknown")
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -19,6 +19,8 @@
 /// Changes of weights are told for this long: many reports, so that lost ones do no harm.
 constexpr duration weightsTellTime = std::chrono::seconds(3);
 constexpr std::uint64_t levelsEvery = 5;
+/// A server that another instance loads gets no requests for this long after each report of it.
+constexpr duration loadingLife = std::chrono::milliseconds(1500);
 /// Longest datagram.
 constexpr std::size_t maxDatagramBytes = 60000;
 
@@ -145,7 +147,6 @@
 
 void peer_exchange::learn(timestamp now, const peer_report &report)
 {
-    constexpr duration loadingLife = std::chrono::milliseconds(1500);
     endpoint peer;
     const bool isNews = m_state.with([&](edge_beliefs &beliefs) {
         if (!beliefs.members.noteReport(now, report.from, report.incarnation, report.sequence,
@@ -155,55 +156,75 @@
             if (other.name == report.from)
                 peer = other.peers;
         }
-        if (report.storeEpoch)
-            beliefs.board.noteStoreState(*report.storeEpoch != 0, *report.storeEpoch);
-        beliefs.board.takePeerLoad(now, report.from, report.load);
-        beliefs.board.notePlacedParts(now, report.placed);
-        for (const std::string &server : report.gone)
-            beliefs.board.noteGone(server);
-        for (const std::string &server : report.unreachable)
-            beliefs.board.noteDoubt(now, server);
-        for (const std::string &server : report.loading) {
-            beliefs.board.noteLoading(server, now + loadingLife);
-            beliefs.orderedElsewhere[server] = now;
-        }
-        for (auto it = report.weights.begin(); it != report.weights.end(); ++it) {
-            const std::size_t end = it->first.rfind('=');
-            if (end != std::string::npos)
-                beliefs.board.noteWeights(now, it->first.substr(0, end), it->first.substr(end + 1),
-                                          it->second);
-        }
-        for (auto it = report.namedAgeMs.begin(); it != report.namedAgeMs.end(); ++it) {
-            const std::optional<weights_name> name = parseWeightsKey(it->first);
-            if (name)
-                beliefs.board.noteNamedWeights(name->model, name->version,
-                                               now - std::chrono::milliseconds(it->second));
-        }
-        beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted,
-                                  report.askedRates);
-        // A fresh instance takes over what one that ran before it knows.
-        if (!m_adoptedLevels && !report.levels.empty()
-            && report.incarnation < m_state.incarnation()) {
-            beliefs.limits.adoptLevels(now, report.levels);
-            m_adoptedLevels = true;
-        }
-        for (const crash_note &note : report.crashes)
-            beliefs.crashes.note(now, note.request, note.event);
-        for (const release_outcomes &each : report.releases) {
-            outcome_counts &seen =
-                m_seenOutcomes[report.from + "/" + std::to_string(report.incarnation) + "/"
-                               + each.service + "/" + each.release + "/" + each.route];
-            const outcome_counts fresh {.requests = each.counts.requests - seen.requests,
-                                        .failures = each.counts.failures - seen.failures,
-                                        .slow = each.counts.slow - seen.slow};
-            seen = each.counts;
-            if (fresh.requests > 0)
-                beliefs.releases.add(each.service, each.release, each.route, fresh);
-        }
+        learnServers(now, report, beliefs);
+        learnWeights(now, report, beliefs);
+        learnLimits(now, report, beliefs);
+        learnOutcomes(now, report, beliefs);
         return true;
     });
     if (isNews)
         m_watch.notePeer(now, peer, report.revisions);
 }
 
+void peer_exchange::learnServers(timestamp now, const peer_report &report, edge_beliefs &beliefs)
+{
+    if (report.storeEpoch)
+        beliefs.board.noteStoreState(*report.storeEpoch != 0, *report.storeEpoch);
+    beliefs.board.takePeerLoad(now, report.from, report.load);
+    beliefs.board.notePlacedParts(now, report.placed);
+    for (const std::string &server : report.gone)
+        beliefs.board.noteGone(server);
+    for (const std::string &server : report.unreachable)
+        beliefs.board.noteDoubt(now, server);
+}
+
+void peer_exchange::learnWeights(timestamp now, const peer_report &report, edge_beliefs &beliefs)
+{
+    for (const std::string &server : report.loading) {
+        beliefs.board.noteLoading(server, now + loadingLife);
+        beliefs.orderedElsewhere[server] = now;
+    }
+    for (auto it = report.weights.begin(); it != report.weights.end(); ++it) {
+        const std::size_t end = it->first.rfind('=');
+        if (end != std::string::npos)
+            beliefs.board.noteToldWeights(it->first.substr(0, end), it->first.substr(end + 1),
+                                          it->second);
+    }
+    for (auto it = report.namedAgeMs.begin(); it != report.namedAgeMs.end(); ++it) {
+        const std::optional<weights_name> name = parseWeightsKey(it->first);
+        if (name)
+            beliefs.board.noteNamedWeights(name->model, name->version,
+                                           now - std::chrono::milliseconds(it->second));
+    }
+}
+
+void peer_exchange::learnLimits(timestamp now, const peer_report &report, edge_beliefs &beliefs)
+{
+    beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted,
+                              report.askedRates);
+    // A fresh instance takes over what one that ran before it knows.
+    const bool isOlder = report.incarnation < m_state.incarnation();
+    if (m_adoptedLevels || report.levels.empty() || !isOlder)
+        return;
+    beliefs.limits.adoptLevels(now, report.levels);
+    m_adoptedLevels = true;
+}
+
+void peer_exchange::learnOutcomes(timestamp now, const peer_report &report, edge_beliefs &beliefs)
+{
+    for (const crash_note &note : report.crashes)
+        beliefs.crashes.note(now, note.request, note.event);
+    for (const release_outcomes &each : report.releases) {
+        outcome_counts &seen =
+            m_seenOutcomes[report.from + "/" + std::to_string(report.incarnation) + "/"
+                           + each.service + "/" + each.release + "/" + each.route];
+        const outcome_counts fresh {.requests = each.counts.requests - seen.requests,
+                                    .failures = each.counts.failures - seen.failures,
+                                    .slow = each.counts.slow - seen.slow};
+        seen = each.counts;
+        if (fresh.requests > 0)
+            beliefs.releases.add(each.service, each.release, each.route, fresh);
+    }
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -37,6 +37,10 @@
     result<void> run(const std::stop_token &stop);
     void receive(std::string_view datagram);
     void learn(timestamp now, const peer_report &report);
+    void learnServers(timestamp now, const peer_report &report, edge_beliefs &beliefs);
+    void learnWeights(timestamp now, const peer_report &report, edge_beliefs &beliefs);
+    void learnLimits(timestamp now, const peer_report &report, edge_beliefs &beliefs);
+    void learnOutcomes(timestamp now, const peer_report &report, edge_beliefs &beliefs);
     duration period() const;
 
     edge_state &m_state;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -290,8 +290,8 @@
         return end;
     m_state.with([&](edge_beliefs &beliefs) {
         if (current.fields.weights)
-            beliefs.board.noteWeights(boot_clock::now(), current.placed.server, m_fields.model,
-                                      *current.fields.weights);
+            beliefs.board.noteSeenWeights(boot_clock::now(), current.placed.server, m_fields.model,
+                                          *current.fields.weights);
         if (current.fields.running)
             beliefs.board.noteReportedLoad(boot_clock::now(), current.placed.server,
                                            *current.fields.running, current.fields.waiting);
@@ -673,71 +673,4 @@
     return m_caller.write(text, boot_clock::now() + std::chrono::seconds(1));
 }
 
-void request_runner::logUnplaced(timestamp now, const std::optional<work_placement> &best) const
-{
-    writeEvent(event_line("proxy", "rejected")
-                   .add("request", m_fields.requestId)
-                   .add("service", m_service)
-                   .add("best_server", best ? best->server : "")
-                   .add("expected_ms", best ? best->expectedMs : 0.0)
-                   .add("left_ms", toMilliseconds(m_deadline - now))
-                   .add("tried", static_cast<int>(m_tried.size()))
-                   .add("config_version", m_tables->version));
-}
-
-void request_runner::logPlaced(const attempt &current) const
-{
-    const work_placement &placed = current.placed;
-    writeEvent(event_line("proxy", "placed")
-                   .add("request", m_fields.requestId)
-                   .add("route", m_route->name)
-                   .add("server", placed.server)
-                   .add("attempt", static_cast<int>(m_tried.size()) + 1)
-                   .add("expected_ms", placed.expectedMs)
-                   .add("missing_tokens", placed.missingTokens)
-                   .add("weights", placed.weights)
-                   .add("config_version", m_tables->version)
-                   .add("left_ms", toMilliseconds(m_deadline - boot_clock::now())));
-}
-
-void request_runner::logAttemptEnd(const attempt &current, attempt_end end) const
-{
-    if (end == attempt_end::Delivered)
-        return;
-    constexpr std::array<const char *, 7> words {
-        "delivered", "not_run", "failed", "broken", "caller_left", "timed_out", "caller_broken"};
-    writeEvent(event_line("proxy", "attempt_ended")
-                   .add("request", m_fields.requestId)
-                   .add("server", current.placed.server)
-                   .add("end", words[static_cast<std::size_t>(end)])
-                   .add("status", current.head.status)
-                   .add("sent", current.wasSent)
-                   .add("weights", current.placed.weights)
-                   .add("answered_weights", current.fields.weights.value_or(0))
-                   .add("runs", m_runs)
-                   .add("ms", toMilliseconds(boot_clock::now() - current.sentAt)));
-}
-
-void request_runner::logEnd(std::string_view outcome, int status) const
-{
-    const duration taken = boot_clock::now() - m_request.receivedAt;
-    const std::string route = m_route == nullptr ? "" : m_route->name;
-    metric_registry &metrics = m_state.metrics();
-    metrics
-        .counterOf("trefoil_requests_total",
-                   "route=\"" + route + "\",status=\"" + std::to_string(status) + "\"")
-        .add();
-    metrics.timingOf("trefoil_request_seconds", "route=\"" + route + "\"").observe(taken);
-    writeEvent(event_line("proxy", "ended")
-                   .add("request", m_fields.requestId)
-                   .add("route", route)
-                   .add("team", m_team == nullptr ? std::string_view {} : m_team->name)
-                   .add("status", status)
-                   .add("outcome", outcome)
-                   .add("runs", m_runs)
-                   .add("config_version", m_tables ? m_tables->version : 0)
-                   .add("config_age_ms", toMilliseconds(m_state.tablesAge(boot_clock::now())))
-                   .add("ms", toMilliseconds(taken)));
-}
-
 } // namespace trefoil
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -25,6 +25,8 @@
 constexpr duration gatherTimeForEach = std::chrono::milliseconds(8);
 /// Instances that read the store's newest state; the others' reads may be old and cost a tenth.
 constexpr int mostFreshWatchers = 8;
+/// Waits of the others are longer by this: they rely on reports anyway. The store allows 30 s.
+constexpr int oldPatienceFactor = 3;
 /// Wait after a call that failed.
 constexpr duration retryPause = std::chrono::milliseconds(250);
 /// Servers whose entries lapsed in an outage are back within two seconds of its end.
@@ -86,8 +88,9 @@
     }
     // In a large fleet few instances need the newest state from the store itself: reports tell the
     // others when they are behind.
-    const read_freshness freshness =
-        fleet.rank < mostFreshWatchers ? read_freshness::Newest : read_freshness::MayBeOld;
+    const bool isFresh = fleet.rank < mostFreshWatchers;
+    const read_freshness freshness = isFresh ? read_freshness::Newest : read_freshness::MayBeOld;
+    patience = isFresh ? patience : patience * oldPatienceFactor;
     const result<object_changes> got =
         needsSnapshot ? m_store.snapshot(kind) : m_store.watch(kind, from, patience, freshness);
     if (!got) {
