--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -108,6 +108,8 @@
     double plainCallMs = 20;
     /// Cost of leaving the zone: the price of the prompt's text between zones, as milliseconds.
     double otherZoneMs = 30;
+    /// The same for a call to a service without a model, whose text is short.
+    double otherZonePlainMs = 4;
     /// Cost of a server that is not the home of the prompt's last shared part.
     double notHomeMs = 40;
     /// Cost of weights older than the newest, as milliseconds; see olderWeightsAfter.
@@ -260,7 +262,6 @@
         bool isModel = false;
         bool wasSilent = false;
     };
-    struct cost_inputs;
 
     bool isStoreUsable() const { return m_store.has_value() && m_isStoreReachable; }
     static std::uint64_t weightsOf(const server_state &state, std::string_view model);
@@ -268,7 +269,11 @@
     std::optional<work_placement> chooseAmong(timestamp now, const work_item &work,
                                               bool isLastResort);
     double weightsCost(timestamp now, const server_state &state, const work_item &work) const;
-    void estimateEngine(timestamp now, server_state &state, const work_item &work,
+    work_placement estimate(timestamp now, const server_state &state, const work_item &work,
+                            const engine_traits *engine) const;
+    double costOf(timestamp now, const server_state &state, const work_item &work,
+                  const work_placement &placed, std::string_view home) const;
+    void estimateEngine(timestamp now, const server_state &state, const work_item &work,
                         const engine_traits &engine, work_placement &placed) const;
     std::optional<endpoint> findSource(timestamp now, const server_state &target,
                                        std::uint64_t part) const;
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <limits>
 
-#include <core/digest.h>
+#include "part_belief.h"
 
 namespace trefoil {
 
@@ -24,29 +24,13 @@
 constexpr duration doubtEvery = std::chrono::milliseconds(1500);
 /// Weight of the newest measurement of a server's speed.
 constexpr double speedWeight = 0.1;
-/// A part not used for this long is not relied on: engines drop the least recently used ones.
-constexpr duration partLife = std::chrono::seconds(12);
 /// Parts remembered for a server, and for the store.
 constexpr std::size_t maxParts = 4096;
 constexpr std::size_t maxStoreParts = 65536;
 /// Placements kept for the next report.
 constexpr std::size_t maxPlacedParts = 256;
-/// A part used on an engine within this time is still there: memory turns over in seconds.
-constexpr duration surelyHeld = std::chrono::milliseconds(1500);
-/// Milliseconds to set up a copy between engines.
-constexpr double copySetupMs = 4;
-/// Cost of a full engine, as milliseconds for each whole memory over its room.
-constexpr double overfullMs = 1500;
 /// A server that runs none of the weights to be tried is left alone for this long.
 constexpr duration otherWeightsRest = std::chrono::milliseconds(400);
-/// Megabits a second times this gives bits a millisecond.
-constexpr double bitsPerMsPerMbps = 1000;
-constexpr double bitsPerByte = 8;
-
-std::uint64_t partKey(std::string_view cacheName, std::string_view part)
-{
-    return hash64(part, hash64(cacheName));
-}
 
 template <typename Parts>
 void forgetOldest(Parts &parts, std::size_t most, timestamp now)
@@ -56,13 +40,6 @@
     std::erase_if(parts, [now](const auto &each) { return now - each.second > partLife; });
 }
 
-bool isFresh(const std::unordered_map<std::uint64_t, timestamp> &parts, std::uint64_t key,
-             timestamp now)
-{
-    const auto found = parts.find(key);
-    return found != parts.end() && now - found->second < partLife;
-}
-
 } // namespace
 
 std::string cacheNameOf(std::string_view model, std::uint64_t weights,
@@ -261,186 +238,6 @@
     return found != m_servers.end() && now < found->second.suspectUntil;
 }
 
-bool load_board::mayTake(timestamp now, const server_state &state, const work_item &work)
-{
-    const registered_server &info = state.info;
-    if (info.service != work.service || info.isLeaving || state.isGone)
-        return false;
-    const std::span<const std::string> barred = work.barredReleases;
-    if (std::find(barred.begin(), barred.end(), info.release) != barred.end())
-        return false;
-    if (now < state.loadingUntil)
-        return false;
-    return std::find(work.tried.begin(), work.tried.end(), info.id) == work.tried.end();
-}
-
-double load_board::weightsCost(timestamp now, const server_state &state,
-                               const work_item &work) const
-{
-    const auto named = m_named.find(work.model);
-    if (named == m_named.end())
-        return 0;
-    const std::uint64_t version = weightsOf(state, work.model);
-    // The bound counts from the first newer version, however many were named since.
-    const auto newer = named->second.upper_bound(version);
-    if (newer == named->second.end() || now - newer->second < m_options.olderWeightsAfter)
-        return 0;
-    return now - newer->second < m_options.olderWeightsLimit
-        ? m_options.olderWeightsMs
-        : std::numeric_limits<double>::infinity();
-}
-
-std::optional<endpoint> load_board::findSource(timestamp now, const server_state &target,
-                                               std::uint64_t part) const
-{
-    const server_state *best = nullptr;
-    timestamp bestUse {};
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        const server_state &state = it->second;
-        const auto held = state.parts.find(part);
-        const bool isUsable = &state != &target && !state.isGone && now >= state.loadingUntil
-            && now >= state.suspectUntil;
-        if (!isUsable || held == state.parts.end() || now - held->second > partLife)
-            continue;
-        const bool isNear = state.info.zone == target.info.zone;
-        const bool bestIsNear = best != nullptr && best->info.zone == target.info.zone;
-        if (best == nullptr || (isNear && !bestIsNear)
-            || (isNear == bestIsNear && held->second > bestUse)) {
-            best = &state;
-            bestUse = held->second;
-        }
-    }
-    // An engine may have dropped a part that the store still keeps, and computing it again costs
-    // far more than the longer way. Just used, it is there for sure.
-    const bool isInStore = isStoreUsable() && isFresh(m_storeParts, part, now);
-    if (best == nullptr || (isInStore && now - bestUse > surelyHeld))
-        return isInStore ? m_store : std::nullopt;
-    return best->info.address;
-}
-
-void load_board::estimateEngine(timestamp now, server_state &state, const work_item &work,
-                                const engine_traits &engine, work_placement &placed) const
-{
-    placed.weights = weightsOf(state, work.model);
-    placed.cacheName = cacheNameOf(work.model, placed.weights, work.isolatedTeam);
-    double copied = 0;
-    bool isHeld = true;
-    bool isKept = true;
-    placed.memoryTokens = work.outputTokens;
-    for (std::size_t i = 0; i < work.prompt.size(); ++i) {
-        const prompt_part &part = work.prompt[i];
-        const bool isOwn = i + 1 == work.prompt.size();
-        const std::uint64_t key = partKey(placed.cacheName, part.id);
-        isHeld = isHeld && !isOwn && isFresh(state.parts, key, now);
-        if (isHeld)
-            continue;
-        placed.memoryTokens += part.tokens;
-        if (isOwn) {
-            placed.missingTokens += part.tokens;
-            continue;
-        }
-        const bool isInStore = isStoreUsable() && isFresh(m_storeParts, key, now);
-        isKept = isKept && isInStore;
-        const std::optional<endpoint> source = findSource(now, state, key);
-        if (source)
-            placed.cacheSource = source;
-        (source ? copied : placed.missingTokens) += part.tokens;
-    }
-    // The engine may have dropped what it is believed to hold, and the store may hold what is not
-    // known of: a miss costs a millisecond.
-    if (!placed.cacheSource && work.prompt.size() > 1) {
-        const std::uint64_t lastShared =
-            partKey(placed.cacheName, work.prompt[work.prompt.size() - 2].id);
-        placed.cacheSource = findSource(now, state, lastShared);
-        if (!placed.cacheSource && isStoreUsable())
-            placed.cacheSource = m_store;
-    }
-    placed.keepInStore = isStoreUsable() && !isKept;
-    const server_load load = totalLoad(now, state.info.id);
-    const double readMs =
-        (load.pendingTokens + placed.missingTokens) / m_options.prefillTokensPerMs;
-    double copyMs = 0;
-    if (copied > 0 && engine.linkMbps > 0)
-        copyMs = copySetupMs
-            + copied * engine.bytesPerToken * bitsPerByte / (engine.linkMbps * bitsPerMsPerMbps);
-    placed.expectedMs = (m_options.firstEventMs + readMs) * state.slowness + copyMs;
-    const double room = engine.memoryTokens * m_options.memoryShare;
-    const double over = load.memoryTokens + placed.memoryTokens - room;
-    if (over > 0 && engine.memoryTokens > 0)
-        placed.expectedMs += overfullMs * over / engine.memoryTokens;
-    if (load.running >= engine.slots)
-        placed.expectedMs += overfullMs * (load.running - engine.slots + 1) / engine.slots;
-}
-
-std::string load_board::homeOf(const work_item &work) const
-{
-    constexpr std::size_t partsWithShared = 2;
-    if (work.prompt.size() < partsWithShared)
-        return "";
-    const std::uint64_t subject = hash64(work.prompt[work.prompt.size() - partsWithShared].id);
-    std::string best;
-    std::uint64_t bestRank = 0;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        const registered_server &info = it->second.info;
-        if (info.service != work.service || info.isLeaving || info.zone != m_options.zone)
-            continue;
-        const std::uint64_t rank = hash64(info.id, subject);
-        if (best.empty() || rank > bestRank) {
-            best = info.id;
-            bestRank = rank;
-        }
-    }
-    return best;
-}
-
-std::optional<work_placement> load_board::choose(timestamp now, const work_item &work)
-{
-    std::optional<work_placement> best = chooseAmong(now, work, false);
-    // When none can be reached, belief is more likely wrong than all servers gone.
-    return best ? best : chooseAmong(now, work, true);
-}
-
-std::optional<work_placement> load_board::chooseAmong(timestamp now, const work_item &work,
-                                                      bool isLastResort)
-{
-    const auto engine = m_engines.find(work.service);
-    const bool isModel = engine != m_engines.end() && !work.model.empty();
-    const std::string home = isModel ? homeOf(work) : "";
-    std::optional<work_placement> best;
-    double bestCost = std::numeric_limits<double>::infinity();
-    std::uniform_real_distribution<double> tieBreak(0, 1);
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        server_state &state = it->second;
-        if (!mayTake(now, state, work) || (state.isUnreachable && !isLastResort))
-            continue;
-        work_placement placed {.server = state.info.id,
-                               .address = state.info.address,
-                               .zone = state.info.zone,
-                               .release = state.info.release};
-        if (isModel) {
-            estimateEngine(now, state, work, engine->second, placed);
-        } else {
-            const double callMs = state.callMs > 0 ? state.callMs : m_options.plainCallMs;
-            const server_load load = totalLoad(now, state.info.id);
-            placed.expectedMs =
-                callMs * (1 + static_cast<double>(load.running) / std::max(1, state.info.slots));
-        }
-        double cost = placed.expectedMs + tieBreak(m_random);
-        if (isModel)
-            cost +=
-                weightsCost(now, state, work) + (home == state.info.id ? 0 : m_options.notHomeMs);
-        if (state.info.zone != m_options.zone)
-            cost += isModel ? m_options.otherZoneMs : m_options.otherZoneMs / 8;
-        if (now < state.suspectUntil)
-            cost += m_options.suspectMs;
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = std::move(placed);
-        }
-    }
-    return best;
-}
-
 std::uint64_t load_board::begin(timestamp now, const work_placement &placed, const work_item &work)
 {
     const auto found = m_servers.find(placed.server);
