--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-edge_instance::edge_instance(const machine_settings &settings)
+edge_instance::edge_instance(const platform_settings &settings)
     : m_settings(settings), m_state(settings),
       m_store(settings.store, settings.storeCallsPerSecond), m_watch(m_state, m_store),
       m_duty(m_state, m_store, m_queue),
@@ -128,13 +128,13 @@
 
 void edge_instance::reload()
 {
-    const std::string path = machineSettingsPath();
+    const std::string path = platformSettingsPath();
     const result<std::string> text = readFile(path);
     if (!text) {
         writeEvent(event_line("instance", "reload_failed").add("reason", text.error().message));
         return;
     }
-    const tl::expected<machine_settings, findings> read = readMachineSettings(*text, path);
+    const tl::expected<platform_settings, findings> read = readPlatformSettings(*text, path);
     if (!read) {
         writeEvent(event_line("instance", "reload_failed").add("reason", toString(read.error())));
         return;
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -2,7 +2,7 @@
 
 #include <csignal>
 
-#include <adapter/machine_settings.h>
+#include <adapter/platform_settings.h>
 #include <adapter/store_client.h>
 #include <core/supervisor.h>
 
@@ -20,7 +20,7 @@
 {
 public:
     /// Precondition: @p settings were read from the platform's file.
-    explicit edge_instance(const machine_settings &settings);
+    explicit edge_instance(const platform_settings &settings);
 
     /// Runs until one of the stop signals in @p signals comes, then leaves without cutting a
     /// request and ends the process. Returns only when a part keeps failing. SIGHUP in @p signals
@@ -40,7 +40,7 @@
     void reload();
     void drain();
 
-    machine_settings m_settings;
+    platform_settings m_settings;
     edge_state m_state;
     store_client m_store;
     server_connections m_connections;
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -12,7 +12,7 @@
 /// Instances that share the extra retries at the least.
 constexpr double leastSharers = 8;
 
-retry_window_options budgetOptionsOf(const machine_settings &settings)
+retry_window_options budgetOptionsOf(const platform_settings &settings)
 {
     return {.length = settings.retryWindow,
             .retriesPerRequest = settings.retriesPerRequest * budgetUse,
@@ -21,7 +21,7 @@
 
 } // namespace
 
-edge_beliefs::edge_beliefs(const machine_settings &settings)
+edge_beliefs::edge_beliefs(const platform_settings &settings)
     : board({.zone = settings.zone,
              .randomSeed = hash64(settings.name),
              .olderWeightsLimit = settings.weightsDeadline - std::chrono::milliseconds(500)}),
@@ -29,7 +29,7 @@
       releases({.trialShare = settings.exposeShare / 2}), budgetOptions(budgetOptionsOf(settings))
 { }
 
-edge_state::edge_state(const machine_settings &settings)
+edge_state::edge_state(const platform_settings &settings)
     : m_settings(settings), m_incarnation(wallMilliseconds()), m_beliefs(settings)
 { }
 
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include <adapter/machine_settings.h>
+#include <adapter/platform_settings.h>
 #include <core/clock.h>
 #include <delivery/retry_window.h>
 #include <dispatch/load_board.h>
@@ -26,7 +26,7 @@
 /// time.
 struct edge_beliefs
 {
-    explicit edge_beliefs(const machine_settings &settings);
+    explicit edge_beliefs(const platform_settings &settings);
 
     load_board board;
     team_limits limits;
@@ -48,10 +48,10 @@
 class edge_state
 {
 public:
-    explicit edge_state(const machine_settings &settings);
+    explicit edge_state(const platform_settings &settings);
 
     /// Returns the settings that the process started with.
-    const machine_settings &settings() const { return m_settings; }
+    const platform_settings &settings() const { return m_settings; }
     /// Returns the start of the process in milliseconds since 1970.
     std::uint64_t incarnation() const { return m_incarnation; }
 
@@ -100,7 +100,7 @@
     metric_registry &metrics() { return m_metrics; }
 
 private:
-    machine_settings m_settings;
+    platform_settings m_settings;
     std::uint64_t m_incarnation;
     mutable std::mutex m_tablesMutex;
     std::shared_ptr<const serving_tables> m_tables;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -50,6 +50,7 @@
 constexpr duration crashTellTime = std::chrono::seconds(20);
 
 constexpr int okStatus = 200;
+constexpr int noContent = 204;
 constexpr int firstRedirect = 300;
 constexpr int firstServerFailure = 500;
 constexpr int badRequest = 400;
@@ -220,7 +221,7 @@
         const std::optional<work_placement> placed = place(now);
         if (!placed || isTooLate(now, *placed)) {
             logUnplaced(now, placed);
-            if (m_failure)
+            if (m_answer)
                 break;
             if (m_runs > 0)
                 return refusal {badGateway, "no other backend server", std::nullopt};
@@ -244,12 +245,12 @@
         const bool canGoOn = end != attempt_end::TimedOut && rejections <= mostRejections
             && mayGoElsewhere(end, current);
         if (!canGoOn) {
-            if (m_failure)
+            if (m_answer)
                 break;
             return finalRefusal(end);
         }
     }
-    writeFailure();
+    writeAnswer();
     return std::nullopt;
 }
 
@@ -500,23 +501,21 @@
     keepConnection(current);
     if (m_headSent)
         return attempt_end::Broken;
-    if (current.head.status >= firstServerFailure && mayRepeat()) {
-        m_failure = {current.head, std::move(body)};
+    m_answer = {current.head, std::move(body)};
+    if (current.head.status >= firstServerFailure && mayRepeat())
         return attempt_end::Failed;
-    }
-    m_failure = {current.head, std::move(body)};
-    return writeFailure() ? attempt_end::Delivered : attempt_end::CallerBroken;
+    return writeAnswer() ? attempt_end::Delivered : attempt_end::CallerBroken;
 }
 
-bool request_runner::writeFailure()
+bool request_runner::writeAnswer()
 {
     std::string framing;
-    const std::string &body = m_failure->second;
-    const bool hasLength = m_request.head.method != "HEAD" && m_failure->first.status != 204;
+    const std::string &body = m_answer->second;
+    const bool hasLength = m_request.head.method != "HEAD" && m_answer->first.status != noContent;
     if (hasLength)
         appendField(framing, "Content-Length", std::to_string(body.size()));
-    m_status = m_failure->first.status;
-    const std::string text = encodeCallerAnswer(m_failure->first, framing, m_closes) + body;
+    m_status = m_answer->first.status;
+    const std::string text = encodeCallerAnswer(m_answer->first, framing, m_closes) + body;
     if (!m_caller.write(text, std::max(m_deadline, boot_clock::now() + std::chrono::seconds(1)))) {
         m_status = 0;
         return false;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -47,7 +47,7 @@
         Delivered,
         /// The server said that it did not run the request, or nothing reached it.
         NotRun,
-        /// The server answered a repeatable request with a failure, kept in m_failure.
+        /// The server answered a repeatable request with a failure, kept in m_answer.
         Failed,
         /// The connection broke, stayed silent or carried no answer.
         Broken,
@@ -108,7 +108,7 @@
     void noteRelease(const attempt &current, attempt_end end);
 
     bool writeOwn(const refusal &why);
-    bool writeFailure();
+    bool writeAnswer();
     work_item work() const;
     bool mayRepeat() const { return m_route->mayRepeat(); }
     void logUnplaced(timestamp now, const std::optional<work_placement> &best) const;
@@ -136,8 +136,8 @@
     bool m_headSent = false;
     bool m_isChunked = false;
     event_cutter m_events;
-    /// Answer with a failure that is passed on if no other server does better.
-    std::optional<std::pair<response_head, std::string>> m_failure;
+    /// Whole answer of a server; a failure is passed on if no other server does better.
+    std::optional<std::pair<response_head, std::string>> m_answer;
     int m_status = 0;
 };
 
--- a/trefoilrouter/src/verb_edge.cpp
+++ b/trefoilrouter/src/verb_edge.cpp
@@ -3,7 +3,7 @@
 #include <csignal>
 #include <iostream>
 
-#include <adapter/machine_settings.h>
+#include <adapter/platform_settings.h>
 #include <telemetry/event_log.h>
 #include <telemetry/log.h>
 
@@ -15,7 +15,7 @@
 int runEdge(const edge_options &options)
 {
     const std::string path =
-        options.settingsFile.empty() ? machineSettingsPath() : options.settingsFile;
+        options.settingsFile.empty() ? platformSettingsPath() : options.settingsFile;
     if (path.empty()) {
         std::cerr << "edge: give --settings or the platform's settings variable\n";
         return ExitUsage;
@@ -25,7 +25,7 @@
         std::cerr << "edge: " << text.error().message << "\n";
         return ExitUsage;
     }
-    const tl::expected<machine_settings, findings> settings = readMachineSettings(*text, path);
+    const tl::expected<platform_settings, findings> settings = readPlatformSettings(*text, path);
     if (!settings) {
         std::cerr << toString(settings.error());
         return ExitUsage;
--- a/trefoilrouter/tests/request_runner_test.cpp
+++ b/trefoilrouter/tests/request_runner_test.cpp
@@ -108,9 +108,9 @@
           far(listener.acceptConnection())
     { }
 
-    static machine_settings settings()
+    static platform_settings settings()
     {
-        machine_settings settings;
+        platform_settings settings;
         settings.name = "edge-1";
         settings.zone = "z1";
         settings.extraRetries = 56;
