--- a/libs/delivery/include/delivery/retry_window.h
+++ b/libs/delivery/include/delivery/retry_window.h
@@ -23,6 +23,10 @@
 public:
     explicit retry_window(const retry_window_options &options) : m_options(options) { }
 
+    /// Replaces the retries allowed beside the share: the part of an instance in a fleet whose size
+    /// changes.
+    void setExtra(double extra) { m_options.extra = extra; }
+
     /// Notes a request.
     void noteRequest(timestamp now);
     /// Takes one retry. Returns false when the bound is reached.
--- a/libs/delivery/tests/retry_window_test.cpp
+++ b/libs/delivery/tests/retry_window_test.cpp
@@ -47,4 +47,19 @@
     EXPECT_FALSE(window.takeRetry(now));
 }
 
+TEST(RetryWindow, AFleetOfAnySizeSharesTheExtraRetries)
+{
+    constexpr double allowed = 202;
+    for (const int instances : {1, 8, 81, 330}) {
+        int taken = 0;
+        for (int i = 0; i < instances; ++i) {
+            retry_window window({.retriesPerRequest = 0, .extra = allowed});
+            window.setExtra(allowed / instances);
+            while (window.takeRetry({}))
+                ++taken;
+        }
+        EXPECT_LE(taken, allowed) << instances;
+    }
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge_state.h"
 
+#include <algorithm>
+
 #include <core/digest.h>
 
 namespace trefoil {
@@ -9,14 +11,20 @@
 /// Part of the allowed retries that instances use: the rest covers arrivals that fall into another
 /// window than the requests that earned them.
 constexpr double budgetUse = 0.85;
-/// Instances that share the extra retries at the least.
-constexpr double leastSharers = 8;
+/// Instances that share the extra retries at the least: the list may be short for a moment.
+constexpr std::size_t leastSharers = 8;
+
+double extraRetriesOf(const platform_settings &settings, std::size_t instances)
+{
+    return settings.extraRetries * budgetUse
+        / static_cast<double>(std::max(instances, leastSharers));
+}
 
 retry_window_options budgetOptionsOf(const platform_settings &settings)
 {
     return {.length = settings.retryWindow,
             .retriesPerRequest = settings.retriesPerRequest * budgetUse,
-            .extra = settings.extraRetries * budgetUse / leastSharers};
+            .extra = extraRetriesOf(settings, leastSharers)};
 }
 
 } // namespace
@@ -29,6 +37,13 @@
       releases({.trialShare = settings.exposeShare / 2}), budgetOptions(budgetOptionsOf(settings))
 { }
 
+void edge_beliefs::shareRetries(const platform_settings &settings, std::size_t instances)
+{
+    budgetOptions.extra = extraRetriesOf(settings, instances);
+    for (auto it = budgets.begin(); it != budgets.end(); ++it)
+        it->second.setExtra(budgetOptions.extra);
+}
+
 edge_state::edge_state(const platform_settings &settings)
     : m_settings(settings), m_incarnation(wallMilliseconds()), m_beliefs(settings)
 { }
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -38,6 +38,8 @@
     /// Retries by service.
     std::map<std::string, retry_window, std::less<>> budgets;
     retry_window_options budgetOptions;
+    /// Shares the extra retries between @p instances.
+    void shareRetries(const platform_settings &settings, std::size_t instances);
     /// Servers that another holder of the duty loads, with the time of its last report of it.
     std::map<std::string, timestamp, std::less<>> orderedElsewhere;
     /// Outcomes on releases that are moved to, told to the others.
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -425,6 +425,7 @@
     m_state.with([&](edge_beliefs &beliefs) {
         beliefs.members.setListed(now, entries);
         beliefs.limits.setPeers(now, names);
+        beliefs.shareRetries(m_state.settings(), entries.size());
     });
     writeEvent(event_line("members", "listed").add("instances", std::uint64_t {entries.size()}));
 }
