Count a run once, so that a stream silent after its head goes on elsewhere

Cause, found by reading: a run was counted when the head came, and the wait for the first event counted it again, so a route with two attempts had none left and the stream was held to its end. The test failed before (2.0 s, 504) and passes after.

--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -299,7 +299,7 @@
     });
     if (current.fields.wasNotRun)
         return takeRejection(current);
-    m_runs += 1;
+    countRun(current);
     const bool isSuccess = current.head.status >= okStatus && current.head.status < firstRedirect;
     const bool isOwn = current.fields.requestId == m_fields.requestId;
     if (isSuccess && (!current.fields.isSigned || !isOwn))
@@ -345,21 +345,28 @@
     // A server may answer before it has read the body; what it sent is in the buffer then.
     const bool isWritten = current.stream->write(head + m_request.body, m_deadline);
     if (!isWritten && current.stream->buffer().empty()) {
-        m_runs += 1;
+        countRun(current);
         return attempt_end::Broken;
     }
     current.hasEnded = !isWritten;
     return attempt_end::Delivered;
 }
 
+void request_runner::countRun(attempt &current)
+{
+    m_runs += current.isCounted ? 0 : 1;
+    current.isCounted = true;
+}
+
 read_outcome request_runner::waitForBytes(attempt &current)
 {
     const duration expected = fromSeconds(current.placed.expectedMs / 1000);
     const timestamp start = boot_clock::now();
     const timestamp suspectAt = start
         + std::max<duration>(leastSuspectTime, fromSeconds(toSeconds(expected) * suspectAfter));
-    const bool canGoElsewhere =
-        mayRepeat() && m_runs + 1 < m_route->maxAttempts + (current.hasEvents ? 1 : 0);
+    // Silence of the last server that the route allows is borne to the end.
+    const int runs = m_runs + (current.isCounted ? 0 : 1);
+    const bool canGoElsewhere = mayRepeat() && runs < m_route->maxAttempts;
     timestamp giveUpAt = m_deadline;
     if (canGoElsewhere) {
         const duration bound = m_route->repeats == repeat_rule::Stream
@@ -398,7 +405,7 @@
             if (outcome == read_outcome::Bytes)
                 continue;
             // From here on the request may have run.
-            m_runs += 1;
+            countRun(current);
             return endFor(outcome);
         }
         result<response_head> head = parseResponseHead(std::string_view(buffer).substr(0, end));
@@ -406,7 +413,7 @@
         const result<body_framing> framing =
             head ? framingOf(*head, m_request.head.method) : result<body_framing>(body_framing {});
         if (!head || !framing) {
-            m_runs += 1;
+            countRun(current);
             return attempt_end::Broken;
         }
         if (head->status < okStatus)
@@ -420,7 +427,7 @@
         std::string dropped;
         const attempt_end skipped = readBody(current, dropped);
         if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
-            m_runs += 1;
+            countRun(current);
             return skipped == attempt_end::Delivered ? attempt_end::Broken : skipped;
         }
         current.chunks = {};
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -72,6 +72,8 @@
         bool hasEnded = false;
         bool wasSent = false;
         bool hasEvents = false;
+        /// Whether it counts among the runs: the server may have begun the request.
+        bool isCounted = false;
         timestamp sentAt;
     };
 
@@ -99,6 +101,7 @@
     attempt_end passWhole(attempt &current);
     attempt_end passStream(attempt &current);
     bool deliverEvents(attempt &current, const std::string &events, bool isLast);
+    void countRun(attempt &current);
     read_outcome waitForBytes(attempt &current);
     /// Returns how an attempt ends for an outcome that brought no bytes.
     static attempt_end endFor(read_outcome outcome);
--- a/trefoilrouter/tests/request_runner_test.cpp
+++ b/trefoilrouter/tests/request_runner_test.cpp
@@ -296,6 +296,22 @@
     EXPECT_TRUE(has(second.requests()[0], "Last-Event-Id: 1\r\n"));
 }
 
+TEST_F(request_runner_test, AStreamThatFallsSilentBeforeItsFirstEventGoesOnElsewhere)
+{
+    scripted_server first({[](byte_stream &stream) {
+        stream.write(streamHead, after(1s));
+        stream.readMore(after(2s));
+    }});
+    scripted_server second(
+        {says(streamHead + chunk("id: 1\ndata: a\n\n") + std::string(lastChunk))});
+    serve({&first, &second});
+    const timestamp start = boot_clock::now();
+    const std::string got = run("/stream/a");
+    EXPECT_TRUE(got.ends_with(lastChunk)) << got;
+    EXPECT_TRUE(has(got, "data: a"));
+    EXPECT_LT(boot_clock::now() - start, 1900ms + 300ms);
+}
+
 TEST_F(request_runner_test, AStreamThatMayNotGoOnEndsSoThatNobodyTakesItForWhole)
 {
     scripted_server first({says(streamHead + chunk("id: 1\ndata: a\n\n"), true)});
