Count an outage of the store over all instances; place on old weights with room for the server's queue

Instances now tell each other when they heard the store; what one alone misses is no outage. The limit is now 1.5 s inside the bound.

--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -116,8 +116,9 @@
     double olderWeightsMs = 100;
     /// Answers on older weights count less from this time on after newer ones were named.
     duration olderWeightsAfter = std::chrono::milliseconds(1500);
-    /// No request starts on older weights after this time; half a second inside the bound.
-    duration olderWeightsLimit = std::chrono::milliseconds(11500);
+    /// No request is placed on older weights after this time: the bound, less the time that a
+    /// request may wait at its server.
+    duration olderWeightsLimit = std::chrono::milliseconds(10500);
     /// Part of an engine's memory that requests may take before more of them wait.
     double memoryShare = 0.9;
     /// Cost of a server under suspicion.
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -57,6 +57,8 @@
     std::map<std::string, std::uint64_t, std::less<>> weights;
     /// Milliseconds since weights were named, by "model=version": a restarted instance can't know.
     std::map<std::string, std::uint64_t, std::less<>> namedAgeMs;
+    /// Milliseconds since the instance heard the platform's store; nothing before the first time.
+    std::optional<std::uint64_t> storeHeardAgoMs;
     /// Epoch of the duty that the instance holds, 0 for none.
     std::uint64_t dutyEpoch = 0;
     std::vector<release_outcomes> releases;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -200,6 +200,8 @@
     value["weights"] = numbersToJson(report.weights);
     value["named_age_ms"] = numbersToJson(report.namedAgeMs);
     value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
+    if (report.storeHeardAgoMs)
+        value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
     if (report.storeEpoch)
         value["store_epoch"] = Json::UInt64(*report.storeEpoch);
     value["releases"] = releasesToJson(report.releases);
@@ -229,6 +231,8 @@
     namesFromJson(fields["unreachable"], report.unreachable);
     numbersFromJson(fields["weights"], report.weights);
     numbersFromJson(fields["named_age_ms"], report.namedAgeMs);
+    if (fields["store_heard_ago_ms"].isUInt64())
+        report.storeHeardAgoMs = fields["store_heard_ago_ms"].asUInt64();
     if (fields["store_epoch"].isUInt64())
         report.storeEpoch = fields["store_epoch"].asUInt64();
     releasesFromJson(fields["releases"], report.releases);
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -206,6 +206,8 @@
     record.namedAtMs = namedTimes();
     const bool knowsOrders = knowsOrdersOf(before);
     const result<std::uint64_t> written = m_store.put(dutyObject, toText(record), revision);
+    if (written)
+        m_state.noteStoreHeard(boot_clock::now());
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_lease.onWritten(boot_clock::now(),
                       written ? std::optional<std::uint64_t>(*written) : std::nullopt, knowsOrders);
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -230,6 +230,7 @@
     while (!stop.stop_requested()) {
         const timestamp now = boot_clock::now();
         m_connections.prune(now);
+        m_watch.dropLapsed(now);
         m_watch.fetchOverdue(now);
         probeServers(now);
         std::this_thread::sleep_for(houseEvery);
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -20,6 +20,9 @@
         / static_cast<double>(std::max(instances, leastSharers));
 }
 
+/// A placed request may wait this long at its server before it begins, under a burst.
+constexpr duration longestServerWait = std::chrono::milliseconds(1500);
+
 retry_window_options budgetOptionsOf(const platform_settings &settings)
 {
     return {.length = settings.retryWindow,
@@ -32,7 +35,7 @@
 edge_beliefs::edge_beliefs(const platform_settings &settings)
     : board({.zone = settings.zone,
              .randomSeed = hash64(settings.name),
-             .olderWeightsLimit = settings.weightsDeadline - std::chrono::milliseconds(500)}),
+             .olderWeightsLimit = settings.weightsDeadline - longestServerWait}),
       limits({}), members({.self = settings.name, .zone = settings.zone}),
       releases({.trialShare = settings.exposeShare / 2}), budgetOptions(budgetOptionsOf(settings))
 { }
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -17,6 +17,7 @@
 #include <dispatch/release_shares.h>
 #include <dispatch/serving_tables.h>
 #include <dispatch/team_limits.h>
+#include <platform/outage_clock.h>
 #include <routing/crash_ledger.h>
 #include <telemetry/metrics.h>
 
@@ -42,6 +43,9 @@
     void shareRetries(const platform_settings &settings, std::size_t instances);
     /// Servers that another holder of the duty loads, with the time of its last report of it.
     std::map<std::string, timestamp, std::less<>> orderedElsewhere;
+    /// When the platform's store was heard here, and by any instance.
+    timestamp ownStoreHeardAt;
+    outage_clock storeOutage;
     /// Outcomes on releases that are moved to, told to the others.
     std::map<std::string, release_outcomes, std::less<>> ownOutcomes;
 };
@@ -89,6 +93,14 @@
     bool isClosing() const { return m_isClosing; }
     /// Closes idle connections: all callers have had time to go elsewhere.
     void close() { m_isClosing = true; }
+    /// Notes that the store answered this instance.
+    void noteStoreHeard(timestamp now)
+    {
+        with([now](edge_beliefs &beliefs) {
+            beliefs.ownStoreHeardAt = now;
+            beliefs.storeOutage.noteHeard(now);
+        });
+    }
     /// Returns whether the store answered lately.
     bool isStoreReachable() const { return m_isStoreReachable; }
     /// Notes whether the store answers.
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -85,6 +85,9 @@
     std::vector<member_entry> others;
     m_state.with([&](edge_beliefs &beliefs) {
         others = beliefs.members.others();
+        if (beliefs.ownStoreHeardAt != timestamp {})
+            report.storeHeardAgoMs =
+                static_cast<std::uint64_t>(toMilliseconds(now - beliefs.ownStoreHeardAt));
         report.load = beliefs.board.ownLoad();
         report.admitted = beliefs.limits.totals();
         report.askedRates = beliefs.limits.askedRates(now);
@@ -168,6 +171,8 @@
 
 void peer_exchange::learnServers(timestamp now, const peer_report &report, edge_beliefs &beliefs)
 {
+    if (report.storeHeardAgoMs)
+        beliefs.storeOutage.noteHeard(now - std::chrono::milliseconds(*report.storeHeardAgoMs));
     if (report.storeEpoch)
         beliefs.board.noteStoreState(*report.storeEpoch != 0, *report.storeEpoch);
     beliefs.board.takePeerLoad(now, report.from, report.load);
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -104,14 +104,17 @@
     }
     noteReachable(kind, true, "");
     const timestamp now = boot_clock::now();
+    m_state.noteStoreHeard(now);
+    const timestamp outageEnd =
+        m_state.with([](edge_beliefs &beliefs) { return beliefs.storeOutage.outageEnd(); });
     bool hasChanged = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &known = m_kinds.find(kind)->second;
         object_mirror &mirror = known.mirror;
-        hasChanged = needsSnapshot
-            ? mirror.takeSnapshot(now, got->changed, got->upTo, known.lapseEnd)
-            : mirror.takeChanges(now, got->changed, got->upTo, known.lapseEnd);
+        const timestamp lapseEnd = outageEnd + known.returnTime;
+        hasChanged = needsSnapshot ? mirror.takeSnapshot(now, got->changed, got->upTo, lapseEnd)
+                                   : mirror.takeChanges(now, got->changed, got->upTo, lapseEnd);
         hasChanged = mirror.dropLapsed(now) || hasChanged;
     }
     const bool hadEvents = !needsSnapshot && !got->changed.empty();
@@ -140,8 +143,6 @@
         watched_kind &known = m_kinds.find(kind)->second;
         hasChanged = known.isReachable != reachable;
         known.isReachable = reachable;
-        if (hasChanged && reachable)
-            known.lapseEnd = boot_clock::now() + known.returnTime;
         for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
             isAnyReachable = isAnyReachable || it->second.isReachable;
     }
@@ -181,6 +182,20 @@
     }
 }
 
+void store_watch::dropLapsed(timestamp now)
+{
+    std::vector<std::string> changed;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
+            if (it->second.mirror.dropLapsed(now))
+                changed.push_back(it->first);
+        }
+    }
+    for (const std::string &kind : changed)
+        apply(kind);
+}
+
 void store_watch::fetchOverdue(timestamp now)
 {
     std::vector<std::pair<std::string, endpoint>> overdue;
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -32,6 +32,8 @@
                   const std::map<std::string, std::uint64_t, std::less<>> &newest);
     /// Fetches the copies that are overdue, from other instances. May block.
     void fetchOverdue(timestamp now);
+    /// Drops objects whose time to come back after an outage is over.
+    void dropLapsed(timestamp now);
     /// Returns whether the list of instances is known and lacks @p name.
     bool lacksInstance(const std::string &name);
     /// Returns the copy of @p kind for another instance, as JSON.
@@ -45,8 +47,6 @@
         /// How long after an outage objects may come back; zero where they don't lapse.
         duration returnTime;
         bool isReachable = true;
-        /// End of that time after the last outage.
-        timestamp lapseEnd;
         /// Since when another instance is known to be ahead, and which.
         std::optional<timestamp> behindSince;
         endpoint ahead;
