Tell a dying server from a cut connection by an answer, not by an accepted connection

The first attempt ended as cut: the kernel closes the sockets of a dying process one by one, and the one connection tried to tell a crash was accepted by the listener, which outlived the request's connection by some milliseconds. That crash was not counted.

Change: until 200 ms are over, ask the server for OPTIONS on a new connection: an answer shows that it lives, a refused connection that it has ended, a reset or an early end is looked at again. Stand-ins answer OPTIONS.

--- a/standins/src/standin_server.cpp
+++ b/standins/src/standin_server.cpp
@@ -25,7 +25,10 @@
                        Poco::Net::HTTPServerResponse &response) override
     {
         try {
-            m_handler(request, response);
+            if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_OPTIONS)
+                answerJson(response, 200, "{}"); // asked to tell whether the process lives
+            else
+                m_handler(request, response);
         } catch (const std::exception &) {
             response.setKeepAlive(false); // the other side went away
         }
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -1,8 +1,9 @@
 #include "backend_client.h"
 
+#include <thread>
+
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 #include <core/json.h>
 
 namespace trefoil {
@@ -11,9 +12,13 @@
 
 constexpr duration connectTimeout = std::chrono::seconds(1);
 
-/// How long a new connection is tried to tell a crashed server from a cut connection.
+/// How long a server is looked at to tell that it crashed from a cut connection: a process ends
+/// within milliseconds, on a busy machine within tens of them.
 constexpr duration probeTimeout = std::chrono::milliseconds(200);
 
+/// Between two such looks: well below the time that a process takes to end.
+constexpr duration probePause = std::chrono::milliseconds(5);
+
 /// Between two looks at whether the caller is still there.
 constexpr duration callerCheckPeriod = std::chrono::milliseconds(100);
 
@@ -26,17 +31,23 @@
 
 constexpr std::size_t maxIdleSessions = 32;
 
-bool refusesConnections(const endpoint &place)
+/// Returns whether the process at @p place has ended, told by new connections: nothing listens, or
+/// soon nothing does. A dying process loses its sockets one by one, often the one of the request
+/// some time before the listener, so that a connection that is accepted proves nothing; an answer
+/// does. One that goes on resetting connections lives: it may be at its limit of them.
+bool hasEnded(const endpoint &place)
 {
-    try {
-        Poco::Net::StreamSocket probe;
-        probe.connect(Poco::Net::SocketAddress(place.host, place.port), toTimespan(probeTimeout));
-        return false;
-    } catch (const Poco::Net::ConnectionRefusedException &) {
-        return true;
-    } catch (const Poco::Exception &) {
-        return false;
+    const timestamp deadline = boot_clock::now() + probeTimeout;
+    for (timestamp now = boot_clock::now(); now < deadline; now = boot_clock::now()) {
+        const result<http_answer> answer =
+            httpCallOnce(place, {.method = "OPTIONS", .path = "*"}, deadline - now);
+        if (answer || answer.error().code == http_errors::unreachable)
+            return false;
+        if (answer.error().code == http_errors::refused)
+            return true;
+        std::this_thread::sleep_for(probePause);
     }
+    return false;
 }
 
 std::vector<digest128> digestsOf(const Json::Value &list)
@@ -73,7 +84,7 @@
 
 tl::unexpected<error> backend_exchange::brokenBy(const std::string &message) const
 {
-    const bool isCrash = refusesConnections(m_place);
+    const bool isCrash = hasEnded(m_place);
     return failure(isCrash ? backend_errors::crashed : backend_errors::cut, message);
 }
 
