Use the store of KV cache in each zone, and its link's load

Cause: the grown sites have three stores of KV cache, one in each zone. Only the first in the table was used, from all zones, and its link was asked for more than it carries (527 prompts a second of 1.06 Gbit over 310 Gbit/s, twice as long between zones); with a home in each zone 3,300 subjects needed three times the engines' memory.

Change: each subject has one store by rendezvous, and its home engine stands in that store's zone. Copies are costed by the slower link and the zone. Placements told to the others carry for how long the store is busy with them; one that is taken for 0.2 s is passed over for an engine that may hold the part. The duty's holder asks all stores for their epoch. Sites with one store keep a home in each zone.

Tests: EachSubjectHasOneStoreAndItsHomeStandsInTheStoresZone, AStoreWhoseLinkIsTakenIsPassedOverForAnEngine.

--- a/libs/dispatch/benchmarks/bench_dispatch.cpp
+++ b/libs/dispatch/benchmarks/bench_dispatch.cpp
@@ -39,8 +39,8 @@
             .running = 1, .pendingTokens = 2890, .memoryTokens = 9203};
     for (int i = 0; i < placementsInReport; ++i)
         report.placed.push_back({.server = serverName((instance * 17 + i) % servers),
-                                 .inStore = true,
-                                 .parts = {hash64("a", instance * 10ull + i)}});
+                                 .parts = {hash64("a", instance * 10ull + i)},
+                                 .store = "10.0.0.9:9"});
     return report;
 }
 
--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -53,8 +53,12 @@
     std::string cacheName;
     /// Engine or store to copy missing parts from.
     std::optional<endpoint> cacheSource;
-    /// Whether the store of KV cache is to keep the prompt's parts.
-    bool keepInStore = false;
+    /// Store of KV cache that is to keep the prompt's parts.
+    std::optional<endpoint> cacheSink;
+    /// Milliseconds for which the prompt's store is busy with it.
+    double storeMs = 0;
+    /// Store that is busy with it; empty where none is.
+    std::string busyStore;
     /// Prompt tokens that must be computed.
     double missingTokens = 0;
     double memoryTokens = 0;
@@ -91,8 +95,13 @@
 struct placed_parts
 {
     std::string server;
-    bool inStore = false;
     std::vector<std::uint64_t> parts;
+    /// Address of the store of KV cache that sends or takes some of them, or "".
+    std::string store;
+    /// Whether that store keeps them from now on.
+    bool isKept = false;
+    /// Milliseconds for which it is busy with them.
+    double storeMs = 0;
 };
 
 /// Options of a load board.
@@ -162,9 +171,9 @@
     /// Notes that @p server loads weights until it reports newer ones, at most until @p until.
     void noteLoading(std::string_view server, timestamp until);
 
-    /// Notes whether the store of KV cache answers, and the epoch of its start: a restarted one
-    /// holds nothing.
-    void noteStoreState(bool isReachable, std::uint64_t epoch);
+    /// Notes the epoch of the start of the store of KV cache at @p address, 0 while it doesn't
+    /// answer: a restarted one holds nothing.
+    void noteStoreState(std::string_view address, std::uint64_t epoch);
 
     /// Returns the best server, or nothing where none may take the request.
     std::optional<work_placement> choose(timestamp now, const work_item &work);
@@ -199,8 +208,8 @@
     /// Notes placements of another instance.
     void notePlacedParts(timestamp now, std::span<const placed_parts> placements);
 
-    /// Returns the store of KV cache, where there is one.
-    std::optional<endpoint> cacheStore() const { return m_store; }
+    /// Returns the addresses of the stores of KV cache.
+    std::vector<endpoint> cacheStores() const;
     /// Returns the servers that are known.
     std::vector<registered_server> servers() const;
     /// Returns the servers whose weights were seen to change after @p since, with all that they
@@ -252,6 +261,40 @@
         /// Last use by part; see partKey().
         std::unordered_map<std::uint64_t, timestamp> parts;
     };
+    struct store_state
+    {
+        cache_store info;
+        /// The address as text.
+        std::string name;
+        bool isReachable = true;
+        std::uint64_t epoch = 0;
+        /// Last use by part.
+        std::unordered_map<std::uint64_t, timestamp> parts;
+        /// Time until which its link is busy with copies that are known of.
+        timestamp busyUntil;
+    };
+    /// A server that is believed to hold a part.
+    struct part_holder
+    {
+        const server_state *state = nullptr;
+        timestamp lastUse;
+    };
+    /// Where a part is copied from: a store or an engine, or neither.
+    struct part_source
+    {
+        const store_state *store = nullptr;
+        const server_state *engine = nullptr;
+    };
+    /// What a choice needs to know of its prompt once.
+    struct prompt_place
+    {
+        std::string home;
+        /// Usable store of the prompt's parts, or nullptr.
+        const store_state *store = nullptr;
+        /// Milliseconds for which the store is busy with earlier copies.
+        double storeWaitMs = 0;
+    };
+
     struct ticket_state
     {
         std::string server;
@@ -264,29 +307,28 @@
         bool wasSilent = false;
     };
 
-    bool isStoreUsable() const { return m_store.has_value() && m_isStoreReachable; }
     static std::uint64_t weightsOf(const server_state &state, std::string_view model);
     static bool mayTake(timestamp now, const server_state &state, const work_item &work);
     std::optional<work_placement> chooseAmong(timestamp now, const work_item &work,
                                               bool isLastResort);
     double weightsCost(timestamp now, const server_state &state, const work_item &work) const;
     work_placement estimate(timestamp now, const server_state &state, const work_item &work,
-                            const engine_traits *engine) const;
+                            const engine_traits *engine, const prompt_place &place) const;
     double costOf(timestamp now, const server_state &state, const work_item &work,
                   const work_placement &placed, std::string_view home) const;
     void estimateEngine(timestamp now, const server_state &state, const work_item &work,
-                        const engine_traits &engine, work_placement &placed) const;
-    /// A server that is believed to hold a part.
-    struct part_holder
-    {
-        const server_state *state = nullptr;
-        timestamp lastUse;
-    };
-
+                        const engine_traits &engine, const prompt_place &place,
+                        work_placement &placed) const;
     const std::vector<part_holder> &holdersOf(timestamp now, std::uint64_t part) const;
-    std::optional<endpoint> findSource(timestamp now, const server_state &target,
-                                       std::uint64_t part) const;
-    std::string homeOf(const work_item &work) const;
+    part_source findSource(timestamp now, const server_state &target, std::uint64_t part,
+                           const prompt_place &place) const;
+    prompt_place placeOf(timestamp now, const work_item &work) const;
+    const store_state *storeOf(std::uint64_t subject) const;
+    std::string homeOf(const work_item &work, std::uint64_t subject,
+                       const store_state *store) const;
+    double copyMs(const part_source &source, const server_state &target, double tokens,
+                  const engine_traits &engine) const;
+    store_state *findStore(std::string_view address);
     void suspect(timestamp now, server_state &state);
     void noteParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
     double poolFailureShare(std::string_view service) const;
@@ -295,11 +337,8 @@
     std::mt19937_64 m_random;
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, engine_traits, std::less<>> m_engines;
-    std::optional<endpoint> m_store;
-    bool m_isStoreReachable = true;
-    std::uint64_t m_storeEpoch = 0;
+    std::vector<store_state> m_stores;
     std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> m_named;
-    std::unordered_map<std::uint64_t, timestamp> m_storeParts;
     /// Holders by part, found once for each choice: all servers ask for the same few parts.
     mutable std::unordered_map<std::uint64_t, std::vector<part_holder>> m_holders;
     std::map<std::uint64_t, ticket_state> m_tickets;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -62,9 +62,9 @@
     /// Epoch of the duty that the instance holds, 0 for none.
     std::uint64_t dutyEpoch = 0;
     std::vector<release_outcomes> releases;
-    /// Epoch of the store of KV cache as the holder of the duty sees it, 0 while it doesn't answer.
-    /// Nothing from instances that don't ask it.
-    std::optional<std::uint64_t> storeEpoch;
+    /// Epochs of the stores of KV cache by address as the holder of the duty sees them, 0 while one
+    /// doesn't answer. Nothing from instances that don't ask them.
+    std::map<std::string, std::uint64_t, std::less<>> storeEpochs;
 };
 
 /// Weights as reports and records name them.
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -70,6 +70,15 @@
     std::vector<std::string> models;
 };
 
+/// A store of KV cache that engines copy parts of prompts to and from.
+struct cache_store
+{
+    endpoint address;
+    std::string zone;
+    /// Bandwidth of its link in megabits a second, 0 where it isn't known.
+    double linkMbps = 0;
+};
+
 /// A pool of backend servers, or a store of KV cache.
 struct served_service
 {
@@ -78,9 +87,8 @@
     /// Connections that one backend server takes from all instances together.
     int connectionLimit = 0;
     std::optional<engine_traits> engine;
-    /// Address of the store of KV cache, where the service is one.
-    std::optional<endpoint> cacheStore;
-    std::string cacheStoreZone;
+    /// The store of KV cache, where the service is one.
+    std::optional<cache_store> cacheStore;
 };
 
 /// Unit in which a team's limit is counted.
@@ -129,8 +137,8 @@
     const served_team *findTeam(std::string_view key) const;
     /// Returns the service called @p name, or nullptr. Thread-safe.
     const served_service *findService(std::string_view name) const;
-    /// Returns the store of KV cache, or nullptr where there is none. Thread-safe.
-    const served_service *findCacheStore() const;
+    /// Returns all stores of KV cache. Thread-safe.
+    std::vector<cache_store> cacheStores() const;
 };
 
 /// A backend server as it describes itself.
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t maxStoreParts = 65536;
 /// Placements kept for the next report.
 constexpr std::size_t maxPlacedParts = 256;
+/// Longest use of a store's link for one prompt that is believed.
+constexpr duration longestStoreUse = std::chrono::milliseconds(500);
 /// A server that runs none of the weights to be tried is left alone for this long.
 constexpr duration otherWeightsRest = std::chrono::milliseconds(400);
 
@@ -86,19 +88,45 @@
         if (it->second.engine)
             m_engines[it->first] = *it->second.engine;
     }
-    const served_service *store = tables.findCacheStore();
-    m_store = store != nullptr ? store->cacheStore : std::nullopt;
+    std::vector<store_state> stores;
+    for (const cache_store &info : tables.cacheStores()) {
+        store_state state {.info = info, .name = toString(info.address)};
+        store_state *known = findStore(state.name);
+        if (known != nullptr)
+            state = std::move(*known);
+        state.info = info;
+        stores.push_back(std::move(state));
+    }
+    m_stores = std::move(stores);
 }
 
-void load_board::noteStoreState(bool isReachable, std::uint64_t epoch)
+load_board::store_state *load_board::findStore(std::string_view address)
 {
-    if (isReachable && epoch != m_storeEpoch) {
-        // It restarted with nothing.
-        if (m_storeEpoch != 0)
-            m_storeParts.clear();
-        m_storeEpoch = epoch;
-    }
-    m_isStoreReachable = isReachable;
+    const auto found = std::find_if(m_stores.begin(), m_stores.end(),
+                                    [&](const store_state &each) { return each.name == address; });
+    return found == m_stores.end() ? nullptr : &*found;
+}
+
+std::vector<endpoint> load_board::cacheStores() const
+{
+    std::vector<endpoint> addresses;
+    for (const store_state &store : m_stores)
+        addresses.push_back(store.info.address);
+    return addresses;
+}
+
+void load_board::noteStoreState(std::string_view address, std::uint64_t epoch)
+{
+    store_state *store = findStore(address);
+    if (store == nullptr)
+        return;
+    store->isReachable = epoch != 0;
+    if (epoch == 0 || epoch == store->epoch)
+        return;
+    // It restarted with nothing.
+    if (store->epoch != 0)
+        store->parts.clear();
+    store->epoch = epoch;
 }
 
 void load_board::noteNamedWeights(std::string_view model, std::uint64_t version, timestamp since)
@@ -253,7 +281,10 @@
         own.pendingTokens += ticket.pendingTokens;
         own.memoryTokens += ticket.memoryTokens;
         if (ticket.isModel && work.prompt.size() > 1) {
-            placed_parts parts {.server = placed.server, .inStore = placed.keepInStore};
+            placed_parts parts {.server = placed.server,
+                                .store = placed.busyStore,
+                                .isKept = placed.cacheSink.has_value(),
+                                .storeMs = placed.storeMs};
             for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i)
                 parts.parts.push_back(partKey(placed.cacheName, work.prompt[i].id));
             notePlacedParts(now, std::span(&parts, 1));
@@ -278,12 +309,17 @@
         const auto found = m_servers.find(placed.server);
         if (found != m_servers.end())
             noteParts(now, found->second, placed.parts);
-        if (!placed.inStore)
+        store_state *store = findStore(placed.store);
+        if (store == nullptr)
+            continue;
+        const duration busy = std::min(fromSeconds(placed.storeMs / 1000), longestStoreUse);
+        store->busyUntil = std::max(store->busyUntil, now) + busy;
+        if (!placed.isKept)
             continue;
         for (const std::uint64_t part : placed.parts)
-            m_storeParts[part] = now;
+            store->parts[part] = now;
+        forgetOldest(store->parts, maxStoreParts, now);
     }
-    forgetOldest(m_storeParts, maxStoreParts, now);
 }
 
 std::vector<placed_parts> load_board::takePlacedParts() { return std::exchange(m_placed, {}); }
--- a/libs/dispatch/src/load_choice.cpp
+++ b/libs/dispatch/src/load_choice.cpp
@@ -13,6 +13,11 @@
 
 /// A part used on an engine within this time is still there: memory turns over in seconds.
 constexpr duration surelyHeld = std::chrono::milliseconds(1500);
+/// A store whose link is taken for this long, in milliseconds, is passed over for an engine that
+/// may hold the part: half of the time that callers give to the first event.
+constexpr double longStoreWaitMs = 200;
+/// Copies between zones take this many times as long.
+constexpr double otherZoneCopy = 2;
 /// Milliseconds to set up a copy between engines.
 constexpr double copySetupMs = 4;
 /// Cost of a full engine, as milliseconds for each whole memory over its room.
@@ -70,8 +75,8 @@
     return holders;
 }
 
-std::optional<endpoint> load_board::findSource(timestamp now, const server_state &target,
-                                               std::uint64_t part) const
+load_board::part_source load_board::findSource(timestamp now, const server_state &target,
+                                               std::uint64_t part, const prompt_place &place) const
 {
     const server_state *best = nullptr;
     timestamp bestUse {};
@@ -87,26 +92,45 @@
         }
     }
     // An engine may have dropped a part that the store still keeps, and computing it again costs
-    // far more than the longer way. Just used, it is there for sure.
-    const bool isInStore = isStoreUsable() && isFresh(m_storeParts, part, now);
-    if (best == nullptr || (isInStore && now - bestUse > surelyHeld))
-        return isInStore ? m_store : std::nullopt;
-    return best->info.address;
+    // far more than the longer way. Just used, it is there for sure; and a store whose link is
+    // taken for long is the worse bet.
+    const bool isInStore = place.store != nullptr && isFresh(place.store->parts, part, now);
+    const bool isSurelyHeld = best != nullptr && now - bestUse <= surelyHeld;
+    if (isInStore && (best == nullptr || (!isSurelyHeld && place.storeWaitMs < longStoreWaitMs)))
+        return {.store = place.store};
+    return {.engine = best};
+}
+
+double load_board::copyMs(const part_source &source, const server_state &target, double tokens,
+                          const engine_traits &engine) const
+{
+    if (tokens <= 0 || engine.linkMbps <= 0)
+        return 0;
+    const double ownMbps = source.store != nullptr ? source.store->info.linkMbps : 0;
+    const double mbps = ownMbps > 0 ? std::min(ownMbps, engine.linkMbps) : engine.linkMbps;
+    const std::string &zone =
+        source.store != nullptr ? source.store->info.zone : source.engine->info.zone;
+    const double ms = tokens * engine.bytesPerToken * bitsPerByte / (mbps * bitsPerMsPerMbps);
+    return zone == target.info.zone ? ms : ms * otherZoneCopy;
 }
 
 void load_board::estimateEngine(timestamp now, const server_state &state, const work_item &work,
-                                const engine_traits &engine, work_placement &placed) const
+                                const engine_traits &engine, const prompt_place &place,
+                                work_placement &placed) const
 {
     placed.weights = weightsOf(state, work.model);
     placed.cacheName = cacheNameOf(work.model, placed.weights, work.isolatedTeam);
     double copied = 0;
     bool isHeld = true;
     bool isKept = true;
+    double sharedTokens = 0;
+    part_source from;
     placed.memoryTokens = work.outputTokens;
     for (std::size_t i = 0; i < work.prompt.size(); ++i) {
         const prompt_part &part = work.prompt[i];
         const bool isOwn = i + 1 == work.prompt.size();
         const std::uint64_t key = partKey(placed.cacheName, part.id);
+        sharedTokens += isOwn ? 0 : part.tokens;
         isHeld = isHeld && !isOwn && isFresh(state.parts, key, now);
         if (isHeld)
             continue;
@@ -115,31 +139,43 @@
             placed.missingTokens += part.tokens;
             continue;
         }
-        const bool isInStore = isStoreUsable() && isFresh(m_storeParts, key, now);
-        isKept = isKept && isInStore;
-        const std::optional<endpoint> source = findSource(now, state, key);
-        if (source)
-            placed.cacheSource = source;
-        (source ? copied : placed.missingTokens) += part.tokens;
+        isKept = isKept && place.store != nullptr && isFresh(place.store->parts, key, now);
+        const part_source source = findSource(now, state, key, place);
+        const bool isFound = source.store != nullptr || source.engine != nullptr;
+        if (isFound)
+            from = source;
+        (isFound ? copied : placed.missingTokens) += part.tokens;
     }
-    // The engine may have dropped what it is believed to hold, and the store may hold what is not
-    // known of: a miss costs a millisecond.
-    if (!placed.cacheSource && work.prompt.size() > 1) {
+    double copyTime = 0;
+    if (copied > 0) {
+        copyTime = copySetupMs + copyMs(from, state, copied, engine);
+        if (from.store != nullptr) {
+            placed.storeMs = copyTime - copySetupMs;
+            copyTime += place.storeWaitMs;
+        }
+    } else if (work.prompt.size() > 1) {
+        // The engine may have dropped what it is believed to hold, and the store may hold what is
+        // not known of: a miss costs a millisecond.
         const std::uint64_t lastShared =
             partKey(placed.cacheName, work.prompt[work.prompt.size() - 2].id);
-        placed.cacheSource = findSource(now, state, lastShared);
-        if (!placed.cacheSource && isStoreUsable())
-            placed.cacheSource = m_store;
+        from = findSource(now, state, lastShared, place);
+        if (from.engine == nullptr)
+            from.store = place.store;
     }
-    placed.keepInStore = isStoreUsable() && !isKept;
+    if (from.store != nullptr)
+        placed.cacheSource = from.store->info.address;
+    else if (from.engine != nullptr)
+        placed.cacheSource = from.engine->info.address;
+    if (place.store != nullptr && !isKept) {
+        placed.cacheSink = place.store->info.address;
+        placed.storeMs += copyMs({.store = place.store}, state, sharedTokens, engine);
+    }
+    if (placed.storeMs > 0)
+        placed.busyStore = place.store->name;
     const server_load load = totalLoad(now, state.info.id);
     const double readMs =
         (load.pendingTokens + placed.missingTokens) / m_options.prefillTokensPerMs;
-    double copyMs = 0;
-    if (copied > 0 && engine.linkMbps > 0)
-        copyMs = copySetupMs
-            + copied * engine.bytesPerToken * bitsPerByte / (engine.linkMbps * bitsPerMsPerMbps);
-    placed.expectedMs = (m_options.firstEventMs + readMs) * state.slowness + copyMs;
+    placed.expectedMs = (m_options.firstEventMs + readMs) * state.slowness + copyTime;
     const double room = engine.memoryTokens * m_options.memoryShare;
     const double over = load.memoryTokens + placed.memoryTokens - room;
     if (over > 0 && engine.memoryTokens > 0)
@@ -148,17 +184,47 @@
         placed.expectedMs += overfullMs * (load.running - engine.slots + 1) / engine.slots;
 }
 
-std::string load_board::homeOf(const work_item &work) const
+const load_board::store_state *load_board::storeOf(std::uint64_t subject) const
+{
+    const store_state *best = nullptr;
+    std::uint64_t bestRank = 0;
+    for (const store_state &store : m_stores) {
+        const std::uint64_t rank = hash64(store.name, subject);
+        if (best == nullptr || rank > bestRank) {
+            best = &store;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+load_board::prompt_place load_board::placeOf(timestamp now, const work_item &work) const
 {
     constexpr std::size_t partsWithShared = 2;
     if (work.prompt.size() < partsWithShared)
-        return "";
+        return {};
     const std::uint64_t subject = hash64(work.prompt[work.prompt.size() - partsWithShared].id);
+    const store_state *store = storeOf(subject);
+    prompt_place place {.home = homeOf(work, subject, store)};
+    if (store != nullptr && store->isReachable) {
+        place.store = store;
+        place.storeWaitMs = std::max(0.0, toSeconds(store->busyUntil - now) * 1000);
+    }
+    return place;
+}
+
+std::string load_board::homeOf(const work_item &work, std::uint64_t subject,
+                               const store_state *store) const
+{
+    // With one store for all zones each has a home of its own. With a store in each zone a subject
+    // belongs to its store's zone: all copies in all zones would not fit.
+    const bool hasZoneOfItsOwn = m_stores.size() > 1;
+    const std::string &zone = hasZoneOfItsOwn ? store->info.zone : m_options.zone;
     std::string best;
     std::uint64_t bestRank = 0;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const registered_server &info = it->second.info;
-        if (info.service != work.service || info.isLeaving || info.zone != m_options.zone)
+        if (info.service != work.service || info.isLeaving || info.zone != zone)
             continue;
         const std::uint64_t rank = hash64(info.id, subject);
         if (best.empty() || rank > bestRank) {
@@ -177,14 +243,14 @@
 }
 
 work_placement load_board::estimate(timestamp now, const server_state &state, const work_item &work,
-                                    const engine_traits *engine) const
+                                    const engine_traits *engine, const prompt_place &place) const
 {
     work_placement placed {.server = state.info.id,
                            .address = state.info.address,
                            .zone = state.info.zone,
                            .release = state.info.release};
     if (engine != nullptr) {
-        estimateEngine(now, state, work, *engine, placed);
+        estimateEngine(now, state, work, *engine, place, placed);
         return placed;
     }
     const double callMs = state.callMs > 0 ? state.callMs : m_options.plainCallMs;
@@ -214,7 +280,7 @@
     const bool isEngine = found != m_engines.end() && !work.model.empty();
     const engine_traits *engine = isEngine ? &found->second : nullptr;
     m_holders.clear();
-    const std::string home = isEngine ? homeOf(work) : "";
+    const prompt_place place = isEngine ? placeOf(now, work) : prompt_place {};
     std::optional<work_placement> best;
     double bestCost = std::numeric_limits<double>::infinity();
     // Equal servers are taken in turn, by a millisecond's chance.
@@ -223,8 +289,8 @@
         const server_state &state = it->second;
         if (!mayTake(now, state, work) || (state.isUnreachable && !isLastResort))
             continue;
-        work_placement placed = estimate(now, state, work, engine);
-        const double cost = costOf(now, state, work, placed, home) + tieBreak(m_random);
+        work_placement placed = estimate(now, state, work, engine, place);
+        const double cost = costOf(now, state, work, placed, place.home) + tieBreak(m_random);
         if (cost < bestCost) {
             bestCost = cost;
             best = std::move(placed);
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -39,11 +39,14 @@
 
 Json::Value placedToJson(const std::vector<placed_parts> &placed)
 {
+    constexpr double tenths = 10;
     Json::Value list(Json::arrayValue);
     for (const placed_parts &each : placed) {
         Json::Value entry(Json::arrayValue);
         entry.append(each.server);
-        entry.append(each.inStore);
+        entry.append(each.store);
+        entry.append(each.isKept);
+        entry.append(Json::UInt64(each.storeMs * tenths));
         for (const std::uint64_t part : each.parts)
             entry.append(Json::UInt64(part));
         list.append(entry);
@@ -119,8 +122,7 @@
     value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
     if (report.storeHeardAgoMs)
         value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
-    if (report.storeEpoch)
-        value["store_epoch"] = Json::UInt64(*report.storeEpoch);
+    value["stores"] = numbersToJson(report.storeEpochs);
     value["releases"] = releasesToJson(report.releases);
     return writeJson(value);
 }
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -80,6 +80,8 @@
 
 void readPlaced(const value_fields &fields, peer_report &report)
 {
+    constexpr double tenths = 10;
+    constexpr std::size_t lastField = 3;
     const std::optional<value_list> entries = as<value_list>(fields["placed"]);
     if (!entries)
         return;
@@ -88,13 +90,19 @@
         if (!items)
             continue;
         const std::optional<std::string_view> server = as<std::string_view>(items->at(0));
-        const std::optional<bool> inStore = as<bool>(items->at(1));
-        if (!server || !inStore)
+        const std::optional<std::string_view> store = as<std::string_view>(items->at(1));
+        const std::optional<bool> isKept = as<bool>(items->at(2));
+        const std::optional<std::uint64_t> storeTenths = as<std::uint64_t>(items->at(3));
+        if (!server || !store || !isKept || !storeTenths)
             continue;
-        placed_parts placed {.server = std::string(*server), .inStore = *inStore};
+        placed_parts placed {.server = std::string(*server),
+                             .store = std::string(*store),
+                             .isKept = *isKept,
+                             .storeMs = static_cast<double>(*storeTenths) / tenths};
+        std::size_t place = 0;
         for (const value item : *items) {
             const std::optional<std::uint64_t> part = as<std::uint64_t>(item);
-            if (part)
+            if (place++ > lastField && part)
                 placed.parts.push_back(*part);
         }
         report.placed.push_back(std::move(placed));
@@ -153,8 +161,7 @@
                         .sequence = integerOf(fields, "sequence"),
                         .isLeaving = as<bool>(fields["leaving"]).value_or(false),
                         .storeHeardAgoMs = as<std::uint64_t>(fields["store_heard_ago_ms"]),
-                        .dutyEpoch = integerOf(fields, "duty_epoch"),
-                        .storeEpoch = as<std::uint64_t>(fields["store_epoch"])};
+                        .dutyEpoch = integerOf(fields, "duty_epoch")};
     if (report.from.empty())
         return std::nullopt;
     readNumbers(fields, "revisions", report.revisions);
@@ -169,6 +176,7 @@
     readNames(fields, "unreachable", report.unreachable);
     readNumbers(fields, "weights", report.weights);
     readNumbers(fields, "named_age_ms", report.namedAgeMs);
+    readNumbers(fields, "stores", report.storeEpochs);
     readReleases(fields, report);
     return report;
 }
--- a/libs/dispatch/src/serving_tables.cpp
+++ b/libs/dispatch/src/serving_tables.cpp
@@ -31,13 +31,14 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
-const served_service *serving_tables::findCacheStore() const
+std::vector<cache_store> serving_tables::cacheStores() const
 {
+    std::vector<cache_store> stores;
     for (auto it = services.begin(); it != services.end(); ++it) {
         if (it->second.cacheStore)
-            return &it->second;
+            stores.push_back(*it->second.cacheStore);
     }
-    return nullptr;
+    return stores;
 }
 
 } // namespace trefoil
--- a/libs/dispatch/tests/load_board_test.cpp
+++ b/libs/dispatch/tests/load_board_test.cpp
@@ -21,8 +21,9 @@
                                                        .linkMbps = 550000,
                                                        .models = {"m"}}};
     tables.services["plain"] = {.name = "plain"};
-    tables.services["store"] = {.name = "store",
-                                .cacheStore = endpoint {.host = "10.0.9.9", .port = 9}};
+    tables.services["store"] = {
+        .name = "store",
+        .cacheStore = cache_store {.address = {.host = "10.0.9.9", .port = 9}, .zone = "z1"}};
     return tables;
 }
 
@@ -96,7 +97,70 @@
     const work_placement second = *board.choose(now, again);
     EXPECT_EQ(second.missingTokens, 2900);
     EXPECT_TRUE(second.cacheSource.has_value());
-    EXPECT_FALSE(second.keepInStore);
+    EXPECT_FALSE(second.cacheSink);
+}
+
+// Load: a store in each of three zones, more subjects than one of them or one zone's engines hold.
+TEST(LoadBoard, EachSubjectHasOneStoreAndItsHomeStandsInTheStoresZone)
+{
+    serving_tables tables = engineTables();
+    tables.services.erase("store");
+    std::map<std::string, std::string> zoneOfStore;
+    for (int i = 1; i <= 3; ++i) {
+        const std::string zone = "z" + std::to_string(i);
+        const endpoint address {.host = "10.0.9." + std::to_string(i), .port = 9};
+        tables.services["store" + zone] = {
+            .name = "store" + zone,
+            .cacheStore = cache_store {.address = address, .zone = zone, .linkMbps = 310000}};
+        zoneOfStore[toString(address)] = zone;
+    }
+    const std::vector<registered_server> servers = serversOf("llm", 18, true);
+    std::map<std::string, int> subjectsOfStore;
+    for (int subject = 0; subject < 90; ++subject) {
+        const std::vector<prompt_part> parts {
+            {"terms", 2500}, {"group" + std::to_string(subject), 3800}, {"own", 2900}};
+        work_item work = promptWork();
+        work.prompt = parts;
+        std::set<std::string> stores;
+        for (const char *zone : {"z1", "z2", "z3"}) {
+            load_board board({.zone = zone, .randomSeed = 7});
+            board.setTables(tables);
+            board.setServers(servers);
+            const work_placement placed = *board.choose({}, work);
+            ASSERT_TRUE(placed.cacheSink);
+            stores.insert(toString(*placed.cacheSink));
+            EXPECT_EQ(placed.zone, zoneOfStore[toString(*placed.cacheSink)]);
+        }
+        ASSERT_EQ(stores.size(), 1u) << "all instances use the same store";
+        subjectsOfStore[*stores.begin()] += 1;
+    }
+    ASSERT_EQ(subjectsOfStore.size(), 3u);
+    for (auto it = subjectsOfStore.begin(); it != subjectsOfStore.end(); ++it)
+        EXPECT_GT(it->second, 15) << it->first;
+}
+
+// Load: copies that keep the store's link busy for longer than callers wait.
+TEST(LoadBoard, AStoreWhoseLinkIsTakenIsPassedOverForAnEngine)
+{
+    load_board board = boardOf(serversOf("llm", 2, true));
+    timestamp now {};
+    const work_placement first = *board.choose(now, promptWork());
+    board.begin(now, first, promptWork());
+    const std::string other = first.server == "llm0" ? "llm1" : "llm0";
+    now += std::chrono::seconds(2);
+    const std::vector<std::string> tried {first.server};
+    work_item again = promptWork();
+    again.tried = tried;
+    const std::optional<work_placement> calm = board.choose(now, again);
+    ASSERT_TRUE(calm && calm->cacheSource);
+    EXPECT_EQ(toString(*calm->cacheSource), "10.0.9.9:9");
+    const placed_parts busy {.server = other, .store = "10.0.9.9:9", .storeMs = 400};
+    board.notePlacedParts(now, std::span(&busy, 1));
+    const std::optional<work_placement> pressed = board.choose(now, again);
+    ASSERT_TRUE(pressed && pressed->cacheSource);
+    EXPECT_EQ(*pressed->cacheSource, first.address);
+    now += std::chrono::milliseconds(300);
+    EXPECT_EQ(toString(*board.choose(now, again)->cacheSource), "10.0.9.9:9");
 }
 
 TEST(LoadBoard, CacheOfOlderWeightsOrBehindAWallIsNeverNamed)
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -15,13 +15,18 @@
         .load = {{"s1", {.running = 3, .pendingTokens = 900, .memoryTokens = 4000}}},
         .admitted = {{"reef", 12.5}},
         .levels = {{"reef", -3}},
-        .placed = {{.server = "s1", .inStore = true, .parts = {1, ~std::uint64_t {0}}}},
+        .placed = {{.server = "s1",
+                    .parts = {1, ~std::uint64_t {0}},
+                    .store = "10.0.0.9:1",
+                    .isKept = true,
+                    .storeMs = 3.4}},
         .crashes = {{.request = digestOf("x"), .event = "s1"}},
         .loading = {"s2"},
         .weights = {{"s1=m", 4}},
         .namedAgeMs = {{"m=4", 1500}},
         .dutyEpoch = 3,
-        .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2}}}};
+        .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2}}},
+        .storeEpochs = {{"10.0.0.9:1", 77}}};
     const std::optional<peer_report> read = peerReportFromText(toText(report));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->incarnation, report.incarnation);
@@ -32,6 +37,10 @@
     EXPECT_EQ(read->levels, report.levels);
     ASSERT_EQ(read->placed.size(), 1u);
     EXPECT_EQ(read->placed[0].parts, report.placed[0].parts);
+    EXPECT_EQ(read->placed[0].store, "10.0.0.9:1");
+    EXPECT_TRUE(read->placed[0].isKept);
+    EXPECT_DOUBLE_EQ(read->placed[0].storeMs, 3.4);
+    EXPECT_EQ(read->storeEpochs, report.storeEpochs);
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
     EXPECT_EQ(read->loading, report.loading);
     EXPECT_EQ(read->weights, report.weights);
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -19,8 +19,10 @@
 constexpr duration loadingTime = std::chrono::seconds(6);
 /// An instance silent for this long is taken off the list; it lists itself again if it lives.
 constexpr duration deadMemberTime = std::chrono::seconds(8);
-/// A waiting call to the store of KV cache, and the pause between calls that don't wait.
+/// Time for a round of waiting calls to the stores of KV cache, the least of one, which the
+/// platform charges when it is shorter, and the pause between calls that don't wait.
 constexpr duration storePatience = std::chrono::milliseconds(800);
+constexpr duration leastPatience = std::chrono::milliseconds(250);
 constexpr duration storePause = std::chrono::milliseconds(400);
 /// Margin on the platform's bound for two holders.
 constexpr duration quietMargin = std::chrono::milliseconds(300);
@@ -48,38 +50,29 @@
         {.name = "duty",
          .body = [this, &exchange](const std::stop_token &stop) { return run(stop, exchange); }},
         {.name = "cache-store",
-         .body = [this](const std::stop_token &stop) { return watchCacheStore(stop); }}};
+         .body = [this](const std::stop_token &stop) { return watchCacheStores(stop); }}};
 }
 
-result<void> duty_runner::watchCacheStore(const std::stop_token &stop)
+result<void> duty_runner::watchCacheStores(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
-        const std::optional<endpoint> store =
-            m_state.with([](edge_beliefs &beliefs) { return beliefs.board.cacheStore(); });
+        const std::vector<endpoint> stores =
+            m_state.with([](edge_beliefs &beliefs) { return beliefs.board.cacheStores(); });
         bool isHolder = false;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             isHolder = m_lease.holds(boot_clock::now());
             if (!isHolder)
-                m_storeEpoch.reset();
+                m_storeEpochs.clear();
         }
-        if (!store || !isHolder) {
+        if (stores.empty() || !isHolder) {
             std::this_thread::sleep_for(storePause);
             continue;
         }
         const timestamp start = boot_clock::now();
-        const result<std::uint64_t> epoch = readCacheStoreEpoch(*store, storePatience);
-        m_state.with([&epoch](edge_beliefs &beliefs) {
-            beliefs.board.noteStoreState(epoch.has_value(), epoch.value_or(0));
-        });
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_storeEpoch && (*m_storeEpoch != 0) != epoch.has_value())
-                writeEvent(event_line("store", epoch ? "dependency_regained" : "dependency_lost")
-                               .add("dependency", "kv-cache store")
-                               .add("reason", epoch ? "" : epoch.error().message.c_str()));
-            m_storeEpoch = epoch.value_or(0);
-        }
+        for (const endpoint &store : stores)
+            askCacheStore(store,
+                          std::max(storePatience / static_cast<int>(stores.size()), leastPatience));
         // Calls that don't wait are charged as health checks.
         if (boot_clock::now() - start < storePause)
             std::this_thread::sleep_for(storePause);
@@ -87,6 +80,22 @@
     return {};
 }
 
+void duty_runner::askCacheStore(const endpoint &store, duration patience)
+{
+    const result<std::uint64_t> epoch = readCacheStoreEpoch(store, patience);
+    const std::string address = toString(store);
+    m_state.with(
+        [&](edge_beliefs &beliefs) { beliefs.board.noteStoreState(address, epoch.value_or(0)); });
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto before = m_storeEpochs.find(address);
+    if (before != m_storeEpochs.end() && (before->second != 0) != epoch.has_value())
+        writeEvent(event_line("store", epoch ? "dependency_regained" : "dependency_lost")
+                       .add("dependency", "kv-cache store")
+                       .add("address", address)
+                       .add("reason", epoch ? "" : epoch.error().message.c_str()));
+    m_storeEpochs[address] = epoch.value_or(0);
+}
+
 result<void> duty_runner::run(const std::stop_token &stop, peer_exchange &exchange)
 {
     while (!stop.stop_requested()) {
@@ -105,7 +114,7 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (!m_lease.holds(now))
         return {};
-    return {.epoch = m_lease.epoch(), .loading = m_plan.loading(), .storeEpoch = m_storeEpoch};
+    return {.epoch = m_lease.epoch(), .loading = m_plan.loading(), .storeEpochs = m_storeEpochs};
 }
 
 void duty_runner::keepLease()
--- a/trefoilrouter/src/edge/duty_runner.h
+++ b/trefoilrouter/src/edge/duty_runner.h
@@ -29,7 +29,8 @@
 
 private:
     result<void> run(const std::stop_token &stop, peer_exchange &exchange);
-    result<void> watchCacheStore(const std::stop_token &stop);
+    result<void> watchCacheStores(const std::stop_token &stop);
+    void askCacheStore(const endpoint &store, duration patience);
     void keepLease();
     void readLease();
     void writeLease(bool release);
@@ -51,7 +52,7 @@
     std::uint64_t m_planEpoch = 0;
     std::atomic<int> m_ordersOnTheWay = 0;
     /// Epoch of the store of KV cache, 0 while it doesn't answer; nothing while it isn't asked.
-    std::optional<std::uint64_t> m_storeEpoch;
+    std::map<std::string, std::uint64_t, std::less<>> m_storeEpochs;
     bool m_wasHeld = false;
     std::map<std::string, rollout_stage, std::less<>> m_writtenStages;
     std::map<std::string, timestamp, std::less<>> m_silentSince;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -81,7 +81,7 @@
                         .revisions = m_watch.newestChanges(),
                         .loading = duty.loading,
                         .dutyEpoch = duty.epoch,
-                        .storeEpoch = duty.storeEpoch};
+                        .storeEpochs = duty.storeEpochs};
     std::vector<report_target> targets;
     m_state.with([&](edge_beliefs &beliefs) {
         const std::vector<member_entry> others = beliefs.members.others();
@@ -185,8 +185,8 @@
 {
     if (report.storeHeardAgoMs)
         beliefs.storeOutage.noteHeard(now - std::chrono::milliseconds(*report.storeHeardAgoMs));
-    if (report.storeEpoch)
-        beliefs.board.noteStoreState(*report.storeEpoch != 0, *report.storeEpoch);
+    for (auto it = report.storeEpochs.begin(); it != report.storeEpochs.end(); ++it)
+        beliefs.board.noteStoreState(it->first, it->second);
     beliefs.board.takePeerLoad(now, report.from, report.load);
     beliefs.board.notePlacedParts(now, report.placed);
     for (const std::string &server : report.gone)
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -16,8 +16,8 @@
     /// Epoch of the duty held here, 0 for none.
     std::uint64_t epoch = 0;
     std::vector<std::string> loading;
-    /// Epoch of the store of KV cache, 0 while it doesn't answer.
-    std::optional<std::uint64_t> storeEpoch;
+    /// Epochs of the stores of KV cache by address, 0 while one doesn't answer.
+    std::map<std::string, std::uint64_t, std::less<>> storeEpochs;
 };
 
 /// Reports between instances over datagrams: each tells all others what they can't see, several
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -325,7 +325,6 @@
         return attempt_end::CallerLeft;
     const std::string_view lastEvent =
         m_events.lastId().empty() ? std::string_view(m_fields.lastEventId) : m_events.lastId();
-    const served_service *store = m_tables->findCacheStore();
     constexpr int priorityStep = 3;
     constexpr int lastPriority = 9;
     const int teamPriority = m_team == nullptr ? 0 : m_team->priority;
@@ -338,7 +337,7 @@
          .weights = placed.weights,
          .cacheName = placed.cacheName,
          .cacheSource = placed.cacheSource,
-         .cacheSink = placed.keepInStore && store != nullptr ? store->cacheStore : std::nullopt,
+         .cacheSink = placed.cacheSink,
          .lastEventId = lastEvent});
     current.wasSent = true;
     current.sentAt = boot_clock::now();
