Send callers to large instances, make fewer calls to the store, write shorter reports

A prompt's text alone takes 14 ms each way on a small link, and each of 81 instances sees a hundredth of the load. Callers are now sent to instances with at least half of the largest one's capacity, unless their threads wait for more than 40 ms on average: then to all for ten seconds. - Of 2,516 calls to the store until the first seconds of traffic, 160 were looks at the duty's record by all at once (now in the order of ranks, and only while no holder is heard), 92 were entries written again because the copy of the list was not there yet (now after three seconds), 81 were looks before the first write (now only after a conflict). Weights, rollouts and the list are read fresh by three instances, as reports tell them too. - Reports leave out what is empty and write whole numbers without a fraction.

--- a/libs/dispatch/include/dispatch/duty_lease.h
+++ b/libs/dispatch/include/dispatch/duty_lease.h
@@ -53,6 +53,9 @@
     duration quietTime = std::chrono::milliseconds(3300);
     /// Wait of a candidate for each one before it in rank, so that they don't write at once.
     duration rankDelay = std::chrono::milliseconds(300);
+    /// Added for each rank before the first look at a record whose holder isn't heard: within two
+    /// periods of the reports only a few instances look.
+    duration lookDelay = std::chrono::milliseconds(50);
 };
 
 /// Next call to the store.
@@ -69,9 +72,12 @@
     explicit duty_lease(const duty_lease_options &options) : m_options(options) { }
 
     /// Returns the next call. @p rank is the number of live instances that stand before this one;
-    /// @p isHolderAlive tells that the known holder was heard lately, which spares the reads.
+    /// @p isHolderAlive tells that the known holder was heard lately, or any while none is known,
+    /// which spares the reads.
     /// @p mayHold is false for an instance that is leaving.
     duty_step next(timestamp now, int rank, bool isHolderAlive, bool mayHold);
+    /// Returns whether the record was read or written.
+    bool isKnown() const { return m_isKnown; }
     /// Takes the outcome of a read: the record and its revision, or nothing when there is none.
     void onRead(timestamp now, const std::optional<duty_record> &record, std::uint64_t revision);
     /// Returns the record to write over revision(). Call when next() says Write; the lease counts
@@ -100,6 +106,8 @@
     duty_record m_record;
     std::uint64_t m_revision = 0;
     bool m_isKnown = false;
+    /// Since when no instance is heard that holds the duty.
+    std::optional<timestamp> m_lacksHolderSince;
     bool m_isHeld = false;
     /// The record names this instance, from before a restart or a lapse.
     bool m_isOwnFormer = false;
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -20,8 +20,14 @@
     endpoint peers;
     /// Start of its process in milliseconds since 1970.
     std::uint64_t incarnation = 0;
+    /// How much it can carry against others, in cores; 0 where that isn't known.
+    double capacity = 0;
 };
 
+/// Returns the capacity of an instance with @p cores of a processor and a link of @p linkMbps, by
+/// the scarcer of the two. Thread-safe.
+double capacityOf(double cores, double linkMbps);
+
 /// Where a report goes.
 struct report_target
 {
@@ -46,6 +52,13 @@
     duration silenceForEach = std::chrono::milliseconds(15);
     /// Callers spread over all zones where their own has fewer live instances.
     std::size_t leastInZone = 2;
+    /// Callers are sent to instances with at least this share of the largest one's capacity.
+    double largeShare = 0.5;
+    /// Mean delay of their threads from which these count as overloaded, and all instances are
+    /// named: a tenth of the usual aim for a first event.
+    duration mostDelay = std::chrono::milliseconds(40);
+    /// How long all are named after that.
+    duration spreadTime = std::chrono::seconds(10);
     /// Instances named in an answer.
     std::size_t mostNamed = 64;
     /// In a fleet of more others than this, a report goes to one instance of each other zone, which
@@ -55,6 +68,11 @@
 
 /// Instances that list themselves in the store, and which of them are alive by their reports. Not
 /// thread-safe.
+///
+/// Answers for callers: fleets where a few instances are far larger than the others. A small one
+/// with a link of ten megabits adds tens of milliseconds to a long prompt, and the fewer instances
+/// place requests, the better each knows the load. They spread over all when the large ones are
+/// overloaded.
 class member_table
 {
 public:
@@ -66,6 +84,8 @@
     /// Notes a report of @p name. Returns false for one that is older than what is known.
     bool noteReport(timestamp now, std::string_view name, std::uint64_t incarnation,
                     std::uint64_t sequence, bool isLeaving, std::uint64_t dutyEpoch);
+    /// Notes for how long threads of @p name, this instance or another, wait for its processor.
+    void noteDelay(std::string_view name, duration delay);
 
     /// Returns whether @p name, another instance, is alive and not leaving.
     bool isAlive(timestamp now, std::string_view name) const;
@@ -80,6 +100,10 @@
     std::size_t liveOthers(timestamp now) const;
     /// Returns how many live instances stand before this one in the order of names.
     int rank(timestamp now) const;
+    /// Returns whether this instance is listed, without which its rank isn't known.
+    bool listsSelf() const;
+    /// Returns whether a live instance says that it holds a duty.
+    bool hearsHolder(timestamp now) const;
     /// Returns whether @p name is alive and holds a duty with @p epoch.
     bool holdsDuty(timestamp now, std::string_view name, std::uint64_t epoch) const;
 
@@ -88,7 +112,7 @@
 
     /// Returns the instances that a caller in @p zone is to use. @p isSelfUsable tells whether this
     /// one takes callers.
-    std::vector<endpoint> entry(timestamp now, std::string_view zone, bool isSelfUsable) const;
+    std::vector<endpoint> entry(timestamp now, std::string_view zone, bool isSelfUsable);
 
 private:
     struct member_state
@@ -99,8 +123,12 @@
         std::uint64_t sequence = 0;
         bool isLeaving = false;
         std::uint64_t dutyEpoch = 0;
+        duration delay {};
     };
 
+    std::vector<const member_state *> largeOnes(timestamp now,
+                                                std::vector<const member_state *> usable);
+
     duration silence() const { return m_options.silence + growth(); }
     duration growth() const
     {
@@ -109,6 +137,8 @@
 
     member_table_options m_options;
     std::map<std::string, member_state, std::less<>> m_members;
+    /// All instances are named until then.
+    timestamp m_spreadUntil;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -39,6 +39,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool isLeaving = false;
+    /// How long the instance's threads wait for its processor, in milliseconds.
+    double delayMs = 0;
     /// Newest store revision that the instance has seen, by kind of object.
     std::map<std::string, std::uint64_t, std::less<>> revisions;
     std::map<std::string, server_load, std::less<>> load;
--- a/libs/dispatch/src/duty_lease.cpp
+++ b/libs/dispatch/src/duty_lease.cpp
@@ -66,7 +66,14 @@
         // A lease that lapsed may have been taken over: look before writing.
         return now < m_heldUntil ? duty_step::Write : duty_step::Read;
     }
-    if (!mayHold || (m_isKnown && isHolderAlive))
+    if (!mayHold || isHolderAlive) {
+        m_lacksHolderSince.reset();
+        return duty_step::None;
+    }
+    // Those of low rank look first: in a large fleet the others hear of a holder before their turn.
+    if (!m_lacksHolderSince)
+        m_lacksHolderSince = now;
+    if (now - *m_lacksHolderSince < m_options.lookDelay * rank)
         return duty_step::None;
     // A holder never waits for itself, and nobody waits for one that gave the duty up.
     const bool isFree = m_record.isReleased || m_record.holder.empty() || m_isOwnFormer;
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -102,6 +102,8 @@
     return count;
 }
 
+bool member_table::listsSelf() const { return m_members.contains(m_options.self); }
+
 int member_table::rank(timestamp now) const
 {
     int before = 0;
@@ -118,29 +120,74 @@
         && found->second.dutyEpoch == epoch && epoch != 0;
 }
 
+bool member_table::hearsHolder(timestamp now) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &each) {
+        return holdsDuty(now, each.first, each.second.dutyEpoch);
+    });
+}
+
 bool member_table::heardDuty(std::string_view name, std::uint64_t epoch) const
 {
     const auto found = m_members.find(name);
     return found != m_members.end() && found->second.dutyEpoch == epoch && epoch != 0;
 }
 
-std::vector<endpoint> member_table::entry(timestamp now, std::string_view zone,
-                                          bool isSelfUsable) const
+std::vector<endpoint> member_table::entry(timestamp now, std::string_view zone, bool isSelfUsable)
 {
-    std::vector<endpoint> near;
-    std::vector<endpoint> all;
+    std::vector<const member_state *> near;
+    std::vector<const member_state *> all;
     for (auto it = m_members.begin(); it != m_members.end(); ++it) {
         const bool isUsable = it->first == m_options.self ? isSelfUsable : isAlive(now, it->first);
         if (!isUsable)
             continue;
-        all.push_back(it->second.entry.callers);
+        all.push_back(&it->second);
         if (it->second.entry.zone == zone)
-            near.push_back(it->second.entry.callers);
+            near.push_back(&it->second);
+    }
+    std::vector<endpoint> addresses;
+    for (const member_state *each :
+         largeOnes(now, near.size() >= m_options.leastInZone ? std::move(near) : std::move(all)))
+        addresses.push_back(each->entry.callers);
+    if (addresses.size() > m_options.mostNamed)
+        addresses.resize(m_options.mostNamed);
+    return addresses;
+}
+
+std::vector<const member_table::member_state *>
+member_table::largeOnes(timestamp now, std::vector<const member_state *> usable)
+{
+    double largest = 0;
+    for (const member_state *each : usable)
+        largest = std::max(largest, each->entry.capacity);
+    std::vector<const member_state *> large;
+    duration delays {};
+    for (const member_state *each : usable) {
+        if (each->entry.capacity < largest * m_options.largeShare)
+            continue;
+        large.push_back(each);
+        delays += each->delay;
     }
-    std::vector<endpoint> &chosen = near.size() >= m_options.leastInZone ? near : all;
-    if (chosen.size() > m_options.mostNamed)
-        chosen.resize(m_options.mostNamed);
-    return chosen;
+    if (large.size() < m_options.leastInZone)
+        return usable;
+    if (delays / static_cast<int>(large.size()) > m_options.mostDelay)
+        m_spreadUntil = now + m_options.spreadTime;
+    return now < m_spreadUntil ? usable : large;
+}
+
+void member_table::noteDelay(std::string_view name, duration delay)
+{
+    const auto found = m_members.find(name);
+    if (found != m_members.end())
+        found->second.delay = delay;
+}
+
+double capacityOf(double cores, double linkMbps)
+{
+    // A request with a long prompt takes about a millisecond of a core and twenty kilobytes each
+    // way: four hundred megabits for a core's worth.
+    constexpr double mbpsPerCore = 400;
+    return linkMbps > 0 ? std::min(cores, linkMbps / mbpsPerCore) : cores;
 }
 
 } // namespace trefoil
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -1,5 +1,7 @@
 #include <dispatch/peer_report.h>
 
+#include <cmath>
+
 #include <core/json.h>
 #include <http/message.h>
 
@@ -7,15 +9,30 @@
 
 namespace {
 
+/// Whole numbers below this are exact as doubles and are written without a fraction.
+constexpr double largestWhole = 9e15;
+
 template <typename Number>
 Json::Value numbersToJson(const std::map<std::string, Number, std::less<>> &numbers)
 {
     Json::Value value(Json::objectValue);
-    for (auto it = numbers.begin(); it != numbers.end(); ++it)
-        value[it->first] = Json::Value(static_cast<double>(it->second));
+    for (auto it = numbers.begin(); it != numbers.end(); ++it) {
+        const double number = static_cast<double>(it->second);
+        const bool isWhole = std::trunc(number) == number && std::abs(number) < largestWhole;
+        value[it->first] =
+            isWhole ? Json::Value(static_cast<Json::Int64>(number)) : Json::Value(number);
+    }
     return value;
 }
 
+/// Adds @p content unless it is empty: reports go to every instance several times a second, over
+/// links of ten megabits.
+void addFilled(Json::Value &value, const char *name, Json::Value content)
+{
+    if (!content.empty())
+        value[name] = std::move(content);
+}
+
 Json::Value namesToJson(const std::vector<std::string> &names)
 {
     Json::Value list(Json::arrayValue);
@@ -106,24 +123,28 @@
     value["from"] = report.from;
     value["incarnation"] = Json::UInt64(report.incarnation);
     value["sequence"] = Json::UInt64(report.sequence);
-    value["leaving"] = report.isLeaving;
-    value["revisions"] = numbersToJson(report.revisions);
-    value["load"] = loadToJson(report.load);
-    value["admitted"] = numbersToJson(report.admitted);
-    value["asked_rates"] = numbersToJson(report.askedRates);
-    value["levels"] = numbersToJson(report.levels);
-    value["placed"] = placedToJson(report.placed);
-    value["crashes"] = crashesToJson(report.crashes);
-    value["loading"] = namesToJson(report.loading);
-    value["gone"] = namesToJson(report.gone);
-    value["unreachable"] = namesToJson(report.unreachable);
-    value["weights"] = numbersToJson(report.weights);
-    value["named_age_ms"] = numbersToJson(report.namedAgeMs);
-    value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
+    if (report.isLeaving)
+        value["leaving"] = true;
+    if (report.delayMs > 0)
+        value["delay_ms"] = Json::Int64(std::lround(report.delayMs));
+    addFilled(value, "revisions", numbersToJson(report.revisions));
+    addFilled(value, "load", loadToJson(report.load));
+    addFilled(value, "admitted", numbersToJson(report.admitted));
+    addFilled(value, "asked_rates", numbersToJson(report.askedRates));
+    addFilled(value, "levels", numbersToJson(report.levels));
+    addFilled(value, "placed", placedToJson(report.placed));
+    addFilled(value, "crashes", crashesToJson(report.crashes));
+    addFilled(value, "loading", namesToJson(report.loading));
+    addFilled(value, "gone", namesToJson(report.gone));
+    addFilled(value, "unreachable", namesToJson(report.unreachable));
+    addFilled(value, "weights", numbersToJson(report.weights));
+    addFilled(value, "named_age_ms", numbersToJson(report.namedAgeMs));
+    if (report.dutyEpoch != 0)
+        value["duty_epoch"] = Json::UInt64(report.dutyEpoch);
     if (report.storeHeardAgoMs)
         value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
-    value["stores"] = numbersToJson(report.storeEpochs);
-    value["releases"] = releasesToJson(report.releases);
+    addFilled(value, "stores", numbersToJson(report.storeEpochs));
+    addFilled(value, "releases", releasesToJson(report.releases));
     return writeJson(value);
 }
 
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -13,6 +13,13 @@
 /// Least part of a rate that a refused caller's wait is worked out with.
 constexpr double leastPart = 0.01;
 
+/// Returns @p rate to a sixteenth, which is exact in binary and short as text.
+double rounded(double rate)
+{
+    constexpr double steps = 16;
+    return std::round(rate * steps) / steps;
+}
+
 } // namespace
 
 void team_limits::setLimit(timestamp now, std::string_view team, double rate, double burst)
@@ -184,7 +191,7 @@
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
         bring(now, it->first, it->second);
         if (it->second.asked >= 1)
-            rates[it->first] = it->second.asked / toSeconds(m_options.askedTime);
+            rates[it->first] = rounded(it->second.asked / toSeconds(m_options.askedTime));
     }
     return rates;
 }
--- a/libs/dispatch/tests/duty_lease_test.cpp
+++ b/libs/dispatch/tests/duty_lease_test.cpp
@@ -145,6 +145,29 @@
     EXPECT_TRUE(next.lease.holds(now));
 }
 
+// Load: 81 instances that start together; each of them read the store's record once and again.
+TEST(DutyLease, OnlyAFewLookAtTheRecordBeforeTheFirstHolderIsHeard)
+{
+    int reads = 0;
+    for (int rank = 0; rank < 81; ++rank) {
+        duty_lease lease({.self = "m" + std::to_string(rank)});
+        // The first holder writes at once and is heard of within a report's period.
+        constexpr duration heardAfter = std::chrono::milliseconds(450);
+        bool hasRead = false;
+        for (duration at {}; at < std::chrono::seconds(5); at += std::chrono::milliseconds(50)) {
+            const timestamp now = timestamp {} + std::chrono::seconds(10) + at;
+            hasRead = lease.next(now, rank, at >= heardAfter, true) == duty_step::Read || hasRead;
+        }
+        reads += hasRead ? 1 : 0;
+    }
+    EXPECT_LE(reads, 10);
+    // Where no holder appears, the last one's turn comes as well.
+    duty_lease last({.self = "m80"});
+    const timestamp start = timestamp {} + std::chrono::seconds(10);
+    EXPECT_EQ(last.next(start, 80, false, true), duty_step::None);
+    EXPECT_EQ(last.next(start + std::chrono::seconds(4), 80, false, true), duty_step::Read);
+}
+
 TEST(DutyLease, TheRecordSurvivesItsText)
 {
     const duty_record record {.holder = "a",
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -30,6 +30,36 @@
     EXPECT_EQ(members.entry(now, "z1", false).size(), 2u);
 }
 
+// Load: six instances with half a core each among 75 with an eighth and a link of ten megabits.
+TEST(MemberTable, CallersAreSentToTheLargeInstancesUntilThoseAreOverloaded)
+{
+    member_table members({.self = "a", .zone = "z1"});
+    timestamp now {};
+    std::vector<member_entry> entries {entryOf("a", "z1", 1), entryOf("b", "z1", 2),
+                                       entryOf("c", "z1", 3), entryOf("d", "z1", 4)};
+    entries[0].capacity = capacityOf(0.12, 10);
+    entries[1].capacity = capacityOf(0.5, 200);
+    entries[2].capacity = capacityOf(0.5, 200);
+    entries[3].capacity = capacityOf(0.12, 10);
+    members.setListed(now, entries);
+    EXPECT_EQ(members.entry(now, "z1", true),
+              (std::vector<endpoint> {entries[1].callers, entries[2].callers}));
+    members.noteDelay("b", std::chrono::milliseconds(100));
+    members.noteDelay("c", std::chrono::milliseconds(20));
+    EXPECT_EQ(members.entry(now, "z1", true).size(), 4u);
+    // They stay spread for a while: the load would come back at once otherwise.
+    members.noteDelay("b", {});
+    for (const char *name : {"b", "c", "d"})
+        members.noteReport(now + std::chrono::seconds(5), name, 1, 1, false, 0);
+    EXPECT_EQ(members.entry(now + std::chrono::seconds(5), "z1", true).size(), 4u);
+    for (const char *name : {"b", "c", "d"})
+        members.noteReport(now + std::chrono::seconds(11), name, 1, 2, false, 0);
+    EXPECT_EQ(members.entry(now + std::chrono::seconds(11), "z1", true).size(), 2u);
+    // One large instance is too few.
+    members.noteReport(now + std::chrono::seconds(11), "c", 1, 3, true, 0);
+    EXPECT_EQ(members.entry(now + std::chrono::seconds(11), "z1", true).size(), 3u);
+}
+
 TEST(MemberTable, AnInstanceThatLeavesOrFallsSilentIsNotNamed)
 {
     member_table members({.self = "a", .zone = "z1"});
@@ -58,6 +88,19 @@
     EXPECT_TRUE(members.heardDuty("b", 3));
 }
 
+TEST(MemberTable, KnowsWhetherItIsListedAndWhetherAHolderIsHeard)
+{
+    member_table members({.self = "a", .zone = "z1"});
+    timestamp now {};
+    EXPECT_FALSE(members.listsSelf());
+    members.setListed(now, {entryOf("a", "z1", 1), entryOf("b", "z1", 2)});
+    EXPECT_TRUE(members.listsSelf());
+    EXPECT_FALSE(members.hearsHolder(now));
+    members.noteReport(now, "b", 1, 1, false, 4);
+    EXPECT_TRUE(members.hearsHolder(now));
+    EXPECT_FALSE(members.hearsHolder(now + std::chrono::seconds(1)));
+}
+
 TEST(MemberTable, RankCountsLiveInstancesBeforeThisOne)
 {
     member_table members({.self = "c", .zone = "z1"});
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -126,13 +126,18 @@
         const duty_record record = m_lease.record();
         int rank = 0;
         bool isHolderAlive = false;
+        bool isListed = false;
         m_state.with([&](edge_beliefs &beliefs) {
             rank = beliefs.members.rank(now);
-            isHolderAlive = beliefs.members.holdsDuty(now, record.holder, record.epoch);
+            isListed = beliefs.members.listsSelf();
+            isHolderAlive = m_lease.isKnown()
+                ? beliefs.members.holdsDuty(now, record.holder, record.epoch)
+                : beliefs.members.hearsHolder(now);
         });
         // While an order is on its way the duty can't be given up.
         const bool mayHold = !m_state.isLeaving() || m_ordersOnTheWay > 0;
-        step = m_state.tables() ? m_lease.next(now, rank, isHolderAlive, mayHold) : duty_step::None;
+        const bool isReady = m_state.tables() && (isListed || m_lease.isKnown());
+        step = isReady ? m_lease.next(now, rank, isHolderAlive, mayHold) : duty_step::None;
     }
     if (step == duty_step::Read)
         readLease();
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -25,7 +25,12 @@
 constexpr duration probeTimeout = std::chrono::milliseconds(350);
 /// A connection that a probe opened may be used for this long.
 constexpr duration probedIdleTime = std::chrono::seconds(1);
+/// Wake-ups of which the mean delay is taken, by weight: about a second's.
+constexpr int delayMemory = 20;
 constexpr duration listedCheckEvery = std::chrono::milliseconds(300);
+/// The copy of the list may lack the own entry for this long after it was written: changes are
+/// gathered for up to a second, and reads that may be old are seconds behind.
+constexpr duration listedLag = std::chrono::seconds(3);
 /// Callers hear of the leaving within the life of an entry answer; until then they come.
 constexpr duration leastLeaveTime = std::chrono::milliseconds(4500);
 /// Time for the last answers before the platform kills the process.
@@ -168,15 +173,21 @@
 bool edge_instance::list()
 {
     const std::string name = store_kinds::instances + m_settings.name;
-    const std::string entry = encodeMember({.name = m_settings.name,
-                                            .zone = m_settings.zone,
-                                            .callers = m_settings.callers,
-                                            .peers = m_settings.peers,
-                                            .incarnation = m_state.incarnation()});
-    const result<object> known = m_store.get(name);
-    if (!known && known.error().code != platform_errors::notFound)
-        return false;
-    const result<std::uint64_t> written = m_store.put(name, entry, known ? known->version : 0);
+    const std::string entry =
+        encodeMember({.name = m_settings.name,
+                      .zone = m_settings.zone,
+                      .callers = m_settings.callers,
+                      .peers = m_settings.peers,
+                      .incarnation = m_state.incarnation(),
+                      .capacity = capacityOf(m_settings.processorCores, m_settings.linkMbps)});
+    result<std::uint64_t> written = m_store.put(name, entry, 0);
+    if (!written && written.error().code == platform_errors::conflict) {
+        // An entry of an earlier start.
+        const result<object> known = m_store.get(name);
+        if (!known)
+            return false;
+        written = m_store.put(name, entry, known->version);
+    }
     writeEvent(event_line("members", "listed_self")
                    .add("outcome", written ? "ok" : written.error().code.c_str()));
     return written.has_value();
@@ -195,10 +206,15 @@
 result<void> edge_instance::keepListed(const std::stop_token &stop)
 {
     bool isListed = false;
+    timestamp listedAt {};
     while (!stop.stop_requested()) {
         // An entry that another instance removed, taking this one for dead, is written again.
-        if (!m_state.isLeaving() && (!isListed || m_watch.lacksInstance(m_settings.name)))
+        const timestamp now = boot_clock::now();
+        const bool isLost = now - listedAt > listedLag && m_watch.lacksInstance(m_settings.name);
+        if (!m_state.isLeaving() && (!isListed || isLost)) {
             isListed = list();
+            listedAt = now;
+        }
         std::this_thread::sleep_for(listedCheckEvery);
     }
     return {};
@@ -225,6 +241,15 @@
         m_connections.giveBack(server.id, std::move(*stream), probedIdleTime);
 }
 
+void edge_instance::noteDelay(duration delay)
+{
+    m_delay += (delay - m_delay) / delayMemory;
+    m_state.with([&](edge_beliefs &beliefs) {
+        beliefs.ownDelay = m_delay;
+        beliefs.members.noteDelay(m_settings.name, m_delay);
+    });
+}
+
 result<void> edge_instance::keepHouse(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
@@ -233,7 +258,9 @@
         m_watch.dropLapsed(now);
         m_watch.fetchOverdue(now);
         probeServers(now);
+        const timestamp asleep = boot_clock::now();
         std::this_thread::sleep_for(houseEvery);
+        noteDelay(boot_clock::now() - asleep - houseEvery);
     }
     return {};
 }
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -31,6 +31,7 @@
 private:
     std::vector<child_spec> children();
     result<void> keepListed(const std::stop_token &stop);
+    void noteDelay(duration delay);
     result<void> keepHouse(const std::stop_token &stop);
     void probeServers(timestamp now);
     void probe(const registered_server &server);
@@ -45,6 +46,8 @@
     store_client m_store;
     server_connections m_connections;
     work_queue m_queue;
+    /// Mean time for which the threads wait for the processor.
+    duration m_delay {};
     store_watch m_watch;
     duty_runner m_duty;
     peer_exchange m_exchange;
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -43,6 +43,8 @@
     void shareRetries(const platform_settings &settings, std::size_t instances);
     /// Servers that another holder of the duty loads, with the time of its last report of it.
     std::map<std::string, timestamp, std::less<>> orderedElsewhere;
+    /// Mean time for which this instance's threads wait for its processor.
+    duration ownDelay {};
     /// When the platform's store was heard here, and by any instance.
     timestamp ownStoreHeardAt;
     outage_clock storeOutage;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -90,6 +90,7 @@
         if (beliefs.ownStoreHeardAt != timestamp {})
             report.storeHeardAgoMs =
                 static_cast<std::uint64_t>(toMilliseconds(now - beliefs.ownStoreHeardAt));
+        report.delayMs = toSeconds(beliefs.ownDelay) * 1000;
         report.load = beliefs.board.ownLoad();
         report.admitted = beliefs.limits.totals();
         report.askedRates = beliefs.limits.askedRates(now);
@@ -171,6 +172,7 @@
             if (other.name == report.from)
                 peer = other.peers;
         }
+        beliefs.members.noteDelay(report.from, fromSeconds(report.delayMs / 1000));
         learnServers(now, report, beliefs);
         learnWeights(now, report, beliefs);
         learnLimits(now, report, beliefs);
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -25,6 +25,8 @@
 constexpr duration gatherTimeForEach = std::chrono::milliseconds(8);
 /// Instances that read the store's newest state; the others' reads may be old and cost a tenth.
 constexpr int mostFreshWatchers = 8;
+/// The same for what reports tell as well, or what is not urgent.
+constexpr int fewFreshWatchers = 3;
 /// Waits of the others are longer by this: they rely on reports anyway. The store allows 30 s.
 constexpr int oldPatienceFactor = 3;
 /// Wait after a call that failed.
@@ -45,14 +47,16 @@
 
 store_watch::store_watch(edge_state &state, store_client &store) : m_state(state), m_store(store)
 {
-    const auto add = [this](const char *kind, duration patience, duration returnTime) {
-        m_kinds.emplace(kind, watched_kind {.patience = patience, .returnTime = returnTime});
-    };
-    add(store_kinds::configuration, shortPatience, duration::zero());
-    add(store_kinds::servers, shortPatience, serverReturnTime);
-    add(store_kinds::weights, shortPatience, duration::zero());
-    add(store_kinds::rollouts, longPatience, duration::zero());
-    add(store_kinds::instances, longPatience, duration::zero());
+    m_kinds = {
+        {store_kinds::configuration,
+         {.patience = shortPatience, .freshWatchers = mostFreshWatchers}},
+        {store_kinds::servers,
+         {.patience = shortPatience,
+          .freshWatchers = mostFreshWatchers,
+          .returnTime = serverReturnTime}},
+        {store_kinds::weights, {.patience = shortPatience, .freshWatchers = fewFreshWatchers}},
+        {store_kinds::rollouts, {.patience = longPatience, .freshWatchers = fewFreshWatchers}},
+        {store_kinds::instances, {.patience = longPatience, .freshWatchers = fewFreshWatchers}}};
 }
 
 std::vector<child_spec> store_watch::children()
@@ -79,16 +83,18 @@
 {
     std::uint64_t from = 0;
     duration patience {};
+    int freshWatchers = 0;
     const fleet_view fleet = viewFleet();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const watched_kind &known = m_kinds.find(kind)->second;
         from = known.mirror.upTo();
         patience = known.patience;
+        freshWatchers = known.freshWatchers;
     }
     // In a large fleet few instances need the newest state from the store itself: reports tell the
     // others when they are behind.
-    const bool isFresh = fleet.rank < mostFreshWatchers;
+    const bool isFresh = fleet.rank < freshWatchers;
     const read_freshness freshness = isFresh ? read_freshness::Newest : read_freshness::MayBeOld;
     patience = isFresh ? patience : patience * oldPatienceFactor;
     const result<object_changes> got =
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -44,8 +44,10 @@
     {
         object_mirror mirror;
         duration patience;
+        /// Instances, in the order of their names, that read the newest state.
+        int freshWatchers = 0;
         /// How long after an outage objects may come back; zero where they don't lapse.
-        duration returnTime;
+        duration returnTime {};
         bool isReachable = true;
         /// Since when another instance is known to be ahead, and which.
         std::optional<timestamp> behindSince;
