Instances without callers report every 1.5 s; one reader of flags

Cause: with callers at the large instances, 75 others still sent 180 reports a second to everyone. Change: in a large fleet an instance without callers or duty reports every 1.5 s and says so; it counts as alive for three periods. A report with nothing new for a team no longer brings the team's bucket up to date (16 teams x 80 instances each time).

--- a/libs/control/src/peer_codec.cpp
+++ b/libs/control/src/peer_codec.cpp
@@ -119,11 +119,6 @@
     return settled;
 }
 
-bool boolOr(const Json::Value &object, const char *name, bool fallback)
-{
-    return object[name].isBool() ? object[name].asBool() : fallback;
-}
-
 /// Writes each kind of message; the overload set is what std::visit picks from.
 struct message_writer
 {
@@ -344,7 +339,7 @@
     if (kind == "ack")
         return gossip_ack {.rumors = rumorsFromJson(message["r"])};
     if (kind == "relayed")
-        return gossip_relayed {.reached = boolOr(message, "reached", false)};
+        return gossip_relayed {.reached = flagOr(message, "reached", false)};
     if (kind == "confirmed")
         return readConfirmed(message);
     if (kind == "granted")
--- a/libs/core/include/core/json.h
+++ b/libs/core/include/core/json.h
@@ -17,6 +17,9 @@
 /// Returns member @p name of @p object as text, or "" where it is absent or not text. Thread-safe.
 std::string textOr(const Json::Value &object, const char *name, std::string_view fallback = "");
 
+/// Returns member @p name of @p object as a flag, or @p fallback. Thread-safe.
+bool flagOr(const Json::Value &object, const char *name, bool fallback = false);
+
 /// Returns member @p name of @p object as an unsigned integer, or @p fallback. Thread-safe.
 std::uint64_t integerOr(const Json::Value &object, const char *name, std::uint64_t fallback = 0);
 
--- a/libs/core/src/json.cpp
+++ b/libs/core/src/json.cpp
@@ -41,6 +41,13 @@
     return std::string(fallback);
 }
 
+bool flagOr(const Json::Value &object, const char *name, bool fallback)
+{
+    if (object.isObject() && object[name].isBool())
+        return object[name].asBool();
+    return fallback;
+}
+
 std::uint64_t integerOr(const Json::Value &object, const char *name, std::uint64_t fallback)
 {
     if (object.isObject() && object[name].isUInt64())
--- a/libs/delivery/src/claim.cpp
+++ b/libs/delivery/src/claim.cpp
@@ -43,7 +43,7 @@
     record.status = record.answered ? (*value)["status"].asInt() : 0;
     record.contentType = textOr(*value, "content_type");
     record.answer = textOr(*value, "answer");
-    record.released = (*value)["released"].isBool() && (*value)["released"].asBool();
+    record.released = flagOr(*value, "released");
     return record;
 }
 
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -48,6 +48,8 @@
     /// A holder of a duty not heard for longer may be succeeded: three reports. Short, because
     /// the successor asks the store whether it is right.
     duration holderSilence = std::chrono::milliseconds(650);
+    /// Reports of an instance without callers that may be lost before it is taken for dead.
+    int periodsToSilence = 3;
     /// Added to both for each member: reports come less often in a large fleet.
     duration silenceForEach = std::chrono::milliseconds(15);
     /// Callers spread over all zones where their own has fewer live instances.
@@ -81,14 +83,19 @@
     /// Replaces the listed instances, this one included. A new one counts as alive until its first
     /// report is overdue.
     void setListed(timestamp now, const std::vector<member_entry> &entries);
-    /// Notes a report of @p name. Returns false for one that is older than what is known.
+    /// Notes a report of @p name, which announces the next one after @p period. Returns false for
+    /// one that is older than what is known.
     bool noteReport(timestamp now, std::string_view name, std::uint64_t incarnation,
-                    std::uint64_t sequence, bool isLeaving, std::uint64_t dutyEpoch);
+                    std::uint64_t sequence, bool isLeaving, std::uint64_t dutyEpoch,
+                    duration period = {});
     /// Notes for how long threads of @p name, this instance or another, wait for its processor.
     void noteDelay(std::string_view name, duration delay);
 
     /// Returns whether @p name, another instance, is alive and not leaving.
     bool isAlive(timestamp now, std::string_view name) const;
+    /// Returns where @p name takes reports and calls of others, or an empty endpoint for one that
+    /// isn't listed.
+    endpoint peersOf(std::string_view name) const;
     /// Returns the other instances that are listed.
     std::vector<member_entry> others() const;
     /// Returns where the report with @p sequence goes. Another zone's receiver changes with each
@@ -124,12 +131,18 @@
         bool isLeaving = false;
         std::uint64_t dutyEpoch = 0;
         duration delay {};
+        /// Time until its next report, as it said.
+        duration period {};
     };
 
     std::vector<const member_state *> largeOnes(timestamp now,
                                                 std::vector<const member_state *> usable);
 
-    duration silence() const { return m_options.silence + growth(); }
+    /// Longest silence of a live instance that announced its next report after @p period.
+    duration silence(duration period) const
+    {
+        return std::max(m_options.silence + growth(), m_options.periodsToSilence * period);
+    }
     duration growth() const
     {
         return m_options.silenceForEach * static_cast<int>(m_members.size());
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -39,6 +39,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool isLeaving = false;
+    /// Milliseconds until the next report.
+    double periodMs = 0;
     /// How long the instance's threads wait for its processor, in milliseconds.
     double delayMs = 0;
     /// Newest store revision that the instance has seen, by kind of object.
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -60,9 +60,11 @@
 
     /// Names the other instances that are known to exist, heard or not.
     void setPeers(timestamp now, const std::vector<std::string> &peers);
-    /// Takes the totals of @p peer. @p incarnation tells a restart, after which totals start at 0.
+    /// Takes the totals of @p peer, which announces its next report after @p period.
+    /// @p incarnation tells a restart, after which totals start at 0.
     void takeReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                    const admitted_totals &admitted, const admitted_totals &askedRates);
+                    const admitted_totals &admitted, const admitted_totals &askedRates,
+                    duration period = {});
     /// Lowers levels to those that an instance reports which has counted for longer than this one.
     void adoptLevels(timestamp now, const admitted_totals &levels);
 
@@ -112,12 +114,18 @@
     {
         std::uint64_t incarnation = 0;
         timestamp heardAt;
+        /// Time until its next report, as it said.
+        duration period {};
         std::map<std::string, peer_usage, std::less<>> teams;
     };
 
-    duration silence() const
+    /// Longest silence of a peer that announced its next report after @p period.
+    duration silence(duration period = {}) const
     {
-        return m_options.silence + m_options.silenceForEach * static_cast<int>(m_peers.size());
+        constexpr int periodsToSilence = 3;
+        return std::max(m_options.silence
+                            + m_options.silenceForEach * static_cast<int>(m_peers.size()),
+                        periodsToSilence * period);
     }
     void bring(timestamp now, std::string_view team, bucket &account);
     double shareOfSilent(const bucket &account) const;
--- a/libs/dispatch/src/duty_lease.cpp
+++ b/libs/dispatch/src/duty_lease.cpp
@@ -13,11 +13,6 @@
 /// Margin between the end of a lease and a take-over, for clocks that run at different rates.
 constexpr duration clockMargin = std::chrono::milliseconds(200);
 
-bool flag(const Json::Value &object, const char *name)
-{
-    return object[name].isBool() && object[name].asBool();
-}
-
 } // namespace
 
 std::string toText(const duty_record &record)
@@ -42,8 +37,8 @@
     duty_record record {.holder = textOr(*value, "holder"),
                         .epoch = integerOr(*value, "epoch"),
                         .renewal = integerOr(*value, "renewal"),
-                        .isReleased = flag(*value, "released"),
-                        .isSettled = flag(*value, "settled")};
+                        .isReleased = flagOr(*value, "released"),
+                        .isSettled = flagOr(*value, "settled")};
     const Json::Value &named = (*value)["named_at_ms"];
     if (named.isObject()) {
         for (auto it = named.begin(); it != named.end(); ++it) {
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -22,7 +22,8 @@
 }
 
 bool member_table::noteReport(timestamp now, std::string_view name, std::uint64_t incarnation,
-                              std::uint64_t sequence, bool isLeaving, std::uint64_t dutyEpoch)
+                              std::uint64_t sequence, bool isLeaving, std::uint64_t dutyEpoch,
+                              duration period)
 {
     const auto found = m_members.find(name);
     if (found == m_members.end())
@@ -35,6 +36,7 @@
     state.heardAt = now;
     state.isLeaving = isLeaving;
     state.dutyEpoch = dutyEpoch;
+    state.period = period;
     return true;
 }
 
@@ -42,7 +44,13 @@
 {
     const auto found = m_members.find(name);
     return found != m_members.end() && !found->second.isLeaving
-        && now - found->second.heardAt <= silence();
+        && now - found->second.heardAt <= silence(found->second.period);
+}
+
+endpoint member_table::peersOf(std::string_view name) const
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? endpoint {} : found->second.entry.peers;
 }
 
 std::vector<member_entry> member_table::others() const
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -125,6 +125,7 @@
     value["sequence"] = Json::UInt64(report.sequence);
     if (report.isLeaving)
         value["leaving"] = true;
+    value["period_ms"] = Json::Int64(std::lround(report.periodMs));
     if (report.delayMs > 0)
         value["delay_ms"] = Json::Int64(std::lround(report.delayMs));
     addFilled(value, "revisions", numbersToJson(report.revisions));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -160,6 +160,7 @@
                         .incarnation = integerOf(fields, "incarnation"),
                         .sequence = integerOf(fields, "sequence"),
                         .isLeaving = as<bool>(fields["leaving"]).value_or(false),
+                        .periodMs = as<double>(fields["period_ms"]).value_or(0),
                         .delayMs = as<double>(fields["delay_ms"]).value_or(0),
                         .storeHeardAgoMs = as<std::uint64_t>(fields["store_heard_ago_ms"]),
                         .dutyEpoch = integerOf(fields, "duty_epoch")};
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -54,7 +54,7 @@
     double spentElsewhere = 0;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         peer_state &peer = it->second;
-        if (now - peer.heardAt > silence()) {
+        if (now - peer.heardAt > silence(peer.period)) {
             spentElsewhere += shareOfSilent(account) * elapsed;
             continue;
         }
@@ -127,23 +127,27 @@
 }
 
 void team_limits::takeReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                             const admitted_totals &admitted, const admitted_totals &askedRates)
+                             const admitted_totals &admitted, const admitted_totals &askedRates,
+                             duration period)
 {
     const auto found = m_peers.find(peer);
     if (found == m_peers.end())
         return;
     peer_state &state = found->second;
     // Spending while it was silent was taken at its share; what it reports now covers that time.
-    const bool wasSilent = now - state.heardAt > silence();
+    const bool wasSilent = now - state.heardAt > silence(state.period);
     const double age = toSeconds(now - state.heardAt);
     const bool isKnown = state.incarnation == incarnation;
     for (auto it = admitted.begin(); it != admitted.end(); ++it) {
         const auto account = m_buckets.find(it->first);
         if (account == m_buckets.end())
             continue;
-        bring(now, it->first, account->second);
         peer_usage &usage = state.teams[it->first];
         const double delta = it->second - (isKnown ? usage.total : 0);
+        // Most instances of a large fleet have nothing new for most teams.
+        if (isKnown && !wasSilent && delta == 0 && usage.rate == 0)
+            continue;
+        bring(now, it->first, account->second);
         if (!wasSilent && (isKnown || state.incarnation != 0))
             account->second.level += usage.expected - delta;
         account->second.level = std::min(account->second.level, account->second.burst);
@@ -157,6 +161,7 @@
         state.teams[it->first].askedRate = it->second;
     state.incarnation = incarnation;
     state.heardAt = now;
+    state.period = period;
 }
 
 void team_limits::adoptLevels(timestamp now, const admitted_totals &levels)
@@ -181,7 +186,7 @@
     }
     seen.known = static_cast<int>(m_peers.size());
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
-        seen.heard += now - it->second.heardAt <= silence() ? 1 : 0;
+        seen.heard += now - it->second.heardAt <= silence(it->second.period) ? 1 : 0;
     return seen;
 }
 
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -74,6 +74,19 @@
     EXPECT_TRUE(members.isAlive(now, "c"));
 }
 
+// Load: instances without callers report every one and a half seconds.
+TEST(MemberTable, AnInstanceIsAliveForThreeOfItsPeriods)
+{
+    member_table members({.self = "a", .zone = "z1"});
+    timestamp now {};
+    members.setListed(now, {entryOf("a", "z1", 1), entryOf("b", "z1", 2), entryOf("c", "z1", 3)});
+    members.noteReport(now, "b", 1, 1, false, 0, std::chrono::milliseconds(1500));
+    members.noteReport(now, "c", 1, 1, false, 0, std::chrono::milliseconds(200));
+    EXPECT_TRUE(members.isAlive(now + std::chrono::milliseconds(4400), "b"));
+    EXPECT_FALSE(members.isAlive(now + std::chrono::milliseconds(4600), "b"));
+    EXPECT_FALSE(members.isAlive(now + std::chrono::milliseconds(1100), "c"));
+}
+
 TEST(MemberTable, OlderReportsAreDropped)
 {
     member_table members({.self = "a", .zone = "z1"});
--- a/libs/gossip/src/membership.cpp
+++ b/libs/gossip/src/membership.cpp
@@ -57,7 +57,7 @@
     about.info.region = textOr(*payload, "r");
     about.info.callers = textOr(*payload, "c");
     about.info.peers = textOr(*payload, "p");
-    about.info.leaving = (*payload)["l"].isBool() && (*payload)["l"].asBool();
+    about.info.leaving = flagOr(*payload, "l");
     about.info.incarnation = item.version / statesPerIncarnation;
     about.state = static_cast<member_state>(state);
     return about;
--- a/libs/lease/src/lease_record.cpp
+++ b/libs/lease/src/lease_record.cpp
@@ -25,7 +25,7 @@
     lease_record record;
     record.epoch = integerOr(*value, "epoch");
     record.owner = textOr(*value, "owner");
-    record.handedOver = (*value)["handed_over"].isBool() && (*value)["handed_over"].asBool();
+    record.handedOver = flagOr(*value, "handed_over");
     for (const Json::Value &name : (*value)["successors"]) {
         if (!name.isString())
             return std::nullopt;
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -92,6 +92,7 @@
         const std::optional<caller_request> request = readRequest();
         if (!request)
             return;
+        m_state.noteRequest();
         m_state.openRequests() += 1;
         const bool closes =
             m_state.isLeaving() || !keepsConnection(request->head.headers, request->head.isHttp10);
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -110,6 +110,10 @@
     /// Returns whether callers can be served.
     bool isReady() const;
 
+    /// Notes that a caller's request was read.
+    void noteRequest() { m_lastRequestAt = boot_clock::now(); }
+    /// Returns when the last one was.
+    timestamp lastRequestAt() const { return m_lastRequestAt; }
     /// Counts requests that are being served.
     std::atomic<int> &openRequests() { return m_openRequests; }
     /// Returns the metrics of the process.
@@ -128,6 +132,7 @@
     static constexpr duration lateLeaveTime = std::chrono::milliseconds(2800);
 
     std::atomic<timestamp> m_leftAt {timestamp {}};
+    std::atomic<timestamp> m_lastRequestAt {timestamp {}};
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_isClosing = false;
     std::atomic<bool> m_isStoreReachable = false;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -14,6 +14,12 @@
 constexpr duration reportEvery = std::chrono::milliseconds(200);
 /// Added for each other instance, so that reports don't fill the links of a large fleet.
 constexpr duration reportEveryForEach = std::chrono::milliseconds(3);
+/// In a fleet of more others than this, instances without callers report less often.
+constexpr std::size_t manyOthers = 24;
+/// Their period: a member counts as dead after three of them, before it is taken off the list.
+constexpr duration idleReportEvery = std::chrono::milliseconds(1500);
+/// An instance is busy for this long after a request.
+constexpr duration busyTime = std::chrono::seconds(3);
 /// Changes of weights are told for this long: many reports, so that lost ones do no harm.
 constexpr duration weightsTellTime = std::chrono::seconds(3);
 constexpr std::uint64_t levelsEvery = 5;
@@ -35,9 +41,13 @@
     return {.name = "peers", .body = [this](const std::stop_token &stop) { return run(stop); }};
 }
 
-duration peer_exchange::period() const
+duration peer_exchange::period(bool hasDuty) const
 {
-    return reportEvery + reportEveryForEach * m_others.load();
+    const duration usual = reportEvery + reportEveryForEach * m_others.load();
+    const bool isLarge = m_others.load() > manyOthers;
+    const bool isBusy = hasDuty || m_state.isLeaving() || m_state.openRequests() > 0
+        || boot_clock::now() - m_state.lastRequestAt() < busyTime;
+    return isLarge && !isBusy ? std::max(usual, idleReportEvery) : usual;
 }
 
 result<void> peer_exchange::run(const std::stop_token &stop)
@@ -47,12 +57,15 @@
         Poco::Net::DatagramSocket &socket = m_socket;
         socket.bind(Poco::Net::SocketAddress(own.host, own.port), true);
         std::string room(maxDatagramBytes, '\0');
-        timestamp next = boot_clock::now();
+        timestamp sentAt {};
         while (!stop.stop_requested()) {
             const timestamp now = boot_clock::now();
+            // Callers who come shorten the wait that has begun.
+            timestamp next = sentAt + period(m_hasDuty);
             if (now >= next) {
                 sendNow();
-                next = now + period();
+                sentAt = now;
+                next = now + period(m_hasDuty);
             }
             const std::int64_t waitUs =
                 std::chrono::duration_cast<std::chrono::microseconds>(next - now).count();
@@ -72,12 +85,14 @@
 void peer_exchange::sendNow()
 {
     const duty_view duty = m_duty();
+    m_hasDuty = duty.epoch != 0;
     const std::lock_guard<std::mutex> lock(m_sendMutex);
     const timestamp now = boot_clock::now();
     peer_report report {.from = m_state.settings().name,
                         .incarnation = m_state.incarnation(),
                         .sequence = ++m_sequence,
                         .isLeaving = m_state.isLeaving(),
+                        .periodMs = toSeconds(period(m_hasDuty)) * 1000,
                         .revisions = m_watch.newestChanges(),
                         .loading = duty.loading,
                         .dutyEpoch = duty.epoch,
@@ -166,12 +181,10 @@
     endpoint peer;
     const bool isNews = m_state.with([&](edge_beliefs &beliefs) {
         if (!beliefs.members.noteReport(now, report.from, report.incarnation, report.sequence,
-                                        report.isLeaving, report.dutyEpoch))
+                                        report.isLeaving, report.dutyEpoch,
+                                        fromSeconds(report.periodMs / 1000)))
             return false;
-        for (const member_entry &other : beliefs.members.others()) {
-            if (other.name == report.from)
-                peer = other.peers;
-        }
+        peer = beliefs.members.peersOf(report.from);
         beliefs.members.noteDelay(report.from, fromSeconds(report.delayMs / 1000));
         learnServers(now, report, beliefs);
         learnWeights(now, report, beliefs);
@@ -220,7 +233,7 @@
 void peer_exchange::learnLimits(timestamp now, const peer_report &report, edge_beliefs &beliefs)
 {
     beliefs.limits.takeReport(now, report.from, report.incarnation, report.admitted,
-                              report.askedRates);
+                              report.askedRates, fromSeconds(report.periodMs / 1000));
     // A fresh instance takes over what one that ran before it knows.
     const bool isOlder = report.incarnation < m_state.incarnation();
     if (m_adoptedLevels || report.levels.empty() || !isOlder)
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -42,7 +42,8 @@
     void learnWeights(timestamp now, const peer_report &report, edge_beliefs &beliefs);
     void learnLimits(timestamp now, const peer_report &report, edge_beliefs &beliefs);
     void learnOutcomes(timestamp now, const peer_report &report, edge_beliefs &beliefs);
-    duration period() const;
+    /// Returns the time between reports, shorter for one that has a duty or callers.
+    duration period(bool hasDuty) const;
 
     edge_state &m_state;
     store_watch &m_watch;
@@ -51,6 +52,7 @@
     std::mutex m_sendMutex;
     std::uint64_t m_sequence = 0;
     std::atomic<std::size_t> m_others = 0;
+    std::atomic<bool> m_hasDuty = false;
     bool m_adoptedLevels = false;
     std::map<std::string, bool, std::less<>> m_wasAlive;
     /// Outcomes last reported by instance and release, to add only what is new.
--- a/trefoilrouter/src/http_platform.cpp
+++ b/trefoilrouter/src/http_platform.cpp
@@ -105,8 +105,7 @@
     if (!list.isArray())
         return listed;
     for (const Json::Value &entry : list)
-        listed.push_back({.name = textOr(entry, "name"),
-                          .leaving = entry["leaving"].isBool() && entry["leaving"].asBool()});
+        listed.push_back({.name = textOr(entry, "name"), .leaving = flagOr(entry, "leaving")});
     return listed;
 }
 
