Keep a busy store of KV cache as the source; count its wait

A store whose link is taken was passed over for an engine that had used the part within twelve seconds; under load it is gone by then.

--- a/libs/dispatch/src/load_choice.cpp
+++ b/libs/dispatch/src/load_choice.cpp
@@ -13,9 +13,6 @@
 
 /// A part used on an engine within this time is still there: memory turns over in seconds.
 constexpr duration surelyHeld = std::chrono::milliseconds(1500);
-/// A store whose link is taken for this long, in milliseconds, is passed over for an engine that
-/// may hold the part: half of the time that callers give to the first event.
-constexpr double longStoreWaitMs = 200;
 /// Copies between zones take this many times as long.
 constexpr double otherZoneCopy = 2;
 /// Milliseconds to set up a copy between engines.
@@ -92,11 +89,10 @@
         }
     }
     // An engine may have dropped a part that the store still keeps, and computing it again costs
-    // far more than the longer way. Just used, it is there for sure; and a store whose link is
-    // taken for long is the worse bet.
+    // far more than the longer way, also while the store's link is taken. Just used, it is there
+    // for sure.
     const bool isInStore = place.store != nullptr && isFresh(place.store->parts, part, now);
-    const bool isSurelyHeld = best != nullptr && now - bestUse <= surelyHeld;
-    if (isInStore && (best == nullptr || (!isSurelyHeld && place.storeWaitMs < longStoreWaitMs)))
+    if (isInStore && (best == nullptr || now - bestUse > surelyHeld))
         return {.store = place.store};
     return {.engine = best};
 }
