--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -1,5 +1,6 @@
 #include "edge/edge_handlers.h"
 
+#include <algorithm>
 #include <functional>
 
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -90,8 +91,9 @@
     // An instance that reaches nobody can't tell which ones live: callers ask another one.
     if (isCutOff || instances.empty())
         return {.status = unavailableStatus, .body = "no instance is known to live\n"};
-    return {.type = "application/json",
-            .body = encodeEntryAnswer(instances, isTroubled ? troubledEntryLife : calmEntryLife)};
+    const duration life = std::min(isTroubled ? troubledEntryLife : calmEntryLife,
+                                   state.settings().longestEntryLife);
+    return {.type = "application/json", .body = encodeEntryAnswer(instances, life)};
 }
 
 } // namespace
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -29,8 +29,11 @@
 constexpr int fewFreshWatchers = 3;
 /// Waits of the others are longer by this: they rely on reports anyway. The store allows 30 s.
 constexpr int oldPatienceFactor = 3;
-/// Wait after a call that failed.
+/// Wait after a call that failed, doubled with each one in a row up to the longest, which is a
+/// third of the time that the platform allows after an outage.
 constexpr duration retryPause = std::chrono::milliseconds(250);
+constexpr duration longestRetryPause = std::chrono::milliseconds(1000);
+constexpr int maxDoublings = 8;
 /// Servers whose entries lapsed in an outage are back within two seconds of its end.
 constexpr duration serverReturnTime = std::chrono::milliseconds(1900);
 /// A copy that is behind for this long is fetched from another instance: the store's own watch
@@ -105,7 +108,7 @@
             return;
         }
         noteReachable(kind, false, got.error().message);
-        std::this_thread::sleep_for(retryPause);
+        std::this_thread::sleep_for(nextRetryPause(kind));
         return;
     }
     noteReachable(kind, true, "");
@@ -117,6 +120,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &known = m_kinds.find(kind)->second;
+        known.failures = 0;
         object_mirror &mirror = known.mirror;
         const timestamp lapseEnd = outageEnd + known.returnTime;
         hasChanged = needsSnapshot ? mirror.takeSnapshot(now, got->changed, got->upTo, lapseEnd)
@@ -131,6 +135,15 @@
         std::this_thread::sleep_for(gatherTime + gatherTimeForEach * fleet.others);
 }
 
+duration store_watch::nextRetryPause(const std::string &kind)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    watched_kind &known = m_kinds.find(kind)->second;
+    const duration pause = std::min(retryPause * (1 << known.failures), longestRetryPause);
+    known.failures = std::min(known.failures + 1, maxDoublings);
+    return pause;
+}
+
 store_watch::fleet_view store_watch::viewFleet()
 {
     const timestamp now = boot_clock::now();
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -49,6 +49,8 @@
         /// How long after an outage objects may come back; zero where they don't lapse.
         duration returnTime {};
         bool isReachable = true;
+        /// Calls that failed since the last one that did not.
+        int failures = 0;
         /// Since when another instance is known to be ahead, and which.
         std::optional<timestamp> behindSince;
         endpoint ahead;
@@ -62,6 +64,7 @@
     };
 
     fleet_view viewFleet();
+    duration nextRetryPause(const std::string &kind);
     result<void> watch(const std::string &kind, const std::stop_token &stop);
     void follow(const std::string &kind, bool &needsSnapshot);
     void noteReachable(const std::string &kind, bool reachable, const std::string &reason);
