--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -91,8 +91,8 @@
     // An instance that reaches nobody can't tell which ones live: callers ask another one.
     if (isCutOff || instances.empty())
         return {.status = unavailableStatus, .body = "no instance is known to live\n"};
-    const duration life = std::min(isTroubled ? troubledEntryLife : calmEntryLife,
-                                   state.settings().longestEntryLife);
+    const duration life =
+        std::min(isTroubled ? troubledEntryLife : calmEntryLife, state.settings().longestEntryLife);
     return {.type = "application/json", .body = encodeEntryAnswer(instances, life)};
 }
 
