--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -99,7 +99,9 @@
 result<void> duty_runner::run(const std::stop_token &stop, peer_exchange &exchange)
 {
     while (!stop.stop_requested()) {
-        keepLease();
+        // A holder that others don't hear of is looked for by all of them.
+        if (keepLease())
+            exchange.sendNow();
         planWeights(exchange);
         reportRollouts();
         dropDeadMembers();
@@ -117,7 +119,7 @@
     return {.epoch = m_lease.epoch(), .loading = m_plan.loading(), .storeEpochs = m_storeEpochs};
 }
 
-void duty_runner::keepLease()
+bool duty_runner::keepLease()
 {
     const timestamp now = boot_clock::now();
     duty_step step = duty_step::None;
@@ -145,12 +147,14 @@
         writeLease(m_state.isLeaving());
     const std::lock_guard<std::mutex> lock(m_mutex);
     const bool isHeld = m_lease.holds(boot_clock::now());
-    if (isHeld != m_wasHeld)
+    const bool hasChanged = isHeld != m_wasHeld;
+    if (hasChanged)
         writeEvent(event_line("duty", isHeld ? "lease_gained" : "lease_lost")
                        .add("epoch", m_lease.epoch())
                        .add("revision", m_lease.revision())
                        .add("holder", m_lease.record().holder));
     m_wasHeld = isHeld;
+    return hasChanged;
 }
 
 bool duty_runner::knowsOrdersOf(const duty_record &holder)
--- a/trefoilrouter/src/edge/duty_runner.h
+++ b/trefoilrouter/src/edge/duty_runner.h
@@ -31,7 +31,8 @@
     result<void> run(const std::stop_token &stop, peer_exchange &exchange);
     result<void> watchCacheStores(const std::stop_token &stop);
     void askCacheStore(const endpoint &store, duration patience);
-    void keepLease();
+    /// Reads or writes the lease when it is time. Returns whether it was gained or lost.
+    bool keepLease();
     void readLease();
     void writeLease(bool release);
     bool knowsOrdersOf(const duty_record &holder);
