--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -36,7 +36,8 @@
     : board({.zone = settings.zone,
              .randomSeed = hash64(settings.name),
              .olderWeightsLimit = settings.weightsDeadline - longestServerWait}),
-      limits({.window = settings.limitWindow}), members({.self = settings.name, .zone = settings.zone}),
+      limits({.window = settings.limitWindow}),
+      members({.self = settings.name, .zone = settings.zone}),
       releases({.trialShare = settings.exposeShare / 2}), budgetOptions(budgetOptionsOf(settings))
 { }
 
