Dark servers hold up neither orders nor the tries of others

Orders shared six threads with tries to connect to servers in doubt; a try of a dark server takes its whole timeout of 350 ms, 70 a second were due and 17 were done, so orders waited behind them. And dark servers, idle as they are, were first in the order of loading and took the places.

Ruled out: slow loads (1.3 s), a lost holder (none), entries that lapsed (the dark ones only).

Change: tries have threads of their own and begin again only when the last has ended; servers that can't be reached are neither asked nor ordered until they can. Two tests, both failing first.

--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -189,7 +189,8 @@
     void noteReportedLoad(timestamp now, std::string_view server, int running, int waiting);
 
     /// Returns the servers to which a connection is to be tried now: those that were silent, lost
-    /// requests or refused a connection. They get no requests until one comes about.
+    /// requests or refused a connection. They get no requests until one comes about. Each is
+    /// returned again only after its outcome was noted.
     std::vector<registered_server> serversToProbe(timestamp now);
     /// Takes the outcome of such a try.
     void noteProbe(std::string_view server, bool isReachable);
@@ -251,6 +252,8 @@
         /// Whether no request goes there until a connection comes about.
         bool isUnreachable = false;
         bool needsProbe = false;
+        /// Whether a try to connect has begun and not ended.
+        bool isProbed = false;
         timestamp probedAt;
         /// Weights to try after a refusal, 0 for those that are known.
         std::uint64_t guessedWeights = 0;
--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -95,6 +96,8 @@
         /// Servers that another holder may have ordered lately, and until when they get no order
         /// from this one.
         std::map<std::string, timestamp, std::less<>> barredUntil;
+        /// Servers that can't be reached from here: neither asked nor ordered until they can.
+        std::set<std::string, std::less<>> unreachable;
     };
 
     /// Returns what is due.
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -371,9 +371,11 @@
     std::vector<registered_server> due;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         server_state &state = it->second;
-        if (!state.needsProbe || state.isGone || now - state.probedAt < probeEvery)
+        if (!state.needsProbe || state.isProbed || state.isGone
+            || now - state.probedAt < probeEvery)
             continue;
         state.probedAt = now;
+        state.isProbed = true;
         due.push_back(state.info);
     }
     return due;
@@ -384,6 +386,7 @@
     const auto found = m_servers.find(server);
     if (found == m_servers.end())
         return;
+    found->second.isProbed = false;
     found->second.isUnreachable = !isReachable;
     found->second.needsProbe = !isReachable;
     if (isReachable)
--- a/libs/dispatch/src/weights_plan.cpp
+++ b/libs/dispatch/src/weights_plan.cpp
@@ -71,7 +71,7 @@
             }
         }
         // A leaving server is not worth a load: it gets no new requests.
-        if (server.isLeaving || now < state.notBefore)
+        if (server.isLeaving || now < state.notBefore || known.unreachable.contains(server.id))
             continue;
         // Asked ahead of need, so that the first order of new weights goes out at once.
         if (!state.ordersKnown && !state.isAsked && (model || !state.wasAsked)) {
--- a/libs/dispatch/tests/load_board_test.cpp
+++ b/libs/dispatch/tests/load_board_test.cpp
@@ -312,6 +312,18 @@
     EXPECT_TRUE(board.serversToProbe(now + std::chrono::milliseconds(900)).empty());
 }
 
+// Load: 35 dark servers, tried twice a second while each try takes a third of a second.
+TEST(LoadBoard, AServerIsNotTriedAgainBeforeTheLastTryHasEnded)
+{
+    load_board board = boardOf(serversOf("plain", 3, false));
+    timestamp now = timestamp {} + std::chrono::seconds(10);
+    board.noteDoubt(now, "plain1");
+    ASSERT_EQ(board.serversToProbe(now).size(), 1u);
+    EXPECT_TRUE(board.serversToProbe(now + std::chrono::seconds(3)).empty());
+    board.noteProbe("plain1", false);
+    EXPECT_EQ(board.serversToProbe(now + std::chrono::seconds(3)).size(), 1u);
+}
+
 TEST(LoadBoard, ServersThatAllFailAreStillUsed)
 {
     load_board board = boardOf(serversOf("plain", 3, false));
--- a/libs/dispatch/tests/weights_plan_test.cpp
+++ b/libs/dispatch/tests/weights_plan_test.cpp
@@ -43,8 +43,11 @@
                 find(it->first).weights[model] = it->second.second;
                 it = loads.erase(it);
             }
-            const weights_plan::actions due = plan.next(
-                now, 1, {.servers = servers, .newest = {{model, newest}}, .barredUntil = barred});
+            const weights_plan::actions due = plan.next(now, 1,
+                                                        {.servers = servers,
+                                                         .newest = {{model, newest}},
+                                                         .barredUntil = barred,
+                                                         .unreachable = unreachable});
             for (const registered_server &each : due.questions) {
                 const order_state state {.acceptedOrders = orders[each.id],
                                          .isBusy = loads.contains(each.id),
@@ -85,6 +88,7 @@
     std::map<std::string, std::pair<timestamp, std::uint64_t>> loads;
     std::set<std::string> losing;
     std::map<std::string, timestamp, std::less<>> barred;
+    std::set<std::string, std::less<>> unreachable;
     std::uint64_t newest = 1;
     int sent = 0;
 };
@@ -129,6 +133,24 @@
     EXPECT_TRUE(pool.isAll(2));
 }
 
+// Load: a quarter of the pool dark as weights are named. Orders and questions to dark servers each
+// held a thread until their time ran out, and a place among those that load at once.
+TEST(WeightsPlan, DarkServersGetNoOrdersUntilTheyCanBeReached)
+{
+    weights_pool pool(20);
+    pool.unreachable = {"s0", "s1", "s2", "s3", "s4"};
+    weights_plan plan({});
+    timestamp now {};
+    pool.newest = 2;
+    pool.run(now, now + std::chrono::seconds(8), plan);
+    EXPECT_EQ(pool.sent, 15);
+    for (const registered_server &server : pool.servers)
+        EXPECT_EQ(server.weights.at(model), pool.unreachable.contains(server.id) ? 1u : 2u);
+    pool.unreachable.clear();
+    pool.run(now, now + std::chrono::seconds(5), plan);
+    EXPECT_TRUE(pool.isAll(2));
+}
+
 TEST(WeightsPlan, ARestartedServerIsAskedForItsOrders)
 {
     weights_pool pool(3);
--- a/trefoilrouter/src/edge/duty_runner.cpp
+++ b/trefoilrouter/src/edge/duty_runner.cpp
@@ -254,6 +254,8 @@
         m_state.with([&](edge_beliefs &beliefs) {
             servers = beliefs.board.servers();
             known.newest = beliefs.board.newestWeights();
+            for (std::string &server : beliefs.board.unreachableServers())
+                known.unreachable.insert(std::move(server));
             for (const registered_server &server : servers)
                 known.running[server.id] = beliefs.board.totalLoad(now, server.id).running;
             for (auto it = beliefs.orderedElsewhere.begin(); it != beliefs.orderedElsewhere.end();
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -17,6 +17,9 @@
 
 /// Threads for orders and questions to servers: as many as load at once in a small pool.
 constexpr int queueThreads = 6;
+/// Threads for tries to connect to servers in doubt: apart from the orders, which waited for
+/// seconds behind tries of dark servers, each of which takes its whole timeout.
+constexpr int probeThreads = 6;
 /// Connections that ask for the entry or readiness at once.
 constexpr int entryThreads = 48;
 constexpr int peerThreads = 8;
@@ -60,6 +63,8 @@
     all.push_back(m_exchange.child());
     for (child_spec &worker : m_queue.workers("orders", queueThreads))
         all.push_back(std::move(worker));
+    for (child_spec &worker : m_probes.workers("probes", probeThreads))
+        all.push_back(std::move(worker));
     for (child_spec &each : m_duty.children(m_exchange))
         all.push_back(std::move(each));
     all.push_back({.name = "peer-listener",
@@ -225,7 +230,7 @@
     const std::vector<registered_server> due =
         m_state.with([now](edge_beliefs &beliefs) { return beliefs.board.serversToProbe(now); });
     for (const registered_server &server : due)
-        m_queue.post([this, server] { probe(server); });
+        m_probes.post([this, server] { probe(server); });
 }
 
 void edge_instance::probe(const registered_server &server)
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -46,6 +46,7 @@
     store_client m_store;
     server_connections m_connections;
     work_queue m_queue;
+    work_queue m_probes;
     /// Mean time for which the threads wait for the processor.
     duration m_delay {};
     store_watch m_watch;
