Look servers up in one place on the load board

One choice looked each server's load up by name though it held the server, and taking a report made the peer's name anew for each server.

--- a/libs/dispatch/include/dispatch/load_board.h
+++ b/libs/dispatch/include/dispatch/load_board.h
@@ -331,6 +331,11 @@
                        const store_state *store) const;
     double copyMs(const part_source &source, const server_state &target, double tokens,
                   const engine_traits &engine) const;
+    server_state *findServer(std::string_view id);
+    const server_state *findServer(std::string_view id) const;
+    /// Returns the ids of the servers whose @p flag is set.
+    std::vector<std::string> serversThat(bool server_state::*flag) const;
+    server_load totalLoad(timestamp now, const server_state &state) const;
     store_state *findStore(std::string_view address);
     void suspect(timestamp now, server_state &state);
     void noteParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
--- a/libs/dispatch/src/load_board.cpp
+++ b/libs/dispatch/src/load_board.cpp
@@ -107,6 +107,28 @@
     return found == m_stores.end() ? nullptr : &*found;
 }
 
+load_board::server_state *load_board::findServer(std::string_view id)
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+const load_board::server_state *load_board::findServer(std::string_view id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> load_board::serversThat(bool server_state::*flag) const
+{
+    std::vector<std::string> names;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (it->second.*flag)
+            names.push_back(it->first);
+    }
+    return names;
+}
+
 std::vector<endpoint> load_board::cacheStores() const
 {
     std::vector<endpoint> addresses;
@@ -138,64 +160,56 @@
 void load_board::noteSeenWeights(timestamp now, std::string_view server, std::string_view model,
                                  std::uint64_t version)
 {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end())
+    server_state *state = findServer(server);
+    if (state == nullptr)
         return;
-    if (version > found->second.info.weights[std::string(model)])
-        found->second.weightsSeenAt = now;
+    if (version > state->info.weights[std::string(model)])
+        state->weightsSeenAt = now;
     noteToldWeights(server, model, version);
 }
 
 void load_board::noteToldWeights(std::string_view server, std::string_view model,
                                  std::uint64_t version)
 {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end())
+    server_state *state = findServer(server);
+    if (state == nullptr)
         return;
-    server_state &state = found->second;
-    std::uint64_t &known = state.info.weights[std::string(model)];
-    if (version >= state.guessedWeights)
-        state.guessedWeights = 0;
+    std::uint64_t &known = state->info.weights[std::string(model)];
+    if (version >= state->guessedWeights)
+        state->guessedWeights = 0;
     if (version <= known)
         return;
     known = version;
-    state.loadingUntil = timestamp {};
-    state.parts.clear();
+    state->loadingUntil = timestamp {};
+    state->parts.clear();
 }
 
 void load_board::noteOtherWeights(timestamp now, std::string_view server, std::string_view model,
                                   std::uint64_t tried)
 {
-    const auto found = m_servers.find(server);
-    const auto named = m_named.find(model);
-    if (found == m_servers.end())
+    server_state *state = findServer(server);
+    if (state == nullptr)
         return;
-    server_state &state = found->second;
-    state.guessedWeights = 0;
+    state->guessedWeights = 0;
+    const auto named = m_named.find(model);
     if (named != m_named.end()) {
         const auto next = named->second.upper_bound(tried);
         if (next != named->second.end())
-            state.guessedWeights = next->first;
+            state->guessedWeights = next->first;
     }
-    if (state.guessedWeights == 0)
-        state.loadingUntil = std::max(state.loadingUntil, now + otherWeightsRest);
+    if (state->guessedWeights == 0)
+        state->loadingUntil = std::max(state->loadingUntil, now + otherWeightsRest);
 }
 
 void load_board::noteGone(std::string_view server)
 {
-    const auto found = m_servers.find(server);
-    if (found != m_servers.end())
-        found->second.isGone = true;
+    if (server_state *state = findServer(server))
+        state->isGone = true;
 }
 
 std::vector<std::string> load_board::goneServers() const
 {
-    std::vector<std::string> gone;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (it->second.isGone)
-            gone.push_back(it->first);
-    }
-    return gone;
+    return serversThat(&server_state::isGone);
 }
 
 std::uint64_t load_board::weightsOf(const server_state &state, std::string_view model)
@@ -238,19 +252,20 @@
 
 void load_board::noteLoading(std::string_view server, timestamp until)
 {
-    const auto found = m_servers.find(server);
-    if (found != m_servers.end())
-        found->second.loadingUntil = until;
+    if (server_state *state = findServer(server))
+        state->loadingUntil = until;
 }
 
 server_load load_board::totalLoad(timestamp now, std::string_view server) const
 {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end())
-        return {};
-    server_load total = found->second.own;
-    const std::map<std::string, peer_load, std::less<>> &peers = found->second.peers;
-    for (auto it = peers.begin(); it != peers.end(); ++it) {
+    const server_state *state = findServer(server);
+    return state == nullptr ? server_load {} : totalLoad(now, *state);
+}
+
+server_load load_board::totalLoad(timestamp now, const server_state &state) const
+{
+    server_load total = state.own;
+    for (auto it = state.peers.begin(); it != state.peers.end(); ++it) {
         if (now - it->second.at > m_options.reportLife)
             continue;
         total.running += it->second.load.running;
@@ -262,21 +277,21 @@
 
 bool load_board::isSuspect(timestamp now, std::string_view server) const
 {
-    const auto found = m_servers.find(server);
-    return found != m_servers.end() && now < found->second.suspectUntil;
+    const server_state *state = findServer(server);
+    return state != nullptr && now < state->suspectUntil;
 }
 
 std::uint64_t load_board::begin(timestamp now, const work_placement &placed, const work_item &work)
 {
-    const auto found = m_servers.find(placed.server);
+    server_state *server = findServer(placed.server);
     ticket_state ticket {.server = placed.server,
                          .pendingTokens = placed.missingTokens,
                          .memoryTokens = placed.memoryTokens,
                          .expectedMs = placed.expectedMs,
                          .startedAt = now,
                          .isModel = !placed.cacheName.empty()};
-    if (found != m_servers.end()) {
-        server_load &own = found->second.own;
+    if (server != nullptr) {
+        server_load &own = server->own;
         own.running += 1;
         own.pendingTokens += ticket.pendingTokens;
         own.memoryTokens += ticket.memoryTokens;
@@ -306,9 +321,8 @@
 void load_board::notePlacedParts(timestamp now, std::span<const placed_parts> placements)
 {
     for (const placed_parts &placed : placements) {
-        const auto found = m_servers.find(placed.server);
-        if (found != m_servers.end())
-            noteParts(now, found->second, placed.parts);
+        if (server_state *server = findServer(placed.server))
+            noteParts(now, *server, placed.parts);
         store_state *store = findStore(placed.store);
         if (store == nullptr)
             continue;
@@ -331,14 +345,14 @@
         return;
     ticket_state &state = found->second;
     state.hasStarted = true;
-    const auto server = m_servers.find(state.server);
-    if (server == m_servers.end())
+    server_state *server = findServer(state.server);
+    if (server == nullptr)
         return;
-    server->second.own.pendingTokens -= state.pendingTokens;
+    server->own.pendingTokens -= state.pendingTokens;
     const double measured = toSeconds(now - state.startedAt) * 1000;
     if (state.isModel && state.expectedMs > 0) {
         const double ratio = std::clamp(measured / state.expectedMs, 0.3, 6.0);
-        double &slowness = server->second.slowness;
+        double &slowness = server->slowness;
         slowness =
             std::clamp(slowness * (1 - speedWeight) + slowness * ratio * speedWeight, 0.5, 8.0);
     }
@@ -350,9 +364,8 @@
     if (found == m_tickets.end() || found->second.wasSilent)
         return;
     found->second.wasSilent = true;
-    const auto server = m_servers.find(found->second.server);
-    if (server != m_servers.end())
-        suspect(now, server->second);
+    if (server_state *server = findServer(found->second.server))
+        suspect(now, *server);
 }
 
 void load_board::suspect(timestamp now, server_state &state)
@@ -383,31 +396,26 @@
 
 void load_board::noteProbe(std::string_view server, bool isReachable)
 {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end())
+    server_state *state = findServer(server);
+    if (state == nullptr)
         return;
-    found->second.isProbed = false;
-    found->second.isUnreachable = !isReachable;
-    found->second.needsProbe = !isReachable;
+    state->isProbed = false;
+    state->isUnreachable = !isReachable;
+    state->needsProbe = !isReachable;
     if (isReachable)
-        found->second.lostInARow = 0;
+        state->lostInARow = 0;
 }
 
 void load_board::noteDoubt(timestamp now, std::string_view server)
 {
-    const auto found = m_servers.find(server);
-    if (found != m_servers.end() && now - found->second.probedAt > doubtEvery)
-        found->second.needsProbe = true;
+    server_state *state = findServer(server);
+    if (state != nullptr && now - state->probedAt > doubtEvery)
+        state->needsProbe = true;
 }
 
 std::vector<std::string> load_board::unreachableServers() const
 {
-    std::vector<std::string> names;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (it->second.isUnreachable)
-            names.push_back(it->first);
-    }
-    return names;
+    return serversThat(&server_state::isUnreachable);
 }
 
 double load_board::poolFailureShare(std::string_view service) const
@@ -430,10 +438,10 @@
         return;
     const ticket_state state = std::move(found->second);
     m_tickets.erase(found);
-    const auto server = m_servers.find(state.server);
-    if (server == m_servers.end())
+    server_state *server = findServer(state.server);
+    if (server == nullptr)
         return;
-    server_state &target = server->second;
+    server_state &target = *server;
     target.own.running -= 1;
     target.own.memoryTokens -= state.memoryTokens;
     if (!state.hasStarted)
@@ -472,13 +480,13 @@
 
 void load_board::noteReportedLoad(timestamp now, std::string_view server, int running, int waiting)
 {
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end())
+    server_state *state = findServer(server);
+    if (state == nullptr)
         return;
     // What the server counts beyond all that is known stands for instances not heard from.
-    const server_load known = totalLoad(now, server);
+    const server_load known = totalLoad(now, *state);
     const int unknown = running + waiting - known.running - 1;
-    peer_load &rest = found->second.peers["(unknown)"];
+    peer_load &rest = state->peers["(unknown)"];
     rest.at = now;
     rest.load.running = std::max(0, unknown + rest.load.running) / 2;
 }
@@ -496,12 +504,13 @@
 void load_board::takePeerLoad(timestamp now, std::string_view peer,
                               const std::map<std::string, server_load, std::less<>> &load)
 {
+    const std::string name(peer);
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const auto reported = load.find(it->first);
         if (reported == load.end())
-            it->second.peers.erase(std::string(peer));
+            it->second.peers.erase(name);
         else
-            it->second.peers[std::string(peer)] = {.load = reported->second, .at = now};
+            it->second.peers[name] = {.load = reported->second, .at = now};
     }
 }
 
--- a/libs/dispatch/src/load_choice.cpp
+++ b/libs/dispatch/src/load_choice.cpp
@@ -168,7 +168,7 @@
     }
     if (placed.storeMs > 0)
         placed.busyStore = place.store->name;
-    const server_load load = totalLoad(now, state.info.id);
+    const server_load load = totalLoad(now, state);
     const double readMs =
         (load.pendingTokens + placed.missingTokens) / m_options.prefillTokensPerMs;
     placed.expectedMs = (m_options.firstEventMs + readMs) * state.slowness + copyTime;
@@ -250,7 +250,7 @@
         return placed;
     }
     const double callMs = state.callMs > 0 ? state.callMs : m_options.plainCallMs;
-    const int running = totalLoad(now, state.info.id).running;
+    const int running = totalLoad(now, state).running;
     placed.expectedMs = callMs * (1 + static_cast<double>(running) / std::max(1, state.info.slots));
     return placed;
 }
