Read the lists of a report in one way, write and read a time by one unit

Four readers walked a list and passed over what is of another type, each in its own loop, and the unit of a store's time stood in the writer and in the reader. Behaviour is unchanged.

--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -5,6 +5,8 @@
 #include <core/json.h>
 #include <http/message.h>
 
+#include "report_format.h"
+
 namespace trefoil {
 
 namespace {
@@ -56,14 +58,13 @@
 
 Json::Value placedToJson(const std::vector<placed_parts> &placed)
 {
-    constexpr double tenths = 10;
     Json::Value list(Json::arrayValue);
     for (const placed_parts &each : placed) {
         Json::Value entry(Json::arrayValue);
         entry.append(each.server);
         entry.append(each.store);
         entry.append(each.isKept);
-        entry.append(Json::UInt64(each.storeMs * tenths));
+        entry.append(Json::UInt64(each.storeMs * storeTimeUnitsPerMs));
         for (const std::uint64_t part : each.parts)
             entry.append(Json::UInt64(part));
         list.append(entry);
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -5,6 +5,8 @@
 
 #include <dispatch/peer_report.h>
 
+#include "report_format.h"
+
 namespace trefoil {
 
 namespace {
@@ -47,18 +49,26 @@
     }
 }
 
-void readNames(const value_fields &fields, std::string_view name, std::vector<std::string> &names)
+/// Calls @p use with each item of list @p name that is a @p Item; others are passed over.
+template <typename Item, typename Use>
+void forEach(const value_fields &fields, std::string_view name, Use &&use)
 {
     const std::optional<value_list> entries = as<value_list>(fields[name]);
     if (!entries)
         return;
     for (const value entry : *entries) {
-        const std::optional<std::string_view> text = as<std::string_view>(entry);
-        if (text)
-            names.emplace_back(*text);
+        const std::optional<Item> item = as<Item>(entry);
+        if (item)
+            use(*item);
     }
 }
 
+void readNames(const value_fields &fields, std::string_view name, std::vector<std::string> &names)
+{
+    forEach<std::string_view>(fields, name,
+                              [&names](std::string_view text) { names.emplace_back(text); });
+}
+
 void readLoad(const value_fields &fields, peer_report &report)
 {
     const std::optional<value_fields> entries = as<value_fields>(fields["load"]);
@@ -80,70 +90,51 @@
 
 void readPlaced(const value_fields &fields, peer_report &report)
 {
-    constexpr double tenths = 10;
     constexpr std::size_t lastField = 3;
-    const std::optional<value_list> entries = as<value_list>(fields["placed"]);
-    if (!entries)
-        return;
-    for (const value entry : *entries) {
-        const std::optional<value_list> items = as<value_list>(entry);
-        if (!items)
-            continue;
-        const std::optional<std::string_view> server = as<std::string_view>(items->at(0));
-        const std::optional<std::string_view> store = as<std::string_view>(items->at(1));
-        const std::optional<bool> isKept = as<bool>(items->at(2));
-        const std::optional<std::uint64_t> storeTenths = as<std::uint64_t>(items->at(3));
-        if (!server || !store || !isKept || !storeTenths)
-            continue;
+    forEach<value_list>(fields, "placed", [&report](const value_list &items) {
+        const std::optional<std::string_view> server = as<std::string_view>(items.at(0));
+        const std::optional<std::string_view> store = as<std::string_view>(items.at(1));
+        const std::optional<bool> isKept = as<bool>(items.at(2));
+        const std::optional<std::uint64_t> storeTime = as<std::uint64_t>(items.at(lastField));
+        if (!server || !store || !isKept || !storeTime)
+            return;
         placed_parts placed {.server = std::string(*server),
                              .store = std::string(*store),
                              .isKept = *isKept,
-                             .storeMs = static_cast<double>(*storeTenths) / tenths};
+                             .storeMs = static_cast<double>(*storeTime) / storeTimeUnitsPerMs};
         std::size_t place = 0;
-        for (const value item : *items) {
+        for (const value item : items) {
             const std::optional<std::uint64_t> part = as<std::uint64_t>(item);
             if (place++ > lastField && part)
                 placed.parts.push_back(*part);
         }
         report.placed.push_back(std::move(placed));
-    }
+    });
 }
 
 void readReleases(const value_fields &fields, peer_report &report)
 {
-    const std::optional<value_list> entries = as<value_list>(fields["releases"]);
-    if (!entries)
-        return;
-    for (const value entry : *entries) {
-        const std::optional<value_fields> outcome = as<value_fields>(entry);
-        if (!outcome)
-            continue;
-        report.releases.push_back({.service = textOf(*outcome, "service"),
-                                   .release = textOf(*outcome, "release"),
-                                   .route = textOf(*outcome, "route"),
-                                   .counts = {.requests = integerOf(*outcome, "requests"),
-                                              .failures = integerOf(*outcome, "failures"),
-                                              .slow = integerOf(*outcome, "slow")}});
-    }
+    forEach<value_fields>(fields, "releases", [&report](const value_fields &outcome) {
+        report.releases.push_back({.service = textOf(outcome, "service"),
+                                   .release = textOf(outcome, "release"),
+                                   .route = textOf(outcome, "route"),
+                                   .counts = {.requests = integerOf(outcome, "requests"),
+                                              .failures = integerOf(outcome, "failures"),
+                                              .slow = integerOf(outcome, "slow")}});
+    });
 }
 
 void readCrashes(const value_fields &fields, peer_report &report)
 {
-    const std::optional<value_list> entries = as<value_list>(fields["crashes"]);
-    if (!entries)
-        return;
-    for (const value entry : *entries) {
-        const std::optional<value_list> items = as<value_list>(entry);
-        if (!items)
-            continue;
-        const std::optional<std::string_view> request = as<std::string_view>(items->at(0));
-        const std::optional<std::string_view> event = as<std::string_view>(items->at(1));
+    forEach<value_list>(fields, "crashes", [&report](const value_list &items) {
+        const std::optional<std::string_view> request = as<std::string_view>(items.at(0));
+        const std::optional<std::string_view> event = as<std::string_view>(items.at(1));
         crash_note note;
         if (!request || !event || !fromHex(*request, note.request))
-            continue;
+            return;
         note.event = std::string(*event);
         report.crashes.push_back(std::move(note));
-    }
+    });
 }
 
 } // namespace
