One rule for silence, one for what a large fleet is, one sum of what callers ask

- Five reports, 15 ms an instance and three periods stood in the members' table and in the limits.
- More than 24 others stood in the members' table and in the exchange of reports.
Counted without this instance now: with 25 others listed and itself not yet, a fleet is large in both.
- Each admission summed what all instances are asked twice, for the shared level and for the own part.
- The entry answer and each round of a watch copied all members to count them.

--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -8,6 +8,7 @@
 
 #include <configuration/settings.h>
 #include <core/clock.h>
+#include <dispatch/report_silence.h>
 
 namespace trefoil {
 
@@ -43,15 +44,11 @@
 {
     std::string self;
     std::string zone;
-    /// A member not heard for longer is taken for dead: five reports.
-    duration silence = std::chrono::milliseconds(1000);
-    /// A holder of a duty not heard for longer may be succeeded: three reports. Short, because
-    /// the successor asks the store whether it is right.
+    /// A member not heard for longer is taken for dead.
+    report_silence silence;
+    /// A holder of a duty not heard for longer may be succeeded: three reports, and the growth of
+    /// the above. Short, because the successor asks the store whether it is right.
     duration holderSilence = std::chrono::milliseconds(650);
-    /// Reports of an instance without callers that may be lost before it is taken for dead.
-    int periodsToSilence = 3;
-    /// Added to both for each member: reports come less often in a large fleet.
-    duration silenceForEach = std::chrono::milliseconds(15);
     /// Callers spread over all zones where their own has fewer live instances.
     std::size_t leastInZone = 2;
     /// Callers are sent to instances with at least this share of the largest one's capacity.
@@ -63,8 +60,9 @@
     duration spreadTime = std::chrono::seconds(10);
     /// Instances named in an answer.
     std::size_t mostNamed = 64;
-    /// In a fleet of more others than this, a report goes to one instance of each other zone, which
-    /// passes it on there: a full mesh of 81 instances carried 0.5 GB a minute between zones.
+    /// A fleet of more others than this is large: a report goes to one instance of each other zone,
+    /// which passes it on there, and instances without callers report less often. A full mesh of 81
+    /// instances carried 0.5 GB a minute between zones.
     std::size_t mostDirect = 24;
 };
 
@@ -96,6 +94,10 @@
     /// Returns where @p name takes reports and calls of others, or an empty endpoint for one that
     /// isn't listed.
     endpoint peersOf(std::string_view name) const;
+    /// Returns the number of other instances that are listed.
+    std::size_t otherCount() const { return m_members.size() - (listsSelf() ? 1 : 0); }
+    /// Returns whether the fleet is large; see member_table_options.
+    bool isLarge() const { return otherCount() > m_options.mostDirect; }
     /// Returns the other instances that are listed.
     std::vector<member_entry> others() const;
     /// Returns where the report with @p sequence goes. Another zone's receiver changes with each
@@ -138,16 +140,6 @@
     std::vector<const member_state *> largeOnes(timestamp now,
                                                 std::vector<const member_state *> usable);
 
-    /// Longest silence of a live instance that announced its next report after @p period.
-    duration silence(duration period) const
-    {
-        return std::max(m_options.silence + growth(), m_options.periodsToSilence * period);
-    }
-    duration growth() const
-    {
-        return m_options.silenceForEach * static_cast<int>(m_members.size());
-    }
-
     member_table_options m_options;
     std::map<std::string, member_state, std::less<>> m_members;
     /// All instances are named until then.
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <core/clock.h>
+#include <dispatch/report_silence.h>
 
 namespace trefoil {
 
@@ -18,11 +19,8 @@
 /// Options of the limits.
 struct team_limit_options
 {
-    /// An instance not heard for longer is taken to spend an equal share of each limit. Five of
-    /// the reports that instances exchange.
-    duration silence = std::chrono::milliseconds(1000);
-    /// Added for each other instance: reports come less often in a large fleet.
-    duration silenceForEach = std::chrono::milliseconds(15);
+    /// An instance not heard for longer is taken to spend an equal share of each limit.
+    report_silence silence;
     /// Below what all could overspend until the next report, within these parts of the burst, an
     /// instance admits no more than its part of the rate, by what callers ask of it: else all would
     /// spend the same rest.
@@ -131,19 +129,26 @@
         std::map<std::string, peer_usage, std::less<>> teams;
     };
 
-    /// Longest silence of a peer that announced its next report after @p period.
-    duration silence(duration period = {}) const
+    /// What callers ask of a team, in units a second: here and of all instances, by their reports.
+    struct asked_view
     {
-        constexpr int periodsToSilence = 3;
-        return std::max(m_options.silence
-                            + m_options.silenceForEach * static_cast<int>(m_peers.size()),
-                        periodsToSilence * period);
+        double own = 0;
+        double all = 0;
+        /// Instances that are asked, this one included.
+        int askers = 1;
+        /// Part of the rate that is this instance's.
+        double part() const { return all > 0 ? own / all : 1; }
+    };
+
+    bool isSilent(timestamp now, const peer_state &peer) const
+    {
+        return now - peer.heardAt > m_options.silence.longest(m_peers.size(), peer.period);
     }
     void bring(timestamp now, std::string_view team, bucket &account);
     double shareOfSilent(const bucket &account) const;
-    double ownPart(std::string_view team, const bucket &account) const;
+    asked_view askedOf(std::string_view team, const bucket &account) const;
     /// Returns the level below which the instances keep to their parts.
-    double sharedBelow(std::string_view team, const bucket &account) const;
+    double sharedBelow(const asked_view &asked, const bucket &account) const;
 
     team_limit_options m_options;
     std::map<std::string, bucket, std::less<>> m_buckets;
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -44,7 +44,8 @@
 {
     const auto found = m_members.find(name);
     return found != m_members.end() && !found->second.isLeaving
-        && now - found->second.heardAt <= silence(found->second.period);
+        && now - found->second.heardAt
+        <= m_options.silence.longest(m_members.size(), found->second.period);
 }
 
 endpoint member_table::peersOf(std::string_view name) const
@@ -65,7 +66,7 @@
 
 std::vector<report_target> member_table::reportTargets(timestamp now, std::uint64_t sequence) const
 {
-    const bool isLarge = m_members.size() > m_options.mostDirect + 1;
+    const bool crossesOnce = isLarge();
     std::vector<report_target> targets;
     std::map<std::string_view, std::vector<const member_state *>> farZones;
     std::size_t place = 0;
@@ -73,7 +74,7 @@
         const member_entry &entry = it->second.entry;
         if (it->first == m_options.self)
             place = static_cast<std::size_t>(std::distance(m_members.begin(), it));
-        else if (isLarge && entry.zone != m_options.zone)
+        else if (crossesOnce && entry.zone != m_options.zone)
             farZones[entry.zone].push_back(&it->second);
         else
             targets.push_back({.to = entry.peers});
@@ -124,7 +125,8 @@
 {
     const auto found = m_members.find(name);
     return found != m_members.end()
-        && now - found->second.heardAt <= m_options.holderSilence + growth()
+        && now - found->second.heardAt
+        <= m_options.holderSilence + m_options.silence.growth(m_members.size())
         && found->second.dutyEpoch == epoch && epoch != 0;
 }
 
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -66,7 +66,7 @@
     double spentElsewhere = 0;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         peer_state &peer = it->second;
-        if (now - peer.heardAt > silence(peer.period)) {
+        if (isSilent(now, peer)) {
             spentElsewhere += shareOfSilent(account) * elapsed;
             continue;
         }
@@ -80,39 +80,31 @@
     account.level =
         std::min(account.burst, account.level + account.rate * elapsed - spentElsewhere);
     account.asked *= std::exp(-elapsed / toSeconds(m_options.askedTime));
-    const double ownRate = account.rate * ownPart(team, account);
+    const double ownRate = account.rate * askedOf(team, account).part();
     // Little: what is saved up would be spent by all at once.
     const double most =
         std::max({account.allowance, ownRate * allowanceSeconds, account.size * allowanceRequests});
     account.allowance = std::min(account.allowance + ownRate * elapsed, most);
 }
 
-double team_limits::ownPart(std::string_view team, const bucket &account) const
+team_limits::asked_view team_limits::askedOf(std::string_view team, const bucket &account) const
 {
-    const double own = account.asked / toSeconds(m_options.askedTime);
-    double all = own;
+    asked_view asked {.own = account.asked / toSeconds(m_options.askedTime)};
+    asked.all = asked.own;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         const auto usage = it->second.teams.find(team);
-        if (usage != it->second.teams.end())
-            all += usage->second.askedRate;
+        if (usage == it->second.teams.end() || usage->second.askedRate <= 0)
+            continue;
+        asked.all += usage->second.askedRate;
+        asked.askers += 1;
     }
-    return all > 0 ? own / all : 1;
+    return asked;
 }
 
-double team_limits::sharedBelow(std::string_view team, const bucket &account) const
+double team_limits::sharedBelow(const asked_view &asked, const bucket &account) const
 {
-    const double own = account.asked / toSeconds(m_options.askedTime);
-    double all = own;
-    int askers = 1;
-    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
-        const auto usage = it->second.teams.find(team);
-        if (usage == it->second.teams.end() || usage->second.askedRate <= 0)
-            continue;
-        all += usage->second.askedRate;
-        askers += 1;
-    }
     // The others' figures are a report old: a rise that is seen here is taken to be seen by all.
-    const double excess = std::max(all, own * askers * surgeShare) - account.rate;
+    const double excess = std::max(asked.all, asked.own * asked.askers * surgeShare) - account.rate;
     const double overshoot = std::max(0.0, excess) * toSeconds(m_options.reportLag);
     return std::clamp(overshoot, account.burst * m_options.leastSharedLevel,
                       account.burst * m_options.sharedLevel);
@@ -129,10 +121,11 @@
     account.size += (units - account.size) * (account.size > 0 ? sizeWeight : 1);
     if (account.level <= 0)
         return fromSeconds((units - account.level) / account.rate);
-    const bool isShared = account.level < sharedBelow(team, account);
+    const asked_view asked = askedOf(team, account);
+    const bool isShared = account.level < sharedBelow(asked, account);
     if (isShared && account.allowance <= 0)
         return fromSeconds((units - account.allowance)
-                           / (account.rate * std::max(leastPart, ownPart(team, account))));
+                           / (account.rate * std::max(leastPart, asked.part())));
     account.level -= units;
     // What a full bucket gave is nobody's part.
     if (isShared)
@@ -159,7 +152,8 @@
     });
     // One that was never heard counts as silent from the start.
     for (const std::string &name : peers)
-        m_peers.try_emplace(name, peer_state {.heardAt = now - 2 * silence()});
+        m_peers.try_emplace(
+            name, peer_state {.heardAt = now - 2 * m_options.silence.longest(m_peers.size())});
 }
 
 void team_limits::takeReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
@@ -171,7 +165,7 @@
         return;
     peer_state &state = found->second;
     // Spending while it was silent was taken at its share; what it reports now covers that time.
-    const bool wasSilent = now - state.heardAt > silence(state.period);
+    const bool wasSilent = isSilent(now, state);
     const double age = toSeconds(now - state.heardAt);
     const bool isKnown = state.incarnation == incarnation;
     for (auto it = admitted.begin(); it != admitted.end(); ++it) {
@@ -218,11 +212,11 @@
     if (found != m_buckets.end()) {
         seen.rate = found->second.rate;
         seen.level = found->second.level;
-        seen.part = ownPart(team, found->second);
+        seen.part = askedOf(team, found->second).part();
     }
     seen.known = static_cast<int>(m_peers.size());
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
-        seen.heard += now - it->second.heardAt <= silence(it->second.period) ? 1 : 0;
+        seen.heard += isSilent(now, it->second) ? 0 : 1;
     return seen;
 }
 
--- a/libs/dispatch/tests/team_limits_test.cpp
+++ b/libs/dispatch/tests/team_limits_test.cpp
@@ -81,6 +81,15 @@
     std::size_t busy = instances.size();
 };
 
+/// Returns a grown site's fleet: six of 81 instances have callers.
+limit_fleet largeFleet(const team_limit_options &options = {})
+{
+    limit_fleet fleet(81, {}, options);
+    fleet.busy = 6;
+    fleet.reportEvery = std::chrono::milliseconds(440);
+    return fleet;
+}
+
 double mostInWindow(const std::vector<admission> &admitted, duration window)
 {
     std::deque<admission> inside;
@@ -130,9 +139,7 @@
 // instances have callers; a team with a full burst may ask 1.08 times its rate for ten seconds.
 TEST(TeamLimits, ATeamThatAsksALittleMoreThanItsRateMaySpendItsWholeBurst)
 {
-    limit_fleet fleet(81, {});
-    fleet.busy = 6;
-    fleet.reportEvery = std::chrono::milliseconds(440);
+    limit_fleet fleet = largeFleet();
     fleet.run(4, 0.3);
     // A jump from little use would cost what was refilled until the reports told of it.
     fleet.run(2, 1.0);
@@ -143,9 +150,7 @@
 // Load: the same team beyond its burst, with requests that are large against an instance's part.
 TEST(TeamLimits, ATeamBeyondItsLimitStillGetsAllOfItsRate)
 {
-    limit_fleet fleet(81, {});
-    fleet.busy = 6;
-    fleet.reportEvery = std::chrono::milliseconds(440);
+    limit_fleet fleet = largeFleet();
     const std::vector<admission> admitted = fleet.run(30, 1.5);
     EXPECT_GE(sumOf(admitted), 0.97 * rate * 30);
     EXPECT_LE(mostInWindow(admitted, std::chrono::seconds(8)), allowedInWindow);
@@ -155,10 +160,9 @@
 // window.
 TEST(TeamLimits, WithAWindowATeamGetsWhatItsWindowAllowsAllTheTime)
 {
-    for (const int count : {8, 81}) {
-        limit_fleet fleet(count, {}, {.window = std::chrono::seconds(8)});
-        fleet.busy = count == 81 ? 6 : fleet.busy;
-        fleet.reportEvery = std::chrono::milliseconds(count == 81 ? 440 : 200);
+    const team_limit_options options {.window = std::chrono::seconds(8)};
+    for (limit_fleet fleet : {limit_fleet(8, {}, options), largeFleet(options)}) {
+        const std::size_t count = fleet.instances.size();
         fleet.run(4, 0.3);
         const std::vector<admission> usual = fleet.run(30, 1.07);
         EXPECT_GE(sumOf(usual), 1.07 * rate * 30 - 3 * requestUnits) << count;
@@ -195,9 +199,7 @@
 
 TEST(TeamLimits, AHotTeamOfALargeFleetIsCutAtItsLimit)
 {
-    limit_fleet fleet(81, {});
-    fleet.busy = 6;
-    fleet.reportEvery = std::chrono::milliseconds(440);
+    limit_fleet fleet = largeFleet();
     const std::vector<admission> admitted = fleet.run(30, 7.5);
     EXPECT_LE(mostInWindow(admitted, std::chrono::seconds(8)), allowedInWindow);
     EXPECT_GE(sumOf(admitted), 0.95 * rate * 30);
--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -82,7 +82,7 @@
     bool isTroubled = false;
     bool isCutOff = false;
     state.with([&](edge_beliefs &beliefs) {
-        const std::size_t others = beliefs.members.others().size();
+        const std::size_t others = beliefs.members.otherCount();
         const std::size_t live = beliefs.members.liveOthers(now);
         isTroubled = live < others;
         isCutOff = others > 0 && live == 0 && !state.isStoreReachable();
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -14,9 +14,8 @@
 constexpr duration reportEvery = std::chrono::milliseconds(200);
 /// Added for each other instance, so that reports don't fill the links of a large fleet.
 constexpr duration reportEveryForEach = std::chrono::milliseconds(3);
-/// In a fleet of more others than this, instances without callers report less often.
-constexpr std::size_t manyOthers = 24;
-/// Their period: a member counts as dead after three of them, before it is taken off the list.
+/// Period of instances without callers in a large fleet: a member counts as dead after three of
+/// them, before it is taken off the list.
 constexpr duration idleReportEvery = std::chrono::milliseconds(1500);
 /// An instance is busy for this long after a request.
 constexpr duration busyTime = std::chrono::seconds(3);
@@ -44,10 +43,9 @@
 duration peer_exchange::period(bool hasDuty) const
 {
     const duration usual = reportEvery + reportEveryForEach * m_others.load();
-    const bool isLarge = m_others.load() > manyOthers;
     const bool isBusy = hasDuty || m_state.isLeaving() || m_state.openRequests() > 0
         || boot_clock::now() - m_state.lastRequestAt() < busyTime;
-    return isLarge && !isBusy ? std::max(usual, idleReportEvery) : usual;
+    return m_isLarge && !isBusy ? std::max(usual, idleReportEvery) : usual;
 }
 
 result<void> peer_exchange::run(const std::stop_token &stop)
@@ -99,8 +97,8 @@
                         .storeEpochs = duty.storeEpochs};
     std::vector<report_target> targets;
     m_state.with([&](edge_beliefs &beliefs) {
-        const std::vector<member_entry> others = beliefs.members.others();
-        m_others = others.size();
+        m_others = beliefs.members.otherCount();
+        m_isLarge = beliefs.members.isLarge();
         targets = beliefs.members.reportTargets(now, m_sequence);
         if (beliefs.ownStoreHeardAt != timestamp {})
             report.storeHeardAgoMs =
@@ -130,7 +128,7 @@
                 report.namedAgeMs[weightsKey(model->first, it->first)] = static_cast<std::uint64_t>(
                     std::max<std::int64_t>(0, toMilliseconds(now - it->second)));
         }
-        for (const member_entry &other : others) {
+        for (const member_entry &other : beliefs.members.others()) {
             const bool isAlive = beliefs.members.isAlive(now, other.name);
             const auto before = m_wasAlive.find(other.name);
             if (before != m_wasAlive.end() && before->second != isAlive)
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -52,6 +52,7 @@
     std::mutex m_sendMutex;
     std::uint64_t m_sequence = 0;
     std::atomic<std::size_t> m_others = 0;
+    std::atomic<bool> m_isLarge = false;
     std::atomic<bool> m_hasDuty = false;
     bool m_adoptedLevels = false;
     std::map<std::string, bool, std::less<>> m_wasAlive;
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -149,7 +149,7 @@
     const timestamp now = boot_clock::now();
     return m_state.with([now](edge_beliefs &beliefs) {
         return fleet_view {.rank = beliefs.members.rank(now),
-                           .others = static_cast<int>(beliefs.members.others().size())};
+                           .others = static_cast<int>(beliefs.members.otherCount())};
     });
 }
 
