--- a/soak/src/soak_callers.cpp
+++ b/soak/src/soak_callers.cpp
@@ -2,6 +2,7 @@
 
 #include <thread>
 
+#include <Poco/Net/HTTPResponse.h>
 #include <core/digest.h>
 #include <core/json.h>
 #include <http/byte_stream.h>
@@ -15,6 +16,8 @@
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 constexpr duration entryTimeout = std::chrono::seconds(1);
 constexpr duration connectTimeout = std::chrono::seconds(1);
 /// Patience of callers, as they tell it.
@@ -24,7 +27,6 @@
 constexpr duration thinkTime = std::chrono::milliseconds(25);
 /// Requests over one connection, after which a caller asks for an address again.
 constexpr int requestsPerConnection = 12;
-constexpr int successStatus = 200;
 
 /// Answer as it was read.
 struct whole_answer
@@ -82,7 +84,7 @@
     const endpoint &entry = m_options.entries[self.random() % m_options.entries.size()];
     const result<http_answer> answer = httpCallOnce(
         entry, {.path = "/resolve?name=" + m_options.host + "&region=r&zone=z1"}, entryTimeout);
-    if (!answer || answer->status != successStatus)
+    if (!answer || answer->status != HTTPResponse::HTTP_OK)
         return false;
     const result<Json::Value> value = parseJson(answer->body, "an entry answer");
     if (!value || (*value)["addresses"].empty())
@@ -211,8 +213,8 @@
         m_ledger.report("own answer",
                         "request " + id + " got the answer of \""
                             + std::string(headers.value("X-Request-Id")) + "\"");
-    const bool isWhole = answer->isComplete && status == successStatus;
-    if (status == successStatus) {
+    const bool isWhole = answer->isComplete && status == HTTPResponse::HTTP_OK;
+    if (status == HTTPResponse::HTTP_OK) {
         if (!m_ledger.hasSeal(id, std::string(headers.value("X-Server-Seal"))))
             m_ledger.report("seal", "request " + id + " succeeded without its server's seal");
         if (note.kind == request_kind::Stream) {
--- a/soak/src/soak_ledger.cpp
+++ b/soak/src/soak_ledger.cpp
@@ -1,9 +1,13 @@
 #include "soak_ledger.h"
 
+#include <Poco/Net/HTTPResponse.h>
+
 namespace trefoil::soak {
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 /// Two holders of the duty must not order the same server within this time.
 constexpr duration holderQuietTime = std::chrono::seconds(3);
 /// Broken promises that are kept: the first ones tell the most.
@@ -82,15 +86,13 @@
 
 void soak_ledger::checkRefusals()
 {
-    constexpr int timedOutReading = 408;
-    constexpr int misdirected = 421;
-    constexpr int tooMany = 429;
-    constexpr int unavailable = 503;
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (auto it = m_sent.begin(); it != m_sent.end(); ++it) {
         const int status = it->second.status;
-        const bool promisesNotRun = status == timedOutReading || status == misdirected
-            || status == tooMany || status == unavailable;
+        const bool promisesNotRun = status == HTTPResponse::HTTP_REQUEST_TIMEOUT
+            || status == HTTPResponse::HTTP_MISDIRECTED_REQUEST
+            || status == HTTPResponse::HTTP_TOO_MANY_REQUESTS
+            || status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
         const auto runs = m_runs.find(it->first);
         if (promisesNotRun && runs != m_runs.end())
             reportLocked("not run",
--- a/soak/src/soak_store.cpp
+++ b/soak/src/soak_store.cpp
@@ -1,20 +1,18 @@
 #include "soak_store.h"
 
+#include <Poco/Net/HTTPResponse.h>
 #include <core/json.h>
 
 namespace trefoil::soak {
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 constexpr duration slowTime = std::chrono::milliseconds(250);
 constexpr duration writeTimeout = std::chrono::seconds(2);
 constexpr std::size_t maxHistory = 2000;
 
-constexpr int okStatus = 200;
-constexpr int notFoundStatus = 404;
-constexpr int conflictStatus = 409;
-constexpr int goneStatus = 410;
-
 std::uint64_t numberOf(const std::string &text) { return parseDecimal(text).value_or(0); }
 
 } // namespace
@@ -120,7 +118,7 @@
     const std::string path = target.substr(0, target.find('?'));
     constexpr std::string_view root = "/objects/";
     if (!path.starts_with(root))
-        return {.status = notFoundStatus, .body = {}};
+        return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = {}};
     std::string kind = path.substr(root.size());
     std::string name;
     bool isStatus = false;
@@ -143,8 +141,8 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_kinds[kind].find(name);
     if (found == m_kinds[kind].end())
-        return {.status = notFoundStatus, .body = {}};
-    return {.status = okStatus, .body = describe(name, found->second)};
+        return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = {}};
+    return {.status = HTTPResponse::HTTP_OK, .body = describe(name, found->second)};
 }
 
 soak_store::reply soak_store::list(const std::string &kind)
@@ -156,7 +154,7 @@
         body["items"].append(describe(it->first, it->second));
     body["more_pages"] = false;
     body["store_revision"] = Json::UInt64(m_revision);
-    return {.status = okStatus, .body = std::move(body)};
+    return {.status = HTTPResponse::HTTP_OK, .body = std::move(body)};
 }
 
 soak_store::reply soak_store::watch(const std::string &kind, std::uint64_t from, duration patience,
@@ -167,7 +165,7 @@
     Json::Value body(Json::objectValue);
     while (true) {
         if (from < m_oldest)
-            return {.status = goneStatus, .body = {}};
+            return {.status = HTTPResponse::HTTP_GONE, .body = {}};
         body["events"] = Json::Value(Json::arrayValue);
         for (const change &each : m_history) {
             if (each.kind == kind && each.revision > from)
@@ -176,11 +174,11 @@
         body["store_revision"] = Json::UInt64(m_revision);
         const timestamp now = boot_clock::now();
         if (!body["events"].empty() || now >= deadline || stop.stop_requested())
-            return {.status = okStatus, .body = std::move(body)};
+            return {.status = HTTPResponse::HTTP_OK, .body = std::move(body)};
         // In steps, so that a fault or the end of the soak is noticed.
         m_changed.wait_for(lock, std::min<duration>(deadline - now, slowTime));
         if (m_fault == store_fault::Down)
-            return {.status = okStatus, .body = std::move(body)};
+            return {.status = HTTPResponse::HTTP_OK, .body = std::move(body)};
     }
 }
 
@@ -196,19 +194,19 @@
     const auto found = m_kinds[kind].find(name);
     const bool exists = found != m_kinds[kind].end();
     if (method == "POST" && exists)
-        return {.status = conflictStatus, .body = describe(name, found->second)};
+        return {.status = HTTPResponse::HTTP_CONFLICT, .body = describe(name, found->second)};
     if (method != "POST" && !exists)
-        return {.status = notFoundStatus, .body = {}};
+        return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = {}};
     const std::string queried = queryValue(request.head.target, "revision");
     const std::uint64_t expected =
         queried.empty() ? integerOr(value["metadata"], "revision") : numberOf(queried);
     if (exists && expected != 0 && expected != found->second.revision)
-        return {.status = conflictStatus, .body = describe(name, found->second)};
+        return {.status = HTTPResponse::HTTP_CONFLICT, .body = describe(name, found->second)};
     if (method == "DELETE") {
         const stored gone = found->second;
         m_kinds[kind].erase(found);
         note(kind, name, gone, true);
-        return {.status = okStatus, .body = describe(name, gone)};
+        return {.status = HTTPResponse::HTTP_OK, .body = describe(name, gone)};
     }
     stored &object = m_kinds[kind][name];
     Json::Value &field = isStatus ? object.status : object.spec;
@@ -217,7 +215,7 @@
         field = fresh;
         note(kind, name, object, false);
     }
-    return {.status = okStatus, .body = describe(name, m_kinds[kind][name])};
+    return {.status = HTTPResponse::HTTP_OK, .body = describe(name, m_kinds[kind][name])};
 }
 
 } // namespace trefoil::soak
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 constexpr duration connectTimeout = std::chrono::seconds(1);
 
 /// How long a server is looked at to tell that it crashed from a cut connection: a process ends
@@ -229,8 +231,7 @@
                                                     orderTimeout);
     if (!answer)
         return tl::unexpected(answer.error());
-    constexpr int conflict = 409;
-    if (answer->status == conflict)
+    if (answer->status == HTTPResponse::HTTP_CONFLICT)
         return failure("stale-epoch",
                        "backend server \"" + order.order.worker
                            + "\" refused an old fencing number");
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <mutex>
 
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/Net/TCPServerConnection.h>
@@ -15,11 +16,7 @@
 
 namespace {
 
-constexpr int badRequest = 400;
-constexpr int requestTimeout = 408;
-constexpr int contentTooLarge = 413;
-constexpr int expectationFailed = 417;
-constexpr int headTooLarge = 431;
+using Poco::Net::HTTPResponse;
 
 /// Connections served at once: more than all callers of a small deployment open together. Each
 /// takes a thread with about 40 KB.
@@ -137,12 +134,12 @@
             return true;
         }
         if (buffer.size() > bounds.headerBytes) {
-            refuse(headTooLarge, "the head is too large");
+            refuse(HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large");
             return false;
         }
         const read_outcome outcome = m_caller.readMore(deadline);
         if (outcome == read_outcome::TimedOut)
-            refuse(requestTimeout, "the head came too slowly");
+            refuse(HTTPResponse::HTTP_REQUEST_TIMEOUT, "the head came too slowly");
         if (outcome != read_outcome::Bytes)
             return false;
     }
@@ -154,7 +151,7 @@
     std::string &buffer = m_caller.buffer();
     chunked_decoder chunks;
     if (framing.end == body_end::Length && framing.length > bounds.bodyBytes) {
-        refuse(contentTooLarge, "the body is too large");
+        refuse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         return false;
     }
     while (framing.end != body_end::None) {
@@ -168,17 +165,17 @@
             if (state == chunked_state::Done)
                 return true;
             if (state == chunked_state::Malformed) {
-                refuse(badRequest, "the body is malformed");
+                refuse(HTTPResponse::HTTP_BAD_REQUEST, "the body is malformed");
                 return false;
             }
             if (request.body.size() > bounds.bodyBytes) {
-                refuse(contentTooLarge, "the body is too large");
+                refuse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large");
                 return false;
             }
         }
         const read_outcome outcome = m_caller.readMore(boot_clock::now() + bodyPause);
         if (outcome == read_outcome::TimedOut)
-            refuse(requestTimeout, "the body came too slowly");
+            refuse(HTTPResponse::HTTP_REQUEST_TIMEOUT, "the body came too slowly");
         if (outcome != read_outcome::Bytes)
             return false;
     }
@@ -196,18 +193,18 @@
     caller_request request {.receivedAt = boot_clock::now()};
     result<request_head> head = parseRequestHead(text);
     if (!head) {
-        refuse(badRequest, head.error().message);
+        refuse(HTTPResponse::HTTP_BAD_REQUEST, head.error().message);
         return std::nullopt;
     }
     request.head = std::move(*head);
     const result<body_framing> framing = framingOf(request.head);
     if (!framing) {
-        refuse(badRequest, framing.error().message);
+        refuse(HTTPResponse::HTTP_BAD_REQUEST, framing.error().message);
         return std::nullopt;
     }
     if (request.head.headers.has("Expect")) {
         if (!request.head.headers.hasToken("Expect", "100-continue")) {
-            refuse(expectationFailed, "the expectation is not known");
+            refuse(HTTPResponse::HTTP_EXPECTATION_FAILED, "the expectation is not known");
             return std::nullopt;
         }
         if (m_caller.buffer().empty())
--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -15,13 +15,11 @@
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-constexpr int okStatus = 200;
-constexpr int notFoundStatus = 404;
-constexpr int unavailableStatus = 503;
-
 /// Callers keep an answer for this long, and some three times as long.
 constexpr duration calmEntryLife = std::chrono::seconds(3);
 /// While an instance is missing, answers change soon.
@@ -30,7 +28,7 @@
 /// Answer of a small page.
 struct page
 {
-    int status = okStatus;
+    int status = HTTPResponse::HTTP_OK;
     const char *type = "text/plain";
     std::string body;
 };
@@ -90,7 +88,8 @@
     });
     // An instance that reaches nobody can't tell which ones live: callers ask another one.
     if (isCutOff || instances.empty())
-        return {.status = unavailableStatus, .body = "no instance is known to live\n"};
+        return {.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                .body = "no instance is known to live\n"};
     const duration life =
         std::min(isTroubled ? troubledEntryLife : calmEntryLife, state.settings().longestEntryLife);
     return {.type = "application/json", .body = encodeEntryAnswer(instances, life)};
@@ -103,12 +102,13 @@
     return new page_factory([&state](const Poco::URI &uri) -> page {
         if (uri.getPath() == own_paths::readiness) {
             const bool isReady = state.isReady();
-            return {.status = isReady ? okStatus : unavailableStatus,
+            return {.status =
+                        isReady ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
                     .body = isReady ? "ready\n" : "not ready\n"};
         }
         if (uri.getPath() == own_paths::entry)
             return entryPage(state, parameter(uri, "zone"));
-        return {.status = notFoundStatus, .body = "no such page\n"};
+        return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = "no such page\n"};
     });
 }
 
@@ -124,7 +124,7 @@
                 .set(static_cast<std::int64_t>(droppedEvents()));
             return {.body = state.metrics().write()};
         }
-        return {.status = notFoundStatus, .body = "no such page\n"};
+        return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = "no such page\n"};
     });
 }
 
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -4,12 +4,15 @@
 #include <array>
 #include <random>
 
+#include <Poco/Net/HTTPResponse.h>
 #include <telemetry/event_log.h>
 
 namespace trefoil {
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 /// Times a request that was not run is offered to another server: a pool that loads weights rejects
 /// for a moment, and each offer counts against the retry budget.
 constexpr int mostRejections = 3;
@@ -49,17 +52,8 @@
 /// Crashes are told to the other instances for this long.
 constexpr duration crashTellTime = std::chrono::seconds(20);
 
-constexpr int okStatus = 200;
-constexpr int noContent = 204;
 constexpr int firstRedirect = 300;
 constexpr int firstServerFailure = 500;
-constexpr int badRequest = 400;
-constexpr int unauthorized = 401;
-constexpr int notFound = 404;
-constexpr int overLimit = 429;
-constexpr int badGateway = 502;
-constexpr int unavailable = 503;
-constexpr int gatewayTimeout = 504;
 
 /// Returns a time around @p middle, so that callers that were rejected together don't return
 /// together.
@@ -103,18 +97,20 @@
 {
     const timestamp now = boot_clock::now();
     if (!m_tables)
-        return refusal {unavailable, "no configuration yet", spread(shortestRetry * 2)};
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet",
+                        spread(shortestRetry * 2)};
     if (m_state.isTooLateToServe())
-        return refusal {unavailable, "the instance is stopping", shortestRetry};
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the instance is stopping",
+                        shortestRetry};
     if (m_fields.requestId.empty())
-        return refusal {badRequest, "the request has no id", std::nullopt};
+        return refusal {HTTPResponse::HTTP_BAD_REQUEST, "the request has no id", std::nullopt};
     m_route =
         m_tables->findRoute(m_request.head.headers.value("Host"), pathOf(m_request.head.target));
     if (m_route == nullptr)
-        return refusal {notFound, "no route", std::nullopt};
+        return refusal {HTTPResponse::HTTP_NOT_FOUND, "no route", std::nullopt};
     m_team = m_fields.key.empty() ? nullptr : m_tables->findTeam(m_fields.key);
     if (m_team == nullptr && !m_route->isOpen && !m_tables->teams.empty())
-        return refusal {unauthorized, "unknown key", std::nullopt};
+        return refusal {HTTPResponse::HTTP_UNAUTHORIZED, "unknown key", std::nullopt};
     m_deadline = m_request.receivedAt + m_route->timeout;
     if (m_fields.patience)
         m_deadline = std::min(m_deadline, m_request.receivedAt + *m_fields.patience);
@@ -127,7 +123,8 @@
         return beliefs.crashes.isRefused(now, m_bodyDigest);
     });
     if (isSuspect)
-        return refusal {unavailable, "the request crashed backend servers", std::nullopt};
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                        "the request crashed backend servers", std::nullopt};
     return checkLimit(now);
 }
 
@@ -157,7 +154,8 @@
                    .add("instances_known", view.known)
                    .add("wait_ms", toMilliseconds(*wait)));
     m_cost = 0;
-    return refusal {overLimit, "the team is over its limit", spread(*wait)};
+    return refusal {HTTPResponse::HTTP_TOO_MANY_REQUESTS, "the team is over its limit",
+                    spread(*wait)};
 }
 
 void request_runner::chooseService()
@@ -224,12 +222,14 @@
             if (m_answer)
                 break;
             if (m_runs > 0)
-                return refusal {badGateway, "no other backend server", std::nullopt};
+                return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "no other backend server",
+                                std::nullopt};
             // Room is to be had once the queues have shrunk to what still meets the aim.
             duration wait = shortestRetry * 2;
             if (placed)
                 wait = std::max(wait, fromSeconds(placed->expectedMs / 1000) - m_route->aim);
-            return refusal {unavailable, placed ? "overloaded" : "no backend server", spread(wait)};
+            return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                            placed ? "overloaded" : "no backend server", spread(wait)};
         }
         current.placed = *placed;
         const attempt_end end = runAttempt(current);
@@ -257,11 +257,12 @@
 std::optional<request_runner::refusal> request_runner::finalRefusal(attempt_end end) const
 {
     if (m_runs == 0)
-        return refusal {unavailable, end == attempt_end::TimedOut ? "out of time" : "rejected",
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                        end == attempt_end::TimedOut ? "out of time" : "rejected",
                         spread(shortestRetry * 2)};
     if (end == attempt_end::TimedOut)
-        return refusal {gatewayTimeout, "out of time", std::nullopt};
-    return refusal {badGateway, "the backend server broke off", std::nullopt};
+        return refusal {HTTPResponse::HTTP_GATEWAY_TIMEOUT, "out of time", std::nullopt};
+    return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "the backend server broke off", std::nullopt};
 }
 
 bool request_runner::mayGoElsewhere(attempt_end end, const attempt &last)
@@ -300,7 +301,8 @@
     if (current.fields.wasNotRun)
         return takeRejection(current);
     countRun(current);
-    const bool isSuccess = current.head.status >= okStatus && current.head.status < firstRedirect;
+    const bool isSuccess =
+        current.head.status >= HTTPResponse::HTTP_OK && current.head.status < firstRedirect;
     const bool isOwn = current.fields.requestId == m_fields.requestId;
     if (isSuccess && (!current.fields.isSigned || !isOwn))
         return attempt_end::Broken;
@@ -415,7 +417,7 @@
             countRun(current);
             return attempt_end::Broken;
         }
-        if (head->status < okStatus)
+        if (head->status < HTTPResponse::HTTP_OK)
             continue;
         current.head = std::move(*head);
         current.framing = *framing;
@@ -517,7 +519,8 @@
 {
     std::string framing;
     const std::string &body = m_answer->second;
-    const bool hasLength = m_request.head.method != "HEAD" && m_answer->first.status != noContent;
+    const bool hasLength =
+        m_request.head.method != "HEAD" && m_answer->first.status != HTTPResponse::HTTP_NO_CONTENT;
     if (hasLength)
         appendField(framing, "Content-Length", std::to_string(body.size()));
     m_status = m_answer->first.status;
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 #include <utility>
 
+#include <Poco/Net/HTTPResponse.h>
 #include <adapter/documents.h>
 #include <core/json.h>
 #include <platform/codec.h>
@@ -14,6 +15,8 @@
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 /// A waiting watch lasts this long, after which silence shows that its connection is dead. Another
 /// instance's report shows sooner that this one is behind.
 constexpr duration shortPatience = std::chrono::seconds(3);
@@ -232,8 +235,7 @@
     for (const std::pair<std::string, endpoint> &each : overdue) {
         const result<http_answer> answer = httpCallOnce(
             each.second, {.path = "/copy?kind=" + encodeUri(each.first)}, fetchTimeout);
-        constexpr int ok = 200;
-        if (answer && answer->status == ok)
+        if (answer && answer->status == HTTPResponse::HTTP_OK)
             takeFetched(each.first, answer->body);
         else
             writeEvent(event_line("store", "copy_fetch_failed")
--- a/trefoilrouter/src/http_platform.cpp
+++ b/trefoilrouter/src/http_platform.cpp
@@ -1,21 +1,22 @@
 #include "http_platform.h"
 
+#include <Poco/Net/HTTPResponse.h>
 #include <platform/codec.h>
 
 namespace trefoil {
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 /// The platform answers in milliseconds; past this it counts as out.
 constexpr duration callTimeout = std::chrono::seconds(2);
 
 tl::unexpected<error> errorOf(int status, const std::string &what)
 {
-    constexpr int notFound = 404;
-    constexpr int conflict = 409;
-    if (status == notFound)
+    if (status == HTTPResponse::HTTP_NOT_FOUND)
         return failure(platform_errors::notFound, what + " does not exist");
-    if (status == conflict)
+    if (status == HTTPResponse::HTTP_CONFLICT)
         return failure(platform_errors::conflict, what + " was changed by somebody else");
     return failure(platform_errors::refused,
                    "the platform refused " + what + " with status " + std::to_string(status));
@@ -45,8 +46,7 @@
     const result<json_channel::reply> answer = m_channel.call(request, timeout);
     if (!answer)
         return tl::unexpected(answer.error());
-    constexpr int ok = 200;
-    if (answer->status != ok)
+    if (answer->status != HTTPResponse::HTTP_OK)
         return errorOf(answer->status, "\"" + request.path + "\"");
     return answer->body;
 }
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -9,17 +9,14 @@
 
 namespace {
 
+using Poco::Net::HTTPResponse;
+
 /// Bytes read from a backend server at a time.
 constexpr std::size_t pieceBytes = 16 << 10;
 
 /// Longest answer of a backend server that is not a stream.
 constexpr std::size_t maxWholeAnswer = 64 << 20;
 
-constexpr int statusOk = 200;
-constexpr int statusTooMany = 429;
-constexpr int statusServerError = 500;
-constexpr int statusUnavailable = 503;
-
 /// Returns the digests of the chain's blocks as a header: what an engine names its events by.
 std::string blocksHeader(const prefix_chain &chain)
 {
@@ -155,13 +152,15 @@
         return attempt_end::Failed;
     }
     const int status = exchange->response().getStatus();
-    const bool isBusy =
-        m_request.isModel && (status == statusTooMany || status == statusUnavailable);
-    if (isBusy || (m_request.begin.idempotent && status >= statusServerError)) {
+    const bool isBusy = m_request.isModel
+        && (status == HTTPResponse::HTTP_TOO_MANY_REQUESTS
+            || status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    if (isBusy
+        || (m_request.begin.idempotent && status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)) {
         fail(isBusy ? attempt_failure::Busy : attempt_failure::ServerError);
         return attempt_end::Failed;
     }
-    const bool isStream = m_request.stream && status == statusOk
+    const bool isStream = m_request.stream && status == HTTPResponse::HTTP_OK
         && exchange->response().getContentType().starts_with("text/event-stream");
     return isStream ? readStream(*exchange) : readWhole(*exchange);
 }
@@ -194,7 +193,7 @@
     exchange.finish();
     m_status = head.getStatus();
     m_contentType = head.getContentType();
-    if (m_request.isModel && m_status == statusOk) {
+    if (m_request.isModel && m_status == HTTPResponse::HTTP_OK) {
         const std::optional<double> tokens = tokensOf(body);
         if (!tokens) {
             fail(attempt_failure::Empty);
@@ -253,7 +252,7 @@
         m_usedTokens += 1;
         return m_sink.event(event.id, event.data) ? attempt_end::GoOn : attempt_end::CallerGone;
     case stream_step::Complete:
-        m_status = statusOk;
+        m_status = HTTPResponse::HTTP_OK;
         m_sink.event("", event.data);
         return attempt_end::Done;
     case stream_step::Empty:
