--- a/libs/http/include/http/byte_stream.h
+++ b/libs/http/include/http/byte_stream.h
@@ -24,6 +24,13 @@
     WatchedLeft
 };
 
+/// Error codes of byte_stream::connect(): nothing was sent.
+namespace connect_errors {
+/// No process listens there.
+inline constexpr const char *refused = "connection-refused";
+inline constexpr const char *unreachable = "unreachable";
+} // namespace connect_errors
+
 /// TCP connection with a buffer of bytes that were received and not yet used. Every wait has a
 /// deadline. Not thread-safe.
 class byte_stream
@@ -32,7 +39,7 @@
     /// Takes over a connected socket.
     explicit byte_stream(const Poco::Net::StreamSocket &socket);
 
-    /// Connects to @p place. Errors: "connection-refused", "unreachable"; nothing was sent then.
+    /// Connects to @p place. Errors: those of connect_errors.
     static result<byte_stream> connect(const endpoint &place, duration timeout);
 
     /// Waits until @p deadline for bytes and appends them to buffer(). With @p watched, the wait
--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -45,9 +45,9 @@
         socket.connect(Poco::Net::SocketAddress(place.host, place.port), patience);
         return byte_stream(socket);
     } catch (const Poco::Net::ConnectionRefusedException &) {
-        return failure("connection-refused", name + " refused the connection");
+        return failure(connect_errors::refused, name + " refused the connection");
     } catch (const Poco::Exception &exception) {
-        return failure("unreachable", name + ": " + exception.displayText());
+        return failure(connect_errors::unreachable, name + ": " + exception.displayText());
     }
 }
 
--- a/standins/src/standin_server.cpp
+++ b/standins/src/standin_server.cpp
@@ -94,12 +94,7 @@
 
 std::string queryOf(const Poco::Net::HTTPServerRequest &request, const std::string &name)
 {
-    const Poco::URI uri(request.getURI());
-    for (const std::pair<std::string, std::string> &each : uri.getQueryParameters()) {
-        if (each.first == name)
-            return each.second;
-    }
-    return {};
+    return queryValue(Poco::URI(request.getURI()), name);
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -1,17 +1,16 @@
 #include "edge/caller_session.h"
 
 #include <algorithm>
-#include <condition_variable>
-#include <mutex>
 
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
 #include <telemetry/event_log.h>
 
+#include "http_util.h"
+
 namespace trefoil {
 
 namespace {
@@ -215,39 +214,27 @@
     return request;
 }
 
-void caller_session::refuse(int status, std::string_view sentence, std::string_view requestId)
+void caller_session::refuse(int status, std::string_view sentence)
 {
     writeEvent(event_line("proxy", "malformed").add("status", status).add("reason", sentence));
-    m_caller.write(encodeOwnAnswer(status, requestId, sentence, std::nullopt, true),
+    m_caller.write(encodeOwnAnswer(status, "", sentence, std::nullopt, true),
                    boot_clock::now() + ownAnswerTime);
     m_caller.close();
 }
 
 child_body callerListener(edge_state &state, server_connections &connections, const endpoint &place)
 {
-    return [&state, &connections, place](const std::stop_token &stop) -> result<void> {
-        try {
-            Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
-            params->setMaxThreads(mostConnections);
-            params->setMaxQueued(backlog);
-            Poco::ThreadPool threads(2, mostConnections, 60, threadStackBytes);
-            Poco::Net::ServerSocket socket;
-            socket.bind(Poco::Net::SocketAddress(place.host, place.port), true, false);
-            socket.listen(backlog);
-            Poco::Net::TCPServer server(new caller_connections(state, connections), threads, socket,
-                                        params);
-            server.start();
-            std::mutex mutex;
-            std::condition_variable_any stopped;
-            std::unique_lock<std::mutex> lock(mutex);
-            stopped.wait(lock, stop, [] { return false; });
-            server.stop();
-            return {};
-        } catch (const Poco::Exception &problem) {
-            return failure("listen",
-                           "can't listen on " + toString(place) + ": " + problem.displayText());
-        }
-    };
+    return listenerChild(place, [&state, &connections, place](const std::stop_token &stop) {
+        Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
+        params->setMaxThreads(mostConnections);
+        params->setMaxQueued(backlog);
+        Poco::ThreadPool threads(2, mostConnections, 60, threadStackBytes);
+        Poco::Net::TCPServer server(new caller_connections(state, connections), threads,
+                                    listenOn(place, backlog), params);
+        server.start();
+        waitForStop(stop);
+        server.stop();
+    });
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/caller_session.h
+++ b/trefoilrouter/src/edge/caller_session.h
@@ -30,7 +30,7 @@
     bool readHead(const caller_bounds &bounds, std::string &head);
     bool readBody(const caller_bounds &bounds, const body_framing &framing,
                   caller_request &request);
-    void refuse(int status, std::string_view sentence, std::string_view requestId = "");
+    void refuse(int status, std::string_view sentence);
     caller_bounds bounds() const;
 
     edge_state &m_state;
--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -6,11 +6,12 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/URI.h>
 #include <adapter/documents.h>
 #include <adapter/server_calls.h>
 #include <telemetry/event_log.h>
 
+#include "http_util.h"
+
 namespace trefoil {
 
 namespace {
@@ -64,15 +65,6 @@
     std::function<page(const Poco::URI &)> m_make;
 };
 
-std::string parameter(const Poco::URI &uri, const std::string &name)
-{
-    for (const std::pair<std::string, std::string> &each : uri.getQueryParameters()) {
-        if (each.first == name)
-            return each.second;
-    }
-    return "";
-}
-
 page entryPage(edge_state &state, const std::string &zone)
 {
     const timestamp now = boot_clock::now();
@@ -107,7 +99,7 @@
                     .body = isReady ? "ready\n" : "not ready\n"};
         }
         if (uri.getPath() == own_paths::entry)
-            return entryPage(state, parameter(uri, "zone"));
+            return entryPage(state, queryValue(uri, "zone"));
         return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = "no such page\n"};
     });
 }
@@ -117,7 +109,7 @@
 {
     return new page_factory([&state, &watch](const Poco::URI &uri) -> page {
         if (uri.getPath() == "/copy")
-            return {.type = "application/json", .body = watch.copyOf(parameter(uri, "kind"))};
+            return {.type = "application/json", .body = watch.copyOf(queryValue(uri, "kind"))};
         if (uri.getPath() == "/metrics") {
             state.metrics()
                 .gaugeOf("trefoil_log_lines_dropped")
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -654,7 +654,7 @@
 {
     const result<byte_stream> probe =
         byte_stream::connect(current.placed.address, crashProbeTimeout);
-    if (probe || probe.error().code != "connection-refused")
+    if (probe || probe.error().code != connect_errors::refused)
         return;
     const timestamp now = boot_clock::now();
     const crash_note note {.request = m_bodyDigest, .event = current.placed.server};
@@ -674,10 +674,9 @@
 {
     if (m_cost > 0 && m_runs == 0)
         m_state.with([&](edge_beliefs &beliefs) { beliefs.limits.giveBack(m_team->name, m_cost); });
-    std::optional<duration> retryAfter = why.retryAfter;
     logEnd(why.reason, why.status);
     const std::string text =
-        encodeOwnAnswer(why.status, m_fields.requestId, why.reason, retryAfter, m_closes);
+        encodeOwnAnswer(why.status, m_fields.requestId, why.reason, why.retryAfter, m_closes);
     return m_caller.write(text, boot_clock::now() + std::chrono::seconds(1));
 }
 
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -9,9 +9,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
-#include <Poco/URI.h>
 
 namespace trefoil {
 
@@ -123,37 +121,64 @@
     return encoded;
 }
 
-child_body httpListener(listener_options options)
+std::string queryValue(const Poco::URI &uri, std::string_view name)
+{
+    for (const std::pair<std::string, std::string> &each : uri.getQueryParameters()) {
+        if (each.first == name)
+            return each.second;
+    }
+    return "";
+}
+
+Poco::Net::ServerSocket listenOn(const endpoint &place, int backlog)
+{
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(place.host, place.port), true, false);
+    socket.listen(backlog);
+    return socket;
+}
+
+void waitForStop(const std::stop_token &stop)
 {
-    return [options = std::move(options)](const std::stop_token &stop) -> result<void> {
+    std::mutex mutex;
+    std::condition_variable_any stopped;
+    std::unique_lock<std::mutex> lock(mutex);
+    stopped.wait(lock, stop, [] { return false; });
+}
+
+child_body listenerChild(endpoint place, std::function<void(const std::stop_token &stop)> serve)
+{
+    return [place = std::move(place),
+            serve = std::move(serve)](const std::stop_token &stop) -> result<void> {
         try {
-            Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-            params->setMaxThreads(options.threads);
-            params->setMaxQueued(maxQueuedConnections);
-            params->setTimeout(toTimespan(options.timeout));
-            params->setKeepAlive(options.keepsConnections);
-            params->setKeepAliveTimeout(toTimespan(keepAlive));
-            params->setMaxKeepAliveRequests(0);
-            Poco::ThreadPool threads(2, options.threads);
-            Poco::Net::ServerSocket socket;
-            socket.bind(Poco::Net::SocketAddress(options.place.host, options.place.port), true,
-                        false);
-            socket.listen(maxQueuedConnections);
-            Poco::Net::HTTPServer server(options.factory, threads, socket, params);
-            server.start();
-            std::mutex mutex;
-            std::condition_variable_any stopped;
-            std::unique_lock<std::mutex> lock(mutex);
-            stopped.wait(lock, stop, [] { return false; });
-            server.stopAll(true);
-            threads.joinAll();
+            serve(stop);
             return {};
         } catch (const Poco::Exception &problem) {
             return failure("listen",
-                           "can't listen on " + toString(options.place) + ": "
-                               + problem.displayText());
+                           "can't listen on " + toString(place) + ": " + problem.displayText());
         }
     };
 }
 
+child_body httpListener(listener_options options)
+{
+    const endpoint place = options.place;
+    return listenerChild(place, [options = std::move(options)](const std::stop_token &stop) {
+        Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+        params->setMaxThreads(options.threads);
+        params->setMaxQueued(maxQueuedConnections);
+        params->setTimeout(toTimespan(options.timeout));
+        params->setKeepAlive(options.keepsConnections);
+        params->setKeepAliveTimeout(toTimespan(keepAlive));
+        params->setMaxKeepAliveRequests(0);
+        Poco::ThreadPool threads(2, options.threads);
+        Poco::Net::HTTPServer server(options.factory, threads,
+                                     listenOn(options.place, maxQueuedConnections), params);
+        server.start();
+        waitForStop(stop);
+        server.stopAll(true);
+        threads.joinAll();
+    });
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <iosfwd>
 #include <memory>
 #include <span>
@@ -9,7 +10,9 @@
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Timespan.h>
+#include <Poco/URI.h>
 #include <configuration/settings.h>
 #include <core/clock.h>
 #include <core/error.h>
@@ -71,6 +74,18 @@
 /// Returns @p text with everything but letters, digits and -_.~ percent-encoded. Thread-safe.
 std::string encodeUri(std::string_view text);
 
+/// Returns the first value of parameter @p name in @p uri, or "". Thread-safe.
+std::string queryValue(const Poco::URI &uri, std::string_view name);
+
+/// Returns a socket that listens on @p place. Throws Poco::Exception where it can't.
+Poco::Net::ServerSocket listenOn(const endpoint &place, int backlog);
+
+/// Blocks until @p stop is requested.
+void waitForStop(const std::stop_token &stop);
+
+/// Makes a child of @p serve that fails with error "listen" when listening on @p place throws.
+child_body listenerChild(endpoint place, std::function<void(const std::stop_token &stop)> serve);
+
 /// Makes a child that serves HTTP on @p place until it is stopped; then it lets the handlers that
 /// run finish. Failing to bind is a failure of the child.
 struct listener_options
