Judge a silent engine by its measured prefill rate and cached parts by the first event

A prompt of 46,000 tokens takes 1.3 s; after 1.4 s of silence it was sent to a second engine, which computed it again. The abandoned attempt had already marked the part as held by the engine and the KV cache store, so for 12 s the next requests asked the store in vain, computed the part again and did not store it. Ruled out: full stores, evictions within ten seconds of a use.

Change: the prefill rate is the median of measured first events, shared in the reports (prefill_rate); how long a server may be silent is a pure decision that knows the time for an uncached prompt, the caller's patience and whether a probe failed (silence_policy); parts count as cached from the first event on, and those of an abandoned request are forgotten. Silence counts from the last complete event with data, and no bytes of a server hold a request past its deadline.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <core/clock.h>
+#include <dispatch/prefill_rate.h>
 #include <dispatch/serving_tables.h>
 
 namespace trefoil {
@@ -66,6 +67,10 @@
     double memoryTokens = 0;
     /// Expected time to the first event in milliseconds.
     double expectedMs = 0;
+    /// Part of expectedMs that is spent on copying cached parts.
+    double copyMs = 0;
+    /// Expected time to the first event in milliseconds if no part of the prompt is cached.
+    double uncachedMs = 0;
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -113,8 +118,8 @@
     /// Availability zone of this instance.
     std::string zone;
     std::uint64_t randomSeed = 1;
-    /// Prefill throughput of an engine in prompt tokens per millisecond.
-    double prefillTokensPerMs = 90;
+    /// Estimate of the engines' prefill rate.
+    prefill_rate_options prefill;
     /// Time to the first event of an idle engine in milliseconds, without prefill.
     double baseFirstEventMs = 40;
     /// Assumed duration in milliseconds of a call to a service without a model, until a call has
@@ -191,7 +196,8 @@
     /// Adds the load of a request sent to @p placed. Returns a ticket to pass to the calls below.
     std::uint64_t begin(timestamp now, const server_placement &placed,
                         const request_profile &request);
-    /// Records the first event of the ticket's response.
+    /// Records the first event of the ticket's response: from now on the engine and the KV cache
+    /// store hold the prompt's shared parts.
     void onFirstEvent(timestamp now, std::uint64_t ticket);
     /// Records that the ticket's server has sent nothing for too long.
     void onServerSilent(timestamp now, std::uint64_t ticket);
@@ -211,17 +217,27 @@
     void requestProbe(timestamp now, std::string_view server);
     /// Returns the servers that this instance can't reach.
     std::vector<std::string> unreachableServers() const;
+    /// Returns whether this instance can't reach @p server.
+    bool isUnreachable(std::string_view server) const;
 
     /// Returns the load that this instance has put on each server.
     std::map<std::string, server_load, std::less<>> ownLoad() const;
     /// Replaces the load that @p peer has put on each server.
     void setPeerLoad(timestamp now, std::string_view peer,
                      const std::map<std::string, server_load, std::less<>> &load);
-    /// Returns the placements of this instance since the last call and clears them.
+    /// Returns the copies and the newly cached parts of this instance's requests since the last
+    /// call and clears them.
     std::vector<cache_placement> takeCachePlacements();
     /// Records placements made by another instance.
     void addCachePlacements(timestamp now, std::span<const cache_placement> placements);
 
+    /// Returns the last prefill rate that this instance has measured since the last call, in prompt
+    /// tokens per millisecond by service, and clears it.
+    std::map<std::string, double, std::less<>> takePrefillRates();
+    /// Records prefill rates that another instance has measured, by service. Unknown services are
+    /// ignored.
+    void addPrefillRates(const std::map<std::string, double, std::less<>> &rates);
+
     /// Returns the addresses of the KV cache stores.
     std::vector<endpoint> cacheStores() const;
     /// Returns the listed servers with the weights that they are known to run.
@@ -318,8 +334,13 @@
     {
         std::string server;
         double pendingTokens = 0;
+        /// Tokens of other requests that the server had to compute before.
+        double tokensAhead = 0;
         double memoryTokens = 0;
         double expectedMs = 0;
+        double copyMs = 0;
+        /// Shared parts that the server and a store hold from the first event on.
+        cache_placement cached;
         timestamp startedAt;
         bool hasStarted = false;
         bool isModel = false;
@@ -360,6 +381,13 @@
     server_load totalLoad(timestamp now, const server_state &state) const;
     store_state *findStore(std::string_view address);
     void markSuspect(timestamp now, server_state &state);
+    /// Applies @p placement here and adds it to the next report.
+    void announce(timestamp now, cache_placement placement);
+    /// Drops the parts that the ticket's request was expected to bring into the engine's cache.
+    static void forgetParts(server_state &server, const ticket_state &ticket);
+    double prefillTokensPerMs(std::string_view service) const;
+    prefill_rate &prefillRateOf(std::string_view service);
+    void measurePrefill(const server_state &server, const ticket_state &ticket, double measuredMs);
     void touchParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
     double poolFailureShare(std::string_view service) const;
 
@@ -367,6 +395,10 @@
     std::mt19937_64 m_random;
     std::map<std::string, server_state, std::less<>> m_servers;
     std::map<std::string, engine_traits, std::less<>> m_engines;
+    /// Prefill rates of the engines, by service.
+    std::map<std::string, prefill_rate, std::less<>> m_prefillRates;
+    /// Measurements for the next report.
+    std::map<std::string, double, std::less<>> m_measuredRates;
     std::vector<store_state> m_stores;
     std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> m_targetWeights;
     /// Holders by part, cached during one choice: the estimates of all servers need the same few
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -53,6 +53,8 @@
     admitted_totals levels;
     admitted_totals demandRates;
     std::vector<cache_placement> placed;
+    /// See load_balancer::takePrefillRates().
+    std::map<std::string, double, std::less<>> prefillRates;
     std::vector<crash_record> crashes;
     /// Servers that load weights on the order of the instance.
     std::vector<std::string> loading;
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -42,6 +42,8 @@
     duration timeout = std::chrono::seconds(60);
     /// Target latency of the answer, or of the first event of a stream.
     duration targetLatency = std::chrono::seconds(1);
+    /// Pause between events of a stream after which its caller disconnects.
+    duration callerPatience = std::chrono::seconds(2);
     /// 0 is the highest priority.
     int priority = 0;
     std::vector<route_target> targets;
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -293,23 +293,29 @@
                          .pendingTokens = placed.missingTokens,
                          .memoryTokens = placed.memoryTokens,
                          .expectedMs = placed.expectedMs,
+                         .copyMs = placed.copyMs,
                          .startedAt = now,
                          .isModel = !placed.cacheSalt.empty()};
     if (server != nullptr) {
+        ticket.tokensAhead = totalLoad(now, *server).pendingTokens;
         server_load &own = server->own;
         own.running += 1;
         own.pendingTokens += ticket.pendingTokens;
         own.memoryTokens += ticket.memoryTokens;
         if (ticket.isModel && request.prompt.size() > 1) {
-            cache_placement parts {.server = placed.server,
-                                   .store = placed.transferStore,
-                                   .isStored = placed.cacheSink.has_value(),
-                                   .storeTransferMs = placed.storeTransferMs};
+            ticket.cached = {.server = placed.server,
+                             .store = placed.transferStore,
+                             .isStored = placed.cacheSink.has_value()};
             for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
-                parts.parts.push_back(cachedPartKey(placed.cacheSalt, request.prompt[i].id));
-            addCachePlacements(now, std::span(&parts, 1));
-            if (m_placed.size() < maxCachePlacements)
-                m_placed.push_back(std::move(parts));
+                ticket.cached.parts.push_back(
+                    cachedPartKey(placed.cacheSalt, request.prompt[i].id));
+            // Further requests of this instance follow the prompt to the engine that computes it.
+            touchParts(now, *server, ticket.cached.parts);
+            if (placed.storeTransferMs > 0)
+                announce(now,
+                         {.server = placed.server,
+                          .store = placed.transferStore,
+                          .storeTransferMs = placed.storeTransferMs});
         }
     }
     m_tickets.emplace(m_nextTicket, std::move(ticket));
@@ -343,6 +349,60 @@
     }
 }
 
+void load_balancer::announce(timestamp now, cache_placement placement)
+{
+    addCachePlacements(now, std::span(&placement, 1));
+    if (m_placed.size() < maxCachePlacements)
+        m_placed.push_back(std::move(placement));
+}
+
+void load_balancer::forgetParts(server_state &server, const ticket_state &ticket)
+{
+    for (const std::uint64_t part : ticket.cached.parts) {
+        const auto held = server.parts.find(part);
+        // A later use comes from another request, which may have succeeded.
+        if (held != server.parts.end() && held->second <= ticket.startedAt)
+            server.parts.erase(held);
+    }
+}
+
+double load_balancer::prefillTokensPerMs(std::string_view service) const
+{
+    const auto found = m_prefillRates.find(service);
+    return found == m_prefillRates.end() ? m_options.prefill.initialTokensPerMs
+                                         : found->second.tokensPerMs();
+}
+
+void load_balancer::measurePrefill(const server_state &server, const ticket_state &ticket,
+                                   double measuredMs)
+{
+    // The queue ahead is known only roughly, so it must not dominate the measurement.
+    if (ticket.tokensAhead > ticket.pendingTokens / 2)
+        return;
+    const double tokens = ticket.pendingTokens + ticket.tokensAhead;
+    const double milliseconds = measuredMs - m_options.baseFirstEventMs - ticket.copyMs;
+    if (prefillRateOf(server.info.service).record(tokens, milliseconds))
+        m_measuredRates[server.info.service] = tokens / milliseconds;
+}
+
+prefill_rate &load_balancer::prefillRateOf(std::string_view service)
+{
+    return m_prefillRates.try_emplace(std::string(service), m_options.prefill).first->second;
+}
+
+std::map<std::string, double, std::less<>> load_balancer::takePrefillRates()
+{
+    return std::exchange(m_measuredRates, {});
+}
+
+void load_balancer::addPrefillRates(const std::map<std::string, double, std::less<>> &rates)
+{
+    for (auto it = rates.begin(); it != rates.end(); ++it) {
+        if (m_engines.contains(it->first))
+            prefillRateOf(it->first).recordRate(it->second);
+    }
+}
+
 std::vector<cache_placement> load_balancer::takeCachePlacements()
 {
     return std::exchange(m_placed, {});
@@ -360,6 +420,10 @@
         return;
     server->own.pendingTokens -= state.pendingTokens;
     const double measured = toSeconds(now - state.startedAt) * 1000;
+    if (!state.cached.parts.empty())
+        announce(now, state.cached);
+    if (state.isModel)
+        measurePrefill(*server, state, measured);
     if (state.isModel && state.expectedMs > 0) {
         const double ratio = std::clamp(measured / state.expectedMs, 0.3, 6.0);
         double &slowness = server->slowness;
@@ -428,6 +492,12 @@
     return serversWithFlag(&server_state::isUnreachable);
 }
 
+bool load_balancer::isUnreachable(std::string_view server) const
+{
+    const server_state *state = findServer(server);
+    return state != nullptr && state->isUnreachable;
+}
+
 double load_balancer::poolFailureShare(std::string_view service) const
 {
     double sum = 0;
@@ -454,8 +524,10 @@
     server_state &target = *server;
     target.own.running -= 1;
     target.own.memoryTokens -= state.memoryTokens;
-    if (!state.hasStarted)
+    if (!state.hasStarted) {
         target.own.pendingTokens -= state.pendingTokens;
+        forgetParts(target, state);
+    }
     if (outcome == attempt_outcome::Abandoned || outcome == attempt_outcome::Rejected)
         return;
     const bool isFailure = outcome != attempt_outcome::Done;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -135,6 +135,7 @@
     addNonEmpty(value, "asked_rates", numbersToJson(report.demandRates));
     addNonEmpty(value, "levels", numbersToJson(report.levels));
     addNonEmpty(value, "placed", placedToJson(report.placed));
+    addNonEmpty(value, "prefill_rates", numbersToJson(report.prefillRates));
     addNonEmpty(value, "crashes", crashesToJson(report.crashes));
     addNonEmpty(value, "loading", namesToJson(report.loading));
     addNonEmpty(value, "gone", namesToJson(report.gone));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -165,6 +165,7 @@
     readNumbers(fields, "asked_rates", report.demandRates);
     readNumbers(fields, "levels", report.levels);
     readPlaced(fields, report);
+    readNumbers(fields, "prefill_rates", report.prefillRates);
     readCrashes(fields, report);
     readNames(fields, "loading", report.loading);
     readNames(fields, "gone", report.gone);
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -123,6 +123,7 @@
     bool isHeld = true;
     bool isStored = true;
     double sharedTokens = 0;
+    double promptTokens = 0;
     part_source copySource;
     placed.memoryTokens = request.outputTokens;
     for (std::size_t i = 0; i < request.prompt.size(); ++i) {
@@ -130,6 +131,7 @@
         const bool isPrivate = i + 1 == request.prompt.size();
         const std::uint64_t key = cachedPartKey(placed.cacheSalt, part.id);
         sharedTokens += isPrivate ? 0 : part.tokens;
+        promptTokens += part.tokens;
         isHeld = isHeld && !isPrivate && isLikelyCached(state.parts, key, now);
         if (isHeld)
             continue;
@@ -173,9 +175,12 @@
     if (placed.storeTransferMs > 0)
         placed.transferStore = affinity.store->name;
     const server_load load = totalLoad(now, state);
-    const double prefillMs =
-        (load.pendingTokens + placed.missingTokens) / m_options.prefillTokensPerMs;
-    placed.expectedMs = (m_options.baseFirstEventMs + prefillMs) * state.slowness + copyTimeMs;
+    const double tokensPerMs = prefillTokensPerMs(request.service);
+    const double queueMs = m_options.baseFirstEventMs + load.pendingTokens / tokensPerMs;
+    placed.copyMs = copyTimeMs;
+    placed.expectedMs =
+        (queueMs + placed.missingTokens / tokensPerMs) * state.slowness + copyTimeMs;
+    placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness;
     const double usableTokens = engine.memoryTokens * m_options.memoryShare;
     const double excessTokens = load.memoryTokens + placed.memoryTokens - usableTokens;
     if (excessTokens > 0 && engine.memoryTokens > 0)
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -20,6 +20,7 @@
                     .store = "10.0.0.9:1",
                     .isStored = true,
                     .storeTransferMs = 3.4}},
+        .prefillRates = {{"llm", 37.5}},
         .crashes = {{.request = digestOf("x"), .event = "s1"}},
         .loading = {"s2"},
         .weights = {{"s1=m", 4}},
@@ -40,6 +41,7 @@
     EXPECT_EQ(read->placed[0].store, "10.0.0.9:1");
     EXPECT_TRUE(read->placed[0].isStored);
     EXPECT_DOUBLE_EQ(read->placed[0].storeTransferMs, 3.4);
+    EXPECT_EQ(read->prefillRates, report.prefillRates);
     EXPECT_EQ(read->storeEpochs, report.storeEpochs);
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
     EXPECT_EQ(read->loading, report.loading);
--- a/libs/http/include/http/sse_framer.h
+++ b/libs/http/include/http/sse_framer.h
@@ -17,6 +17,8 @@
     std::string takeIncomplete();
     /// Discards an incomplete event, when another server resumes the stream.
     void discardIncomplete() { m_incomplete.clear(); }
+    /// Returns the number of bytes of an incomplete event.
+    std::size_t incompleteBytes() const { return m_incomplete.size(); }
     /// Returns the id of the last complete event that had one, or "".
     const std::string &lastEventId() const { return m_lastEventId; }
 
@@ -27,4 +29,8 @@
     std::string m_lastEventId;
 };
 
+/// Returns whether @p events contains a data field. Comments and empty lines, which servers send to
+/// keep a connection open, are no progress of a stream. Thread-safe.
+bool containsData(std::string_view events);
+
 } // namespace trefoil
--- a/libs/http/src/sse_framer.cpp
+++ b/libs/http/src/sse_framer.cpp
@@ -24,8 +24,14 @@
 
 std::string sse_framer::feed(std::string_view bytes)
 {
+    // Only the new bytes, and the line end that they may complete, can end an event.
+    constexpr std::size_t longestEnd = 4;
+    const std::size_t searchFrom =
+        m_incomplete.size() - std::min(m_incomplete.size(), longestEnd - 1);
     m_incomplete.append(bytes);
-    const std::size_t end = endOfLastCompleteEvent(m_incomplete);
+    const std::size_t found =
+        endOfLastCompleteEvent(std::string_view(m_incomplete).substr(searchFrom));
+    const std::size_t end = found == 0 ? 0 : searchFrom + found;
     std::string events = m_incomplete.substr(0, end);
     m_incomplete.erase(0, end);
     updateLastEventId(events);
@@ -34,6 +40,12 @@
 
 std::string sse_framer::takeIncomplete() { return std::exchange(m_incomplete, {}); }
 
+bool containsData(std::string_view events)
+{
+    constexpr std::string_view fieldName = "data";
+    return events.starts_with(fieldName) || events.find("\ndata") != std::string_view::npos;
+}
+
 void sse_framer::updateLastEventId(std::string_view events)
 {
     constexpr std::string_view fieldName = "id:";
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -117,6 +117,7 @@
         report.gone = routing.balancer.goneServers();
         report.unreachable = routing.balancer.unreachableServers();
         report.placed = routing.balancer.takeCachePlacements();
+        report.prefillRates = routing.balancer.takePrefillRates();
         for (const std::pair<timestamp, crash_record> &each : routing.localCrashes)
             report.crashes.push_back(each.second);
         for (auto it = routing.localOutcomes.begin(); it != routing.localOutcomes.end(); ++it)
@@ -207,6 +208,7 @@
         routing.balancer.setStoreEpoch(it->first, it->second);
     routing.balancer.setPeerLoad(now, report.from, report.load);
     routing.balancer.addCachePlacements(now, report.placed);
+    routing.balancer.addPrefillRates(report.prefillRates);
     for (const std::string &server : report.gone)
         routing.balancer.markGone(server);
     for (const std::string &server : report.unreachable)
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -24,13 +24,20 @@
 void request_runner::logPlaced(const attempt &current) const
 {
     const server_placement &placed = current.placed;
+    const std::vector<prompt_part> &prompt = m_fields.prompt;
+    const bool hasSharedPart = prompt.size() > 1;
     writeEvent(event_line("proxy", "placed")
                    .add("request", m_fields.requestId)
                    .add("route", m_route->name)
                    .add("server", placed.server)
                    .add("attempt", static_cast<int>(m_triedServers.size()) + 1)
                    .add("expected_ms", placed.expectedMs)
+                   .add("uncached_ms", placed.uncachedMs)
                    .add("missing_tokens", placed.missingTokens)
+                   .add("shared_part", hasSharedPart ? prompt[prompt.size() - 2].id : "")
+                   .add("copy_from", placed.cacheSource ? toString(*placed.cacheSource) : "")
+                   .add("store_to", placed.cacheSink ? toString(*placed.cacheSink) : "")
+                   .add("cache_salt", placed.cacheSalt)
                    .add("weights", placed.weights)
                    .add("config_version", m_tables->version)
                    .add("left_ms", toMilliseconds(m_deadline - boot_clock::now())));
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -26,16 +26,12 @@
 /// How long an idle connection is kept to a server that doesn't announce its timeout: half of the
 /// shortest usual timeout.
 constexpr duration defaultIdleTimeout = std::chrono::seconds(4);
-/// Silence after which a stream is resumed on another server: callers give up after 2 s.
-constexpr duration maxStreamSilence = std::chrono::milliseconds(1400);
-/// Minimum silence before a repeatable request is retried on another server.
-constexpr duration minRetrySilence = std::chrono::milliseconds(250);
-/// Multiples of the expected time after which a silent server becomes suspect, and is abandoned.
-constexpr double suspectFactor = 4;
-constexpr double abandonFactor = 6;
-constexpr duration minSuspectTime = std::chrono::milliseconds(700);
+/// Interval at which a request that waits for its server checks whether to go on waiting.
+constexpr duration silenceCheckInterval = std::chrono::milliseconds(200);
 /// Limit on the head of an answer.
 constexpr std::size_t maxHeadBytes = 64 * 1024;
+/// Limit on one event of a stream.
+constexpr std::size_t maxEventBytes = 1u << 20;
 /// Limit on an answer that is buffered.
 constexpr std::size_t maxBufferedBytes = 16u << 20;
 /// Fraction of the remaining time that the expected wait may take. Beyond it a request is refused
@@ -349,6 +345,7 @@
          .lastEventId = lastEvent});
     current.wasSent = true;
     current.sentAt = boot_clock::now();
+    current.progressAt = current.sentAt;
     // A server may answer, and close, before it has read the body; its answer is then in the
     // buffer.
     const bool isWritten = current.stream->write(head + m_request.body, m_deadline);
@@ -366,34 +363,43 @@
     current.isCounted = true;
 }
 
-read_outcome request_runner::waitForBytes(attempt &current)
+silence_limits request_runner::silenceLimitsOf(const attempt &current) const
 {
-    const duration expected = fromSeconds(current.placed.expectedMs / 1000);
-    const timestamp start = boot_clock::now();
-    const timestamp suspectAt = start
-        + std::max<duration>(minSuspectTime, fromSeconds(toSeconds(expected) * suspectFactor));
-    // The last attempt that the route allows waits until the deadline.
     const int runs = m_runs + (current.isCounted ? 0 : 1);
-    const bool canRetryElsewhere = mayRepeat() && runs < m_route->maxAttempts;
-    timestamp abandonAt = m_deadline;
-    if (canRetryElsewhere) {
-        const duration maxSilence = m_route->repeats == repeat_rule::Stream
-            ? std::max<duration>(maxStreamSilence,
-                                 current.hasEvents ? duration::zero() : expected * 2)
-            : std::max<duration>(minRetrySilence, fromSeconds(toSeconds(expected) * abandonFactor));
-        abandonAt = std::min(m_deadline, start + maxSilence);
+    return silenceLimits({.isStream = m_route->repeats == repeat_rule::Stream,
+                          .hasEvents = current.hasEvents,
+                          .canRetry = mayRepeat() && runs < m_route->maxAttempts,
+                          .expected = fromSeconds(current.placed.expectedMs / 1000),
+                          .expectedUncached = fromSeconds(current.placed.uncachedMs / 1000),
+                          .callerPatience = m_route->callerPatience});
+}
+
+read_outcome request_runner::waitForBytes(attempt &current)
+{
+    const silence_limits limits = silenceLimitsOf(current);
+    const auto isOver = [&current](duration limit, timestamp now) {
+        return limit != duration::max() && now - current.progressAt >= limit;
+    };
+    while (true) {
+        const timestamp now = boot_clock::now();
+        // A server that never stops sending must not hold the request past its deadline.
+        if (now >= m_deadline)
+            return read_outcome::TimedOut;
+        const bool mayGiveUpUnreachable = isOver(limits.abandonUnreachableAfter, now);
+        const bool isUnreachable = m_state.with([&](routing_state &routing) {
+            if (isOver(limits.suspectAfter, now))
+                routing.balancer.onServerSilent(now, current.ticket);
+            return mayGiveUpUnreachable && routing.balancer.isUnreachable(current.placed.server);
+        });
+        if (isUnreachable || isOver(limits.abandonAfter, now))
+            return read_outcome::Broken;
+        timestamp next = std::min(m_deadline, now + silenceCheckInterval);
+        if (limits.abandonAfter != duration::max())
+            next = std::min(next, current.progressAt + limits.abandonAfter);
+        const read_outcome outcome = current.stream->readMore(next, &m_caller);
+        if (outcome != read_outcome::TimedOut || next >= m_deadline)
+            return outcome;
     }
-    const timestamp firstWaitEnd = std::min(suspectAt, abandonAt);
-    read_outcome outcome = current.stream->readMore(firstWaitEnd, &m_caller);
-    if (outcome != read_outcome::TimedOut)
-        return outcome;
-    m_state.with([&](routing_state &routing) {
-        routing.balancer.onServerSilent(boot_clock::now(), current.ticket);
-    });
-    if (firstWaitEnd < abandonAt)
-        outcome = current.stream->readMore(abandonAt, &m_caller);
-    const bool isAbandoned = outcome == read_outcome::TimedOut && abandonAt < m_deadline;
-    return isAbandoned ? read_outcome::Broken : outcome;
 }
 
 request_runner::attempt_end request_runner::attemptEndOf(read_outcome outcome)
@@ -470,6 +476,7 @@
             return attempt_end::Delivered;
         if (outcome != read_outcome::Bytes)
             return attemptEndOf(outcome);
+        current.progressAt = boot_clock::now();
     }
 }
 
@@ -588,6 +595,12 @@
         std::string events = m_events.feed(decoded);
         if (isComplete)
             events += m_events.takeIncomplete();
+        if (containsData(events))
+            current.progressAt = boot_clock::now();
+        if (m_events.incompleteBytes() > maxEventBytes) {
+            m_events.discardIncomplete();
+            return attempt_end::Broken;
+        }
         if (!events.empty() && !current.hasEvents) {
             current.hasEvents = true;
             m_state.with([&](routing_state &routing) {
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -7,6 +7,7 @@
 
 #include <adapter/headers.h>
 #include <core/digest.h>
+#include <dispatch/silence_policy.h>
 #include <http/byte_stream.h>
 #include <http/chunked.h>
 #include <http/message.h>
@@ -76,6 +77,9 @@
         /// Whether the attempt is included in m_runs: the server may have started the request.
         bool isCounted = false;
         timestamp sentAt;
+        /// When the request was sent, the last complete event or the last part of a buffered body
+        /// arrived.
+        timestamp progressAt;
     };
 
     struct refusal
@@ -103,6 +107,7 @@
     attempt_end forwardStream(attempt &current);
     bool deliverEvents(attempt &current, const std::string &events, bool isLast);
     void countRun(attempt &current);
+    silence_limits silenceLimitsOf(const attempt &current) const;
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
     static attempt_end attemptEndOf(read_outcome outcome);
