--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -42,6 +42,16 @@
     bool operator==(const report_target &) const = default;
 };
 
+/// The last sign of life of an instance that has nothing else to report.
+struct heartbeat
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    /// Announced time until the next report.
+    duration period {};
+};
+
 /// Options of a member table.
 struct member_table_options
 {
@@ -70,6 +80,9 @@
     /// other zone, which forwards it there, and instances without callers report less often. A full
     /// mesh of 81 instances sent 0.5 GB per minute between zones.
     std::size_t maxDirectPeers = 24;
+    /// Instances of a zone in a large fleet that collect the heartbeats of the others. Two, so that
+    /// the loss of one stays unnoticed.
+    std::size_t collectorsPerZone = 2;
 };
 
 /// Instances that list themselves in the store, with their liveness as judged by their reports. Not
@@ -79,6 +92,10 @@
 /// large ones. A small instance with a link of 10 Mbit/s adds tens of milliseconds to a long
 /// prompt, and the fewer instances place requests, the more accurate is each one's view of the
 /// load. When the large instances are overloaded, callers are sent to all.
+///
+/// In fleets of hundreds, nearly all instances have no callers and nothing to report but that they
+/// are alive. They tell that to the collectors of their zone, whose reports list them for all
+/// others. Otherwise each of 295 instances received 200 reports a second.
 class member_table
 {
 public:
@@ -114,6 +131,15 @@
     /// Returns the destinations of a report of @p from that this instance forwards: the other
     /// instances of its zone.
     std::vector<endpoint> forwardTargets(std::string_view from) const;
+    /// Returns the addresses of the instances that collect the heartbeats of this zone, or nothing
+    /// if this instance is one of them.
+    std::vector<endpoint> heartbeatTargets(timestamp now) const;
+    /// Records that @p name reported to this instance directly, so that takeHeartbeats() lists it.
+    void recordHeartbeat(std::string_view name);
+    /// Returns the last heartbeats of the instances for which recordHeartbeat() was called since
+    /// the last call.
+    std::vector<heartbeat> takeHeartbeats();
+
     /// Returns the number of other instances that are alive.
     std::size_t liveOtherCount(timestamp now) const;
     /// Returns the number of live instances whose names sort before that of this instance.
@@ -144,8 +170,12 @@
         duration delay {};
         /// Announced time until the next report.
         duration period {};
+        /// Whether takeHeartbeats() lists the instance next time.
+        bool hasNewHeartbeat = false;
     };
 
+    /// Returns the live instances of this zone that collect heartbeats, the largest ones.
+    std::vector<const member_state *> collectors(timestamp now) const;
     std::vector<const member_state *> preferLarge(timestamp now,
                                                   std::vector<const member_state *> usable);
 
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -104,6 +104,56 @@
     return targets;
 }
 
+std::vector<const member_table::member_state *> member_table::collectors(timestamp now) const
+{
+    std::vector<const member_state *> live;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        const bool isUsable = it->first == m_options.self || isAlive(now, it->first);
+        if (isUsable && it->second.entry.zone == m_options.zone)
+            live.push_back(&it->second);
+    }
+    // The instances are sorted by name, so all instances of the zone choose the same ones.
+    std::stable_sort(live.begin(), live.end(), [](const member_state *a, const member_state *b) {
+        return a->entry.capacity > b->entry.capacity;
+    });
+    live.resize(std::min(live.size(), m_options.collectorsPerZone));
+    return live;
+}
+
+std::vector<endpoint> member_table::heartbeatTargets(timestamp now) const
+{
+    std::vector<endpoint> targets;
+    for (const member_state *each : collectors(now)) {
+        if (each->entry.name == m_options.self)
+            return {};
+        targets.push_back(each->entry.peers);
+    }
+    return targets;
+}
+
+void member_table::recordHeartbeat(std::string_view name)
+{
+    const auto found = m_members.find(name);
+    if (found != m_members.end())
+        found->second.hasNewHeartbeat = true;
+}
+
+std::vector<heartbeat> member_table::takeHeartbeats()
+{
+    std::vector<heartbeat> heartbeats;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        member_state &state = it->second;
+        if (!state.hasNewHeartbeat)
+            continue;
+        state.hasNewHeartbeat = false;
+        heartbeats.push_back({.name = it->first,
+                              .incarnation = state.incarnation,
+                              .sequence = state.sequence,
+                              .period = state.period});
+    }
+    return heartbeats;
+}
+
 std::size_t member_table::liveOtherCount(timestamp now) const
 {
     std::size_t count = 0;
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -188,6 +188,73 @@
     EXPECT_NE(members.reportTargets(now, 1)[1], members.reportTargets(now, 2)[1]);
 }
 
+// 295 instances in five zones, three large ones in each zone with the callers. When each of them
+// reported to all others, each received 200 reports a second, and 280 of them had nothing to tell.
+TEST(MemberTable, HeartbeatsReachAllInstancesOfALargeFleetThroughTheCollectors)
+{
+    constexpr int fleet = 295;
+    constexpr int zones = 5;
+    std::vector<member_entry> entries;
+    for (int i = 0; i < fleet; ++i) {
+        const std::string name = "m" + std::to_string(100 + i);
+        const std::string zone = "z" + std::to_string(i % zones);
+        entries.push_back(makeEntry(name.c_str(), zone.c_str(), 1));
+        entries.back().peers = {.host = name, .port = 1};
+        entries.back().incarnation = 1;
+        entries.back().capacity = i >= 280 ? 0.5 : 0.05;
+    }
+    timestamp now {};
+    std::map<std::string, member_table> tables;
+    for (const member_entry &entry : entries) {
+        member_table table({.self = entry.name, .zone = entry.zone});
+        table.setListed(now, entries);
+        tables.emplace(entry.name, std::move(table));
+    }
+    constexpr duration period = std::chrono::milliseconds(1500);
+    // One collector of each zone is lost, and its heartbeats with it.
+    const auto isLost = [](std::string_view name) { return name >= "m380" && name < "m385"; };
+    int datagrams = 0;
+    for (std::uint64_t sequence = 1; sequence <= 8; ++sequence, now += period) {
+        std::vector<std::string> collectors;
+        for (auto it = tables.begin(); it != tables.end(); ++it) {
+            const std::vector<endpoint> targets = it->second.heartbeatTargets(now);
+            if (targets.empty())
+                collectors.push_back(it->first);
+            if (isLost(it->first))
+                continue;
+            datagrams += static_cast<int>(targets.size());
+            for (const endpoint &target : targets) {
+                if (isLost(target.host))
+                    continue;
+                member_table &collector = tables.at(target.host);
+                collector.recordReport(now, it->first, 1, sequence, false, 0, period);
+                collector.recordHeartbeat(it->first);
+            }
+        }
+        EXPECT_GE(collectors.size(), 5u);
+        for (const std::string &name : collectors) {
+            const std::vector<heartbeat> heartbeats = tables.at(name).takeHeartbeats();
+            if (isLost(name))
+                continue;
+            datagrams += fleet;
+            for (auto it = tables.begin(); it != tables.end(); ++it) {
+                it->second.recordReport(now, name, 1, sequence, false, 0, period);
+                for (const heartbeat &each : heartbeats)
+                    it->second.recordReport(now, each.name, each.incarnation, each.sequence, false,
+                                            0, each.period);
+            }
+        }
+    }
+    for (auto it = tables.begin(); it != tables.end(); ++it) {
+        if (isLost(it->first))
+            continue;
+        EXPECT_EQ(it->second.liveOtherCount(now), fleet - 6u) << it->first;
+    }
+    // A twentieth of a report from each instance to each other one.
+    EXPECT_LT(datagrams, 8 * fleet * fleet / 20);
+    EXPECT_TRUE(tables.at("m100").takeHeartbeats().empty());
+}
+
 TEST(MemberTable, ReportInASmallFleetIsSentDirectlyToAllInstances)
 {
     member_table members({.self = "a", .zone = "z1"});
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -18,8 +18,9 @@
 /// Interval of instances without callers in a large fleet. Such an instance is considered dead
 /// after three intervals, which is before its removal from the list.
 constexpr duration idleReportInterval = std::chrono::milliseconds(1500);
-/// How long an instance counts as busy after a request.
-constexpr duration busyTime = std::chrono::seconds(3);
+/// Every twelfth report of an instance without callers goes to all instances, in case an earlier
+/// one was lost.
+constexpr std::uint64_t reportsPerFullReport = 12;
 /// How long a change of weights is reported: many reports carry it, so that lost datagrams do no
 /// harm.
 constexpr duration weightsReportTime = std::chrono::seconds(3);
@@ -47,9 +48,8 @@
 duration peer_exchange::reportInterval(bool isLeader) const
 {
     const duration interval = baseReportInterval + reportIntervalPerPeer * m_otherCount.load();
-    const bool isBusy = isLeader || m_state.isLeaving() || m_state.openRequests() > 0
-        || boot_clock::now() - m_state.lastRequestAt() < busyTime;
-    return m_isLargeFleet && !isBusy ? std::max(interval, idleReportInterval) : interval;
+    const bool isQuiet = m_state.isQuiet() && !isLeader && !m_isCollector;
+    return isQuiet ? std::max(interval, idleReportInterval) : interval;
 }
 
 result<void> peer_exchange::run(const std::stop_token &stop)
@@ -100,9 +100,14 @@
                         .leaderEpoch = leaderReport.epoch,
                         .storeEpochs = leaderReport.storeEpochs};
     std::vector<report_target> targets;
+    std::vector<endpoint> collectors;
     m_state.with([&](routing_state &routing) {
         m_otherCount = routing.members.otherCount();
-        m_isLargeFleet = routing.members.isLarge();
+        m_state.setLargeFleet(routing.members.isLarge());
+        if (routing.members.isLarge())
+            collectors = routing.members.heartbeatTargets(now);
+        m_isCollector = routing.members.isLarge() && collectors.empty();
+        report.heartbeats = routing.members.takeHeartbeats();
         targets = routing.members.reportTargets(now, m_sequence);
         if (routing.storeAnsweredAt != timestamp {})
             report.storeHeardAgoMs =
@@ -143,7 +148,16 @@
             m_wasAlive[other.name] = isAlive;
         }
     });
+    const bool repeatsTotals = !report.admitted.empty() && m_sequence % reportsPerFullReport == 0;
+    report.isHeartbeat = !collectors.empty() && !repeatsTotals && !m_state.isBusy()
+        && isCoveredByHeartbeat(report, m_lastFullReport);
     const std::string text = toText(report);
+    if (report.isHeartbeat) {
+        for (const endpoint &collector : collectors)
+            sendTo(collector, text);
+        return;
+    }
+    m_lastFullReport = report;
     const std::string forwarded = forwardMark + text;
     for (const report_target &target : targets)
         sendTo(target.to, target.isForwarded ? forwarded : text);
@@ -190,6 +204,9 @@
             return false;
         peer = routing.members.peerAddress(report.from);
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
+        if (report.isHeartbeat)
+            routing.members.recordHeartbeat(report.from);
+        applyHeartbeats(now, report, routing);
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
         applyLimits(now, report, routing);
@@ -200,6 +217,17 @@
         m_watch.recordPeerChanges(now, peer, report.revisions);
 }
 
+void peer_exchange::applyHeartbeats(timestamp now, const peer_report &report,
+                                    routing_state &routing)
+{
+    for (const heartbeat &each : report.heartbeats) {
+        const bool isNew = routing.members.recordReport(now, each.name, each.incarnation,
+                                                        each.sequence, false, 0, each.period);
+        if (isNew)
+            routing.limits.applyHeartbeat(now, each.name, each.incarnation, each.period);
+    }
+}
+
 void peer_exchange::applyServers(timestamp now, const peer_report &report, routing_state &routing)
 {
     if (report.storeHeardAgoMs)
@@ -237,6 +265,11 @@
 
 void peer_exchange::applyLimits(timestamp now, const peer_report &report, routing_state &routing)
 {
+    if (report.isHeartbeat) {
+        routing.limits.applyHeartbeat(now, report.from, report.incarnation,
+                                      fromSeconds(report.periodMs / 1000));
+        return;
+    }
     routing.limits.applyReport(now, report.from, report.incarnation, report.admitted,
                                report.demandRates, fromSeconds(report.periodMs / 1000));
     // An instance that just started adopts the levels of one that started earlier.
