--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -9,6 +9,7 @@
 #include <configuration/settings.h>
 #include <core/clock.h>
 #include <dispatch/report_timeout.h>
+#include <dispatch/store_reader_role.h>
 
 namespace trefoil {
 
@@ -67,7 +68,8 @@
     duration leaderTimeout = std::chrono::milliseconds(650);
     /// Callers are sent to all zones if their own zone has fewer live instances than this.
     std::size_t minInZone = 2;
-    /// Callers are sent to instances with at least this share of the largest instance's capacity.
+    /// Callers are sent to instances with at least this share of the largest instance's capacity,
+    /// and reports to be forwarded as well.
     double minCapacityShare = 0.5;
     /// Mean scheduling delay above which the large instances count as overloaded and callers are
     /// sent to all instances: a tenth of the usual target latency of a first event.
@@ -83,6 +85,9 @@
     /// Instances of a zone in a large fleet that collect the heartbeats of the others. Two, so that
     /// the loss of one stays unnoticed.
     std::size_t collectorsPerZone = 2;
+    /// Time for which an instance that reached the store counts as in contact with it: the duration
+    /// of a read that waits for changes, its timeout and a report period.
+    duration storeContactTime = std::chrono::milliseconds(5500);
 };
 
 /// Instances that list themselves in the store, with their liveness as judged by their reports. Not
@@ -140,6 +145,17 @@
     /// the last call.
     std::vector<heartbeat> takeHeartbeats();
 
+    /// Records that @p name last reached the store at @p at.
+    void recordStoreContact(std::string_view name, timestamp at);
+    /// Returns this instance's position among the readers of the store. A new instance counts as in
+    /// contact until its reports tell otherwise.
+    store_reader_position storeReaderPosition(timestamp now) const;
+    /// Returns the addresses of the other live instances to fetch copies of the store's objects
+    /// from, those that read the store first, and those of this zone before all others.
+    std::vector<endpoint> copySources(timestamp now) const;
+    /// Returns whether @p name is listed in this instance's zone.
+    bool isInOwnZone(std::string_view name) const;
+
     /// Returns the number of other instances that are alive.
     std::size_t liveOtherCount(timestamp now) const;
     /// Returns the number of live instances whose names sort before that of this instance.
@@ -170,12 +186,17 @@
         duration delay {};
         /// Announced time until the next report.
         duration period {};
+        timestamp storeContactAt;
         /// Whether takeHeartbeats() lists the instance next time.
         bool hasNewHeartbeat = false;
     };
 
-    /// Returns the live instances of this zone that collect heartbeats, the largest ones.
-    std::vector<const member_state *> collectors(timestamp now) const;
+    /// Returns the instances of another @p zone that may forward reports there: the large ones
+    /// among those that are alive.
+    std::vector<const member_state *>
+    forwarders(timestamp now, const std::vector<const member_state *> &zone) const;
+    /// Returns the live instances of this zone, the largest first.
+    std::vector<const member_state *> zoneBySize(timestamp now) const;
     std::vector<const member_state *> preferLarge(timestamp now,
                                                   std::vector<const member_state *> usable);
 
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -255,6 +255,27 @@
     EXPECT_TRUE(tables.at("m100").takeHeartbeats().empty());
 }
 
+// A small instance with a link of 20 Mbit/s lost the end of each burst to the 58 other instances of
+// its zone, which then took whole zones for dead.
+TEST(MemberTable, OnlyLargeInstancesForwardReports)
+{
+    member_table members({.self = "a", .zone = "z1", .maxDirectPeers = 2});
+    std::vector<member_entry> entries {makeEntry("a", "z1", 1)};
+    for (int i = 0; i < 9; ++i) {
+        const std::string name = "b" + std::to_string(i);
+        entries.push_back(makeEntry(name.c_str(), "z2", 1));
+        entries.back().peers = {.host = name, .port = 1};
+        entries.back().capacity = i >= 6 ? capacityOf(0.5, 200) : capacityOf(0.12, 20);
+    }
+    members.setListed({}, entries);
+    std::set<std::string> used;
+    for (std::uint64_t sequence = 1; sequence <= 9; ++sequence) {
+        for (const report_target &target : members.reportTargets({}, sequence))
+            used.insert(target.to.host);
+    }
+    EXPECT_EQ(used, (std::set<std::string> {"b6", "b7", "b8"}));
+}
+
 TEST(MemberTable, ReportInASmallFleetIsSentDirectlyToAllInstances)
 {
     member_table members({.self = "a", .zone = "z1"});
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -62,7 +62,8 @@
 
 std::vector<child_spec> edge_instance::children()
 {
-    std::vector<child_spec> all = m_watch.children();
+    m_watch.setOnChange([this] { m_exchange.sendNow(); });
+    std::vector<child_spec> all {m_watch.child()};
     all.push_back({.name = "listed",
                    .body = [this](const std::stop_token &stop) { return keepRegistered(stop); }});
     all.push_back({.name = "maintenance",
@@ -266,7 +267,6 @@
         const timestamp now = boot_clock::now();
         m_connections.prune(now);
         m_watch.removeExpired(now);
-        m_watch.fetchStaleCopies(now);
         probeServers(now);
         const duration interval =
             m_state.isQuiet() ? quietMaintenanceInterval : maintenanceInterval;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -197,12 +197,14 @@
 void peer_exchange::applyReport(timestamp now, const peer_report &report)
 {
     endpoint peer;
+    bool isInOwnZone = false;
     const bool isNew = m_state.with([&](routing_state &routing) {
         if (!routing.members.recordReport(now, report.from, report.incarnation, report.sequence,
                                           report.isLeaving, report.leaderEpoch,
                                           fromSeconds(report.periodMs / 1000)))
             return false;
         peer = routing.members.peerAddress(report.from);
+        isInOwnZone = routing.members.isInOwnZone(report.from);
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
         if (report.isHeartbeat)
             routing.members.recordHeartbeat(report.from);
@@ -214,7 +216,7 @@
         return true;
     });
     if (isNew)
-        m_watch.recordPeerChanges(now, peer, report.revisions);
+        m_watch.recordPeerChanges(now, peer, isInOwnZone, report.revisions);
 }
 
 void peer_exchange::applyHeartbeats(timestamp now, const peer_report &report,
@@ -230,8 +232,11 @@
 
 void peer_exchange::applyServers(timestamp now, const peer_report &report, routing_state &routing)
 {
-    if (report.storeHeardAgoMs)
-        routing.storeOutage.recordContact(now - std::chrono::milliseconds(*report.storeHeardAgoMs));
+    if (report.storeHeardAgoMs) {
+        const timestamp contactAt = now - std::chrono::milliseconds(*report.storeHeardAgoMs);
+        routing.storeOutage.recordContact(contactAt);
+        routing.members.recordStoreContact(report.from, contactAt);
+    }
     for (auto it = report.storeEpochs.begin(); it != report.storeEpochs.end(); ++it)
         routing.balancer.setStoreEpoch(it->first, it->second);
     routing.balancer.setPeerLoad(now, report.from, report.load);
@@ -239,6 +244,9 @@
     routing.balancer.addPrefillRates(report.prefillRates);
     for (const std::string &server : report.gone)
         routing.balancer.markGone(server);
+    // An instance without callers needn't know; hundreds of them would probe the same servers.
+    if (m_state.isQuiet())
+        return;
     for (const std::string &server : report.unreachable)
         routing.balancer.requestProbe(now, server);
 }
