--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -9,7 +9,6 @@
 #include <configuration/settings.h>
 #include <core/clock.h>
 #include <dispatch/report_timeout.h>
-#include <dispatch/store_reader_role.h>
 
 namespace trefoil {
 
@@ -43,16 +42,6 @@
     bool operator==(const report_target &) const = default;
 };
 
-/// The last sign of life of an instance that has nothing else to report.
-struct heartbeat
-{
-    std::string name;
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-    /// Announced time until the next report.
-    duration period {};
-};
-
 /// Options of a member table.
 struct member_table_options
 {
@@ -68,8 +57,7 @@
     duration leaderTimeout = std::chrono::milliseconds(650);
     /// Callers are sent to all zones if their own zone has fewer live instances than this.
     std::size_t minInZone = 2;
-    /// Callers are sent to instances with at least this share of the largest instance's capacity,
-    /// and reports to be forwarded as well.
+    /// Callers are sent to instances with at least this share of the largest instance's capacity.
     double minCapacityShare = 0.5;
     /// Mean scheduling delay above which the large instances count as overloaded and callers are
     /// sent to all instances: a tenth of the usual target latency of a first event.
@@ -82,12 +70,6 @@
     /// other zone, which forwards it there, and instances without callers report less often. A full
     /// mesh of 81 instances sent 0.5 GB per minute between zones.
     std::size_t maxDirectPeers = 24;
-    /// Instances of a zone in a large fleet that collect the heartbeats of the others. Two, so that
-    /// the loss of one stays unnoticed.
-    std::size_t collectorsPerZone = 2;
-    /// Time for which an instance that reached the store counts as in contact with it: the duration
-    /// of a read that waits for changes, its timeout and a report period.
-    duration storeContactTime = std::chrono::milliseconds(5500);
 };
 
 /// Instances that list themselves in the store, with their liveness as judged by their reports. Not
@@ -97,10 +79,6 @@
 /// large ones. A small instance with a link of 10 Mbit/s adds tens of milliseconds to a long
 /// prompt, and the fewer instances place requests, the more accurate is each one's view of the
 /// load. When the large instances are overloaded, callers are sent to all.
-///
-/// In fleets of hundreds, nearly all instances have no callers and nothing to report but that they
-/// are alive. They tell that to the collectors of their zone, whose reports list them for all
-/// others. Otherwise each of 295 instances received 200 reports a second.
 class member_table
 {
 public:
@@ -136,26 +114,6 @@
     /// Returns the destinations of a report of @p from that this instance forwards: the other
     /// instances of its zone.
     std::vector<endpoint> forwardTargets(std::string_view from) const;
-    /// Returns the addresses of the instances that collect the heartbeats of this zone, or nothing
-    /// if this instance is one of them.
-    std::vector<endpoint> heartbeatTargets(timestamp now) const;
-    /// Records that @p name reported to this instance directly, so that takeHeartbeats() lists it.
-    void recordHeartbeat(std::string_view name);
-    /// Returns the last heartbeats of the instances for which recordHeartbeat() was called since
-    /// the last call.
-    std::vector<heartbeat> takeHeartbeats();
-
-    /// Records that @p name last reached the store at @p at.
-    void recordStoreContact(std::string_view name, timestamp at);
-    /// Returns this instance's position among the readers of the store. A new instance counts as in
-    /// contact until its reports tell otherwise.
-    store_reader_position storeReaderPosition(timestamp now) const;
-    /// Returns the addresses of the other live instances to fetch copies of the store's objects
-    /// from, those that read the store first, and those of this zone before all others.
-    std::vector<endpoint> copySources(timestamp now) const;
-    /// Returns whether @p name is listed in this instance's zone.
-    bool isInOwnZone(std::string_view name) const;
-
     /// Returns the number of other instances that are alive.
     std::size_t liveOtherCount(timestamp now) const;
     /// Returns the number of live instances whose names sort before that of this instance.
@@ -186,17 +144,8 @@
         duration delay {};
         /// Announced time until the next report.
         duration period {};
-        timestamp storeContactAt;
-        /// Whether takeHeartbeats() lists the instance next time.
-        bool hasNewHeartbeat = false;
     };
 
-    /// Returns the instances of another @p zone that may forward reports there: the large ones
-    /// among those that are alive.
-    std::vector<const member_state *>
-    forwarders(timestamp now, const std::vector<const member_state *> &zone) const;
-    /// Returns the live instances of this zone, the largest first.
-    std::vector<const member_state *> zoneBySize(timestamp now) const;
     std::vector<const member_state *> preferLarge(timestamp now,
                                                   std::vector<const member_state *> usable);
 
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -9,7 +9,6 @@
 
 #include <core/digest.h>
 #include <dispatch/load_balancer.h>
-#include <dispatch/member_table.h>
 #include <dispatch/team_limits.h>
 #include <rollout/outcome_statistics.h>
 
@@ -45,10 +44,6 @@
     double periodMs = 0;
     /// Scheduling delay in milliseconds: time that the instance's threads wait for a processor.
     double delayMs = 0;
-    /// Whether the report goes only to the collectors of the zone, see member_table.
-    bool isHeartbeat = false;
-    /// Instances that reported to this one as their collector since its last report.
-    std::vector<heartbeat> heartbeats;
     /// Newest store revision that the instance has seen, by kind of object.
     std::map<std::string, std::uint64_t, std::less<>> revisions;
     /// Load that the instance has put on each server.
@@ -95,11 +90,6 @@
 /// Parses the output of weightsKey(). Returns nothing if @p text is malformed. Thread-safe.
 std::optional<weights_key> parseWeightsKey(std::string_view text);
 
-/// Returns whether @p report has nothing to tell the other instances but what a heartbeat tells:
-/// compared with @p last, the last report that was sent to all, only figures of time have changed.
-/// Thread-safe.
-bool isCoveredByHeartbeat(const peer_report &report, const peer_report &last);
-
 /// Serializes @p report as the text of a datagram. Thread-safe.
 std::string toText(const peer_report &report);
 
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -76,9 +76,6 @@
     void applyReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
                      const admitted_totals &admitted, const admitted_totals &demandRates,
                      duration period = {});
-    /// Records that @p peer has admitted nothing and has no demand since its last report.
-    void applyHeartbeat(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                        duration period);
     /// Replaces the levels by those that an instance reports which has run for longer than this
     /// one, capped at the burst.
     void adoptLevels(timestamp now, const admitted_totals &levels);
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace trefoil {
@@ -12,9 +11,8 @@
     std::map<std::string, member_state, std::less<>> next;
     for (const member_entry &entry : entries) {
         const auto known = m_members.find(entry.name);
-        member_state state = known != m_members.end()
-            ? known->second
-            : member_state {.heardAt = now, .storeContactAt = now};
+        member_state state =
+            known != m_members.end() ? known->second : member_state {.heardAt = now};
         if (state.entry.incarnation != entry.incarnation)
             state.heardAt = now;
         state.entry = entry;
@@ -82,7 +80,12 @@
             targets.push_back({.to = entry.peers});
     }
     for (auto it = otherZones.begin(); it != otherZones.end(); ++it) {
-        const std::vector<const member_state *> candidates = forwarders(now, it->second);
+        std::vector<const member_state *> live;
+        std::copy_if(it->second.begin(), it->second.end(), std::back_inserter(live),
+                     [&](const member_state *each) { return isAlive(now, each->entry.name); });
+        // A zone without live instances still gets reports; otherwise it could never be
+        // rediscovered.
+        const std::vector<const member_state *> &candidates = live.empty() ? it->second : live;
         // Each sender starts at a different receiver, so that concurrent reports are spread.
         const member_state &chosen = *candidates[(ownIndex + sequence) % candidates.size()];
         targets.push_back({.to = chosen.entry.peers, .isForwarded = it->second.size() > 1});
@@ -90,25 +93,6 @@
     return targets;
 }
 
-std::vector<const member_table::member_state *>
-member_table::forwarders(timestamp now, const std::vector<const member_state *> &zone) const
-{
-    std::vector<const member_state *> usable;
-    std::copy_if(zone.begin(), zone.end(), std::back_inserter(usable),
-                 [&](const member_state *each) { return isAlive(now, each->entry.name); });
-    // A zone without live instances still gets reports; otherwise it could never be rediscovered.
-    if (usable.empty())
-        usable = zone;
-    double largest = 0;
-    for (const member_state *each : usable)
-        largest = std::max(largest, each->entry.capacity);
-    // The link of a small instance drops the end of a burst to a whole zone.
-    std::erase_if(usable, [&](const member_state *each) {
-        return each->entry.capacity < largest * m_options.minCapacityShare;
-    });
-    return usable;
-}
-
 std::vector<endpoint> member_table::forwardTargets(std::string_view from) const
 {
     std::vector<endpoint> targets;
@@ -120,101 +104,6 @@
     return targets;
 }
 
-std::vector<const member_table::member_state *> member_table::zoneBySize(timestamp now) const
-{
-    std::vector<const member_state *> live;
-    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
-        const bool isUsable = it->first == m_options.self || isAlive(now, it->first);
-        if (isUsable && it->second.entry.zone == m_options.zone)
-            live.push_back(&it->second);
-    }
-    // The instances are sorted by name, so all instances of the zone get the same order.
-    std::stable_sort(live.begin(), live.end(), [](const member_state *a, const member_state *b) {
-        return a->entry.capacity > b->entry.capacity;
-    });
-    return live;
-}
-
-std::vector<endpoint> member_table::heartbeatTargets(timestamp now) const
-{
-    std::vector<const member_state *> collectors = zoneBySize(now);
-    collectors.resize(std::min(collectors.size(), m_options.collectorsPerZone));
-    std::vector<endpoint> targets;
-    for (const member_state *each : collectors) {
-        if (each->entry.name == m_options.self)
-            return {};
-        targets.push_back(each->entry.peers);
-    }
-    return targets;
-}
-
-void member_table::recordHeartbeat(std::string_view name)
-{
-    const auto found = m_members.find(name);
-    if (found != m_members.end())
-        found->second.hasNewHeartbeat = true;
-}
-
-std::vector<heartbeat> member_table::takeHeartbeats()
-{
-    std::vector<heartbeat> heartbeats;
-    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
-        member_state &state = it->second;
-        if (!state.hasNewHeartbeat)
-            continue;
-        state.hasNewHeartbeat = false;
-        heartbeats.push_back({.name = it->first,
-                              .incarnation = state.incarnation,
-                              .sequence = state.sequence,
-                              .period = state.period});
-    }
-    return heartbeats;
-}
-
-void member_table::recordStoreContact(std::string_view name, timestamp at)
-{
-    const auto found = m_members.find(name);
-    if (found != m_members.end())
-        found->second.storeContactAt = at;
-}
-
-store_reader_position member_table::storeReaderPosition(timestamp now) const
-{
-    store_reader_position position;
-    for (const member_state *each : zoneBySize(now)) {
-        if (each->entry.name == m_options.self)
-            break;
-        position.liveBefore += 1;
-        const bool isInContact = now - each->storeContactAt <= m_options.storeContactTime;
-        position.inContactBefore += isInContact ? 1 : 0;
-    }
-    std::set<std::string_view> zones;
-    for (auto it = m_members.begin(); it != m_members.end(); ++it)
-        zones.insert(it->second.entry.zone);
-    position.zones = static_cast<int>(std::max<std::size_t>(zones.size(), 1));
-    return position;
-}
-
-std::vector<endpoint> member_table::copySources(timestamp now) const
-{
-    std::vector<endpoint> sources;
-    for (const member_state *each : zoneBySize(now)) {
-        if (each->entry.name != m_options.self)
-            sources.push_back(each->entry.peers);
-    }
-    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
-        if (it->second.entry.zone != m_options.zone && isAlive(now, it->first))
-            sources.push_back(it->second.entry.peers);
-    }
-    return sources;
-}
-
-bool member_table::isInOwnZone(std::string_view name) const
-{
-    const auto found = m_members.find(name);
-    return found != m_members.end() && found->second.entry.zone == m_options.zone;
-}
-
 std::size_t member_table::liveOtherCount(timestamp now) const
 {
     std::size_t count = 0;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -1,6 +1,5 @@
 #include <dispatch/peer_report.h>
 
-#include <algorithm>
 #include <cmath>
 
 #include <core/json.h>
@@ -73,20 +72,6 @@
     return list;
 }
 
-Json::Value heartbeatsToJson(const std::vector<heartbeat> &heartbeats)
-{
-    Json::Value list(Json::arrayValue);
-    for (const heartbeat &each : heartbeats) {
-        Json::Value entry(Json::arrayValue);
-        entry.append(each.name);
-        entry.append(Json::UInt64(each.incarnation));
-        entry.append(Json::UInt64(each.sequence));
-        entry.append(Json::UInt64(toMilliseconds(each.period)));
-        list.append(entry);
-    }
-    return list;
-}
-
 Json::Value releasesToJson(const std::vector<release_outcomes> &releases)
 {
     Json::Value list(Json::arrayValue);
@@ -133,20 +118,6 @@
     return weights_key {.model = std::string(text.substr(0, end)), .version = *version};
 }
 
-bool isCoveredByHeartbeat(const peer_report &report, const peer_report &last)
-{
-    const bool isQuiet = !report.isLeaving && report.leaderEpoch == 0 && report.load.empty()
-        && report.placed.empty() && report.prefillRates.empty() && report.crashes.empty()
-        && report.loading.empty() && report.gone.empty() && report.unreachable.empty()
-        && report.weights.empty() && report.heartbeats.empty();
-    const auto isSameOutcome = [](const release_outcomes &a, const release_outcomes &b) {
-        return a.counts == b.counts;
-    };
-    return isQuiet && report.incarnation == last.incarnation && report.admitted == last.admitted
-        && std::equal(report.releases.begin(), report.releases.end(), last.releases.begin(),
-                      last.releases.end(), isSameOutcome);
-}
-
 std::string toText(const peer_report &report)
 {
     Json::Value value(Json::objectValue);
@@ -158,9 +129,6 @@
     value["period_ms"] = Json::Int64(std::lround(report.periodMs));
     if (report.delayMs > 0)
         value["delay_ms"] = Json::Int64(std::lround(report.delayMs));
-    if (report.isHeartbeat)
-        value["heartbeat"] = true;
-    addNonEmpty(value, "heartbeats", heartbeatsToJson(report.heartbeats));
     addNonEmpty(value, "revisions", numbersToJson(report.revisions));
     addNonEmpty(value, "load", loadToJson(report.load));
     addNonEmpty(value, "admitted", numbersToJson(report.admitted));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -126,22 +126,6 @@
     });
 }
 
-void readHeartbeats(const value_fields &fields, peer_report &report)
-{
-    constexpr std::size_t lastField = 3;
-    forEach<value_list>(fields, "heartbeats", [&report](const value_list &items) {
-        const std::optional<std::string_view> name = as<std::string_view>(items.at(0));
-        const std::optional<std::uint64_t> incarnation = as<std::uint64_t>(items.at(1));
-        const std::optional<std::uint64_t> sequence = as<std::uint64_t>(items.at(2));
-        const std::optional<double> period = as<double>(items.at(lastField));
-        if (name && incarnation && sequence && period)
-            report.heartbeats.push_back({.name = std::string(*name),
-                                         .incarnation = *incarnation,
-                                         .sequence = *sequence,
-                                         .period = fromSeconds(*period / 1000)});
-    });
-}
-
 void readCrashes(const value_fields &fields, peer_report &report)
 {
     forEach<value_list>(fields, "crashes", [&report](const value_list &items) {
@@ -171,12 +155,10 @@
                         .isLeaving = as<bool>(fields["leaving"]).value_or(false),
                         .periodMs = as<double>(fields["period_ms"]).value_or(0),
                         .delayMs = as<double>(fields["delay_ms"]).value_or(0),
-                        .isHeartbeat = as<bool>(fields["heartbeat"]).value_or(false),
                         .storeHeardAgoMs = as<std::uint64_t>(fields["store_heard_ago_ms"]),
                         .leaderEpoch = integerField(fields, "duty_epoch")};
     if (report.from.empty())
         return std::nullopt;
-    readHeartbeats(fields, report);
     readNumbers(fields, "revisions", report.revisions);
     readLoad(fields, report);
     readNumbers(fields, "admitted", report.admitted);
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -200,20 +200,6 @@
     state.period = period;
 }
 
-void team_limits::applyHeartbeat(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                                 duration period)
-{
-    const auto found = m_peers.find(peer);
-    if (found == m_peers.end())
-        return;
-    admitted_totals unchanged;
-    if (found->second.incarnation == incarnation) {
-        for (auto it = found->second.teams.begin(); it != found->second.teams.end(); ++it)
-            unchanged[it->first] = it->second.total;
-    }
-    applyReport(now, peer, incarnation, unchanged, {}, period);
-}
-
 void team_limits::adoptLevels(timestamp now, const admitted_totals &levels)
 {
     for (auto it = levels.begin(); it != levels.end(); ++it) {
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -1,7 +1,5 @@
 #include <dispatch/peer_report.h>
 
-#include <functional>
-
 #include <gtest/gtest.h>
 
 namespace trefoil {
@@ -13,11 +11,6 @@
         .incarnation = 1771762944016,
         .sequence = 9,
         .isLeaving = true,
-        .isHeartbeat = true,
-        .heartbeats = {{.name = "edge-2",
-                        .incarnation = 1771762944018,
-                        .sequence = 7,
-                        .period = std::chrono::milliseconds(1500)}},
         .revisions = {{"config/", 77}},
         .load = {{"s1", {.running = 3, .pendingTokens = 900, .memoryTokens = 4000}}},
         .admitted = {{"reef", 12.5}},
@@ -39,12 +32,6 @@
     ASSERT_TRUE(read);
     EXPECT_EQ(read->incarnation, report.incarnation);
     EXPECT_TRUE(read->isLeaving);
-    EXPECT_TRUE(read->isHeartbeat);
-    ASSERT_EQ(read->heartbeats.size(), 1u);
-    EXPECT_EQ(read->heartbeats[0].name, "edge-2");
-    EXPECT_EQ(read->heartbeats[0].incarnation, 1771762944018u);
-    EXPECT_EQ(read->heartbeats[0].sequence, 7u);
-    EXPECT_EQ(read->heartbeats[0].period, std::chrono::milliseconds(1500));
     EXPECT_EQ(read->revisions, report.revisions);
     EXPECT_EQ(read->load.at("s1").memoryTokens, 4000);
     EXPECT_EQ(read->admitted, report.admitted);
@@ -63,36 +50,6 @@
     EXPECT_EQ(read->releases[0].counts, report.releases[0].counts);
 }
 
-// An instance without callers must not stay silent about what only it knows.
-TEST(PeerReport, HeartbeatCoversOnlyReportsWithoutNews)
-{
-    const peer_report last {
-        .from = "a", .incarnation = 5, .sequence = 3, .admitted = {{"reef", 2}}};
-    peer_report report = last;
-    report.sequence = 4;
-    report.storeHeardAgoMs = 40;
-    report.revisions = {{"config/", 78}};
-    EXPECT_TRUE(isCoveredByHeartbeat(report, last));
-    EXPECT_FALSE(isCoveredByHeartbeat(report, {}));
-    const std::vector<std::function<void(peer_report &)>> news {
-        [](peer_report &each) { each.isLeaving = true; },
-        [](peer_report &each) { each.leaderEpoch = 2; },
-        [](peer_report &each) { each.admitted["reef"] = 3; },
-        [](peer_report &each) { each.load["s1"].running = 1; },
-        [](peer_report &each) { each.unreachable = {"s1"}; },
-        [](peer_report &each) { each.gone = {"s1"}; },
-        [](peer_report &each) { each.weights["s1=m"] = 2; },
-        [](peer_report &each) { each.crashes.resize(1); },
-        [](peer_report &each) { each.releases.resize(1); },
-        [](peer_report &each) { each.heartbeats.resize(1); },
-    };
-    for (const std::function<void(peer_report &)> &add : news) {
-        peer_report changed = report;
-        add(changed);
-        EXPECT_FALSE(isCoveredByHeartbeat(changed, last));
-    }
-}
-
 TEST(PeerReport, RejectsMalformedText)
 {
     for (const char *text : {"", "[]", "{}", "{\"from\":3}", "\xff\xfe"})
--- a/libs/dispatch/tests/team_limits_test.cpp
+++ b/libs/dispatch/tests/team_limits_test.cpp
@@ -244,23 +244,4 @@
     EXPECT_NEAR(limits.totals().at("team"), 1, 1e-9);
 }
 
-// An instance whose callers left stops reporting totals. The spending that the others expect from
-// it must end with its first heartbeat; otherwise its team would be limited too low for good.
-TEST(TeamLimits, HeartbeatEndsTheExpectedSpendingOfAnInstance)
-{
-    using std::chrono::milliseconds;
-    team_limits limits({});
-    timestamp now {};
-    limits.setPeers(now, {"b"});
-    limits.setLimit(now, "reef", 100, 1000);
-    for (int report = 0; report <= 10; ++report, now += milliseconds(200))
-        limits.applyReport(now, "b", 1, {{"reef", 15.0 * report}}, {{"reef", 75}});
-    const double levelBefore = limits.levels(now).at("reef");
-    for (int beat = 0; beat < 5; ++beat, now += milliseconds(200))
-        limits.applyHeartbeat(now, "b", 1, milliseconds(200));
-    // All of the rate flows into the bucket, apart from the time until the first heartbeat.
-    EXPECT_NEAR(limits.levels(now).at("reef") - levelBefore, 100, 20);
-    EXPECT_EQ(limits.limitState(now, "reef").heardPeers, 1);
-}
-
 } // namespace trefoil
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -3,8 +3,14 @@
 #include <algorithm>
 
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/ThreadPool.h>
 #include <telemetry/event_log.h>
 
+#include "http_util.h"
+
 namespace trefoil {
 
 namespace {
@@ -14,6 +20,8 @@
 /// Concurrent connections: more than all callers of a small deployment open together. The thread of
 /// each takes about 40 KB.
 constexpr int maxConnections = 700;
+constexpr int backlog = 512;
+constexpr int threadStackBytes = 256 * 1024;
 /// Interval at which an idle connection checks whether the instance closes its connections.
 constexpr duration closingCheckInterval = std::chrono::seconds(1);
 /// Time to write an answer that the router itself produced.
@@ -21,6 +29,45 @@
 /// Longest pause while a body is received.
 constexpr duration maxBodyPause = std::chrono::seconds(3);
 
+class caller_connection : public Poco::Net::TCPServerConnection
+{
+public:
+    caller_connection(const Poco::Net::StreamSocket &socket, edge_state &state,
+                      server_connection_pool &connections)
+        : TCPServerConnection(socket), m_state(state), m_connections(connections)
+    { }
+
+    void run() override
+    {
+        try {
+            caller_session(m_state, m_connections, byte_stream(socket())).run();
+        } catch (const std::exception &problem) {
+            writeEvent(event_line("proxy", "session_failed").add("reason", problem.what()));
+        }
+    }
+
+private:
+    edge_state &m_state;
+    server_connection_pool &m_connections;
+};
+
+class caller_connection_factory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    caller_connection_factory(edge_state &state, server_connection_pool &connections)
+        : m_state(state), m_connections(connections)
+    { }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new caller_connection(socket, m_state, m_connections); // the server deletes it
+    }
+
+private:
+    edge_state &m_state;
+    server_connection_pool &m_connections;
+};
+
 } // namespace
 
 caller_session::caller_session(edge_state &state, server_connection_pool &connections,
@@ -174,14 +221,20 @@
     m_caller.close();
 }
 
-accepted_address callerAddress(edge_state &state, server_connection_pool &connections,
-                               const endpoint &address)
+child_body callerListener(edge_state &state, server_connection_pool &connections,
+                          const endpoint &address)
 {
-    return {.address = address,
-            .maxConnections = maxConnections,
-            .serve = [&state, &connections](const Poco::Net::StreamSocket &socket) {
-                caller_session(state, connections, byte_stream(socket)).run();
-            }};
+    return makeListenerChild(address, [&state, &connections, address](const std::stop_token &stop) {
+        Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
+        params->setMaxThreads(maxConnections);
+        params->setMaxQueued(backlog);
+        Poco::ThreadPool threads(2, maxConnections, 60, threadStackBytes);
+        Poco::Net::TCPServer server(new caller_connection_factory(state, connections), threads,
+                                    listenOn(address, backlog), params);
+        server.start();
+        waitForStop(stop);
+        server.stop();
+    });
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/caller_session.h
+++ b/trefoilrouter/src/edge/caller_session.h
@@ -2,9 +2,9 @@
 
 #include <optional>
 
+#include <core/supervisor.h>
 #include <http/byte_stream.h>
 
-#include "connection_acceptor.h"
 #include "edge/edge_state.h"
 #include "edge/request_runner.h"
 #include "edge/server_connection_pool.h"
@@ -38,10 +38,10 @@
     byte_stream m_caller;
 };
 
-/// Returns @p address with a function that serves callers there, with one thread per connection.
-/// While the instance shuts down it still accepts connections, and each answer closes its
-/// connection. Precondition: @p state and @p connections outlive it.
-accepted_address callerAddress(edge_state &state, server_connection_pool &connections,
-                               const endpoint &address);
+/// Returns a child that accepts callers on @p address until it is stopped, with one thread per
+/// connection. While the instance shuts down it still accepts connections, and each answer closes
+/// its connection. Precondition: @p state and @p connections outlive it.
+child_body callerListener(edge_state &state, server_connection_pool &connections,
+                          const endpoint &address);
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -8,7 +8,6 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <adapter/documents.h>
 #include <adapter/server_calls.h>
-#include <http/message.h>
 #include <telemetry/event_log.h>
 
 #include "http_util.h"
@@ -113,11 +112,8 @@
                                                                   store_watch &watch)
 {
     return new page_factory([&state, &watch](const Poco::URI &uri) -> page {
-        if (uri.getPath() == "/copy") {
-            const std::uint64_t since = parseDecimal(queryValue(uri, "since")).value_or(0);
-            return {.type = "application/json",
-                    .body = watch.encodeCopy(queryValue(uri, "kind"), since)};
-        }
+        if (uri.getPath() == "/copy")
+            return {.type = "application/json", .body = watch.encodeCopy(queryValue(uri, "kind"))};
         if (uri.getPath() == "/metrics") {
             state.metrics()
                 .gaugeOf("trefoil_log_lines_dropped")
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -6,9 +6,9 @@
 #include <adapter/documents.h>
 #include <telemetry/event_log.h>
 
-#include "connection_acceptor.h"
 #include "edge/caller_session.h"
 #include "edge/edge_handlers.h"
+#include "http_util.h"
 #include "table_files.h"
 
 namespace trefoil {
@@ -17,17 +17,15 @@
 
 /// Threads that send load orders and state queries to servers: as many as the servers of a small
 /// pool that load at once.
-constexpr std::size_t orderThreads = 6;
+constexpr int orderThreads = 6;
 /// Threads that probe suspect servers. They are separate from the order threads: a probe of a
 /// server that drops packets takes its whole timeout, and orders waited behind such probes for
 /// seconds.
-constexpr std::size_t probeThreads = 6;
+constexpr int probeThreads = 6;
 /// Concurrent discovery and readiness requests.
 constexpr int discoveryThreads = 48;
 constexpr int peerThreads = 8;
 constexpr duration maintenanceInterval = std::chrono::milliseconds(100);
-/// Interval in instances without callers in a large fleet, of which there are hundreds.
-constexpr duration quietMaintenanceInterval = std::chrono::seconds(1);
 /// Connect timeout for a server that may be gone; the network latency is a few milliseconds.
 constexpr duration probeTimeout = std::chrono::milliseconds(350);
 /// How long a connection that a probe opened may be reused.
@@ -35,8 +33,7 @@
 /// Span of the moving average of the delay, in wake-ups: its half-life is a little more than a
 /// second.
 constexpr int delayAverageSpan = 20;
-constexpr duration registrationRetryInterval = std::chrono::milliseconds(300);
-constexpr duration registrationCheckInterval = std::chrono::seconds(1);
+constexpr duration registrationCheckInterval = std::chrono::milliseconds(300);
 /// How long the copy of the instance list may lack this instance's entry after it was written:
 /// changes are batched for up to a second, and stale reads are seconds behind.
 constexpr duration listReplicationLag = std::chrono::seconds(3);
@@ -54,38 +51,42 @@
 
 edge_instance::edge_instance(const platform_settings &settings)
     : m_settings(settings), m_state(settings),
-      m_store(settings.store, settings.storeCallsPerSecond), m_orderQueue(orderThreads),
-      m_probeQueue(probeThreads), m_watch(m_state, m_store),
+      m_store(settings.store, settings.storeCallsPerSecond), m_watch(m_state, m_store),
       m_leader(m_state, m_store, m_orderQueue),
       m_exchange(m_state, m_watch, [this] { return m_leader.report(); })
 { }
 
 std::vector<child_spec> edge_instance::children()
 {
-    m_watch.setOnChange([this] { m_exchange.sendNow(); });
-    std::vector<child_spec> all {m_watch.child()};
+    std::vector<child_spec> all = m_watch.children();
     all.push_back({.name = "listed",
                    .body = [this](const std::stop_token &stop) { return keepRegistered(stop); }});
     all.push_back({.name = "maintenance",
                    .body = [this](const std::stop_token &stop) { return runMaintenance(stop); }});
     all.push_back(m_exchange.child());
-    all.push_back(m_orderQueue.child("orders"));
-    all.push_back(m_probeQueue.child("probes"));
+    for (child_spec &worker : m_orderQueue.makeWorkers("orders", orderThreads))
+        all.push_back(std::move(worker));
+    for (child_spec &worker : m_probeQueue.makeWorkers("probes", probeThreads))
+        all.push_back(std::move(worker));
     for (child_spec &each : m_leader.children(m_exchange))
         all.push_back(std::move(each));
-    const accepted_address callers = callerAddress(m_state, m_connections, m_settings.callers);
-    const auto serveDiscovery = serveHttpWith(discoveryFactory(m_state));
-    all.push_back(connectionAcceptor("acceptor",
-                                     {{.address = m_settings.peers,
-                                       .maxConnections = peerThreads,
-                                       .serve = serveHttpWith(peerFactory(m_state, m_watch))},
-                                      callers,
-                                      {.address = m_settings.discovery,
-                                       .maxConnections = discoveryThreads,
-                                       .serve = serveDiscovery},
-                                      {.address = m_settings.readiness,
-                                       .maxConnections = peerThreads,
-                                       .serve = serveDiscovery}}));
+    all.push_back({.name = "peer-listener",
+                   .body = makeHttpListener({.address = m_settings.peers,
+                                             .threads = peerThreads,
+                                             .keepAlive = false,
+                                             .factory = peerFactory(m_state, m_watch)})});
+    all.push_back(
+        {.name = "callers", .body = callerListener(m_state, m_connections, m_settings.callers)});
+    all.push_back({.name = "entry",
+                   .body = makeHttpListener({.address = m_settings.discovery,
+                                             .threads = discoveryThreads,
+                                             .keepAlive = false,
+                                             .factory = discoveryFactory(m_state)})});
+    all.push_back({.name = "readiness",
+                   .body = makeHttpListener({.address = m_settings.readiness,
+                                             .threads = peerThreads,
+                                             .keepAlive = false,
+                                             .factory = discoveryFactory(m_state)})});
     return all;
 }
 
@@ -128,7 +129,7 @@
 
 void edge_instance::waitForStop(const sigset_t &signals, const std::atomic<bool> &ended)
 {
-    constexpr timespec pollInterval {.tv_sec = 1, .tv_nsec = 0};
+    constexpr timespec pollInterval {.tv_sec = 0, .tv_nsec = 250'000'000};
     while (!ended) {
         const int signal = sigtimedwait(&signals, nullptr, &pollInterval);
         if (isStopSignal(signal))
@@ -224,8 +225,7 @@
             isRegistered = registerInstance();
             registeredAt = now;
         }
-        std::this_thread::sleep_for(isRegistered ? registrationCheckInterval
-                                                 : registrationRetryInterval);
+        std::this_thread::sleep_for(registrationCheckInterval);
     }
     return {};
 }
@@ -267,12 +267,11 @@
         const timestamp now = boot_clock::now();
         m_connections.prune(now);
         m_watch.removeExpired(now);
+        m_watch.fetchStaleCopies(now);
         probeServers(now);
-        const duration interval =
-            m_state.isQuiet() ? quietMaintenanceInterval : maintenanceInterval;
         const timestamp sleepStart = boot_clock::now();
-        std::this_thread::sleep_for(interval);
-        recordSchedulingDelay(boot_clock::now() - sleepStart - interval);
+        std::this_thread::sleep_for(maintenanceInterval);
+        recordSchedulingDelay(boot_clock::now() - sleepStart - maintenanceInterval);
     }
     return {};
 }
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -21,8 +21,6 @@
         / static_cast<double>(std::max(instances, minRetrySharers));
 }
 
-/// How long an instance counts as busy after a request.
-constexpr duration busyTime = std::chrono::seconds(3);
 /// Time that a placed request may wait at its server during a burst before it starts.
 constexpr duration maxServerWait = std::chrono::milliseconds(1500);
 
@@ -78,11 +76,6 @@
     return now - m_publishedAt;
 }
 
-bool edge_state::isBusy() const
-{
-    return m_isLeaving || m_openRequests > 0 || boot_clock::now() - lastRequestAt() < busyTime;
-}
-
 bool edge_state::isReady() const { return !m_isLeaving && tables() != nullptr; }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -118,15 +118,6 @@
     void recordRequest() { m_lastRequestAt = boot_clock::now(); }
     /// Returns when the last caller's request was read.
     timestamp lastRequestAt() const { return m_lastRequestAt; }
-    /// Records whether the fleet is large; see member_table_options.
-    void setLargeFleet(bool isLarge) { m_isLargeFleet = isLarge; }
-    /// Returns whether the fleet is large.
-    bool isLargeFleet() const { return m_isLargeFleet; }
-    /// Returns whether the instance has had callers recently or is leaving.
-    bool isBusy() const;
-    /// Returns whether the instance is one of the many without callers in a large fleet, which do
-    /// periodic work less often.
-    bool isQuiet() const { return isLargeFleet() && !isBusy(); }
     /// Number of requests in progress.
     std::atomic<int> &openRequests() { return m_openRequests; }
     /// Returns the metrics of the process.
@@ -149,7 +140,6 @@
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_isClosing = false;
     std::atomic<bool> m_isStoreReachable = false;
-    std::atomic<bool> m_isLargeFleet = false;
     std::atomic<int> m_openRequests = 0;
     metric_registry m_metrics;
 };
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -12,12 +12,6 @@
 
 /// Interval between steps: far shorter than a load of weights.
 constexpr duration stepInterval = std::chrono::milliseconds(50);
-/// Interval of instances in a large fleet that would take over only after others.
-constexpr duration quietStepInterval = std::chrono::milliseconds(500);
-/// Number of instances, counted by rank, that are ready to take over at once.
-constexpr int readySuccessors = 3;
-/// Interval at which the leader looks for dead instances.
-constexpr duration memberCheckInterval = std::chrono::milliseconds(500);
 /// Orders are answered within milliseconds. After this time it is unknown whether the server
 /// accepted the order.
 constexpr duration orderTimeout = std::chrono::milliseconds(900);
@@ -32,8 +26,6 @@
 constexpr duration cacheStoreWaitTime = std::chrono::milliseconds(800);
 constexpr duration minCacheStoreWaitTime = std::chrono::milliseconds(250);
 constexpr duration cacheStorePause = std::chrono::milliseconds(400);
-/// Interval at which other instances check whether they have become the leader.
-constexpr duration leadershipCheckInterval = std::chrono::seconds(1);
 /// Added to the time that the platform requires between orders of two leaders.
 constexpr duration quietMargin = std::chrono::milliseconds(300);
 
@@ -76,7 +68,7 @@
                 m_cacheStoreEpochs.clear();
         }
         if (stores.empty() || !isLeader) {
-            std::this_thread::sleep_for(leadershipCheckInterval);
+            std::this_thread::sleep_for(cacheStorePause);
             continue;
         }
         const timestamp start = boot_clock::now();
@@ -117,20 +109,11 @@
         planWeights(exchange);
         reportRollouts();
         removeDeadMembers();
-        std::this_thread::sleep_for(nextStepDelay());
+        std::this_thread::sleep_for(stepInterval);
     }
     return {};
 }
 
-duration leader_runner::nextStepDelay()
-{
-    if (!m_state.isLargeFleet() || m_wasLeader)
-        return stepInterval;
-    const int rank = m_state.with(
-        [](routing_state &routing) { return routing.members.rank(boot_clock::now()); });
-    return rank < readySuccessors ? stepInterval : quietStepInterval;
-}
-
 leader_report leader_runner::report()
 {
     const timestamp now = boot_clock::now();
@@ -391,9 +374,6 @@
 void leader_runner::removeDeadMembers()
 {
     const timestamp now = boot_clock::now();
-    if (!m_wasLeader || now - m_membersCheckedAt < memberCheckInterval)
-        return;
-    m_membersCheckedAt = now;
     std::vector<std::string> dead;
     m_state.with([&](routing_state &routing) {
         for (const member_entry &other : routing.members.others()) {
--- a/trefoilrouter/src/edge/leader_runner.h
+++ b/trefoilrouter/src/edge/leader_runner.h
@@ -48,9 +48,6 @@
     void queryServer(const registered_server &server);
     void reportRollouts();
     void removeDeadMembers();
-    /// Returns the time until the next step, which is longer for instances that are not about to
-    /// become the leader.
-    duration nextStepDelay();
 
     edge_state &m_state;
     store_client &m_store;
@@ -66,7 +63,6 @@
     bool m_wasLeader = false;
     std::map<std::string, rollout_stage, std::less<>> m_writtenStages;
     std::map<std::string, timestamp, std::less<>> m_silentSince;
-    timestamp m_membersCheckedAt;
 };
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -18,9 +18,8 @@
 /// Interval of instances without callers in a large fleet. Such an instance is considered dead
 /// after three intervals, which is before its removal from the list.
 constexpr duration idleReportInterval = std::chrono::milliseconds(1500);
-/// Every twelfth report of an instance without callers goes to all instances, in case an earlier
-/// one was lost.
-constexpr std::uint64_t reportsPerFullReport = 12;
+/// How long an instance counts as busy after a request.
+constexpr duration busyTime = std::chrono::seconds(3);
 /// How long a change of weights is reported: many reports carry it, so that lost datagrams do no
 /// harm.
 constexpr duration weightsReportTime = std::chrono::seconds(3);
@@ -48,8 +47,9 @@
 duration peer_exchange::reportInterval(bool isLeader) const
 {
     const duration interval = baseReportInterval + reportIntervalPerPeer * m_otherCount.load();
-    const bool isQuiet = m_state.isQuiet() && !isLeader && !m_isCollector;
-    return isQuiet ? std::max(interval, idleReportInterval) : interval;
+    const bool isBusy = isLeader || m_state.isLeaving() || m_state.openRequests() > 0
+        || boot_clock::now() - m_state.lastRequestAt() < busyTime;
+    return m_isLargeFleet && !isBusy ? std::max(interval, idleReportInterval) : interval;
 }
 
 result<void> peer_exchange::run(const std::stop_token &stop)
@@ -100,14 +100,9 @@
                         .leaderEpoch = leaderReport.epoch,
                         .storeEpochs = leaderReport.storeEpochs};
     std::vector<report_target> targets;
-    std::vector<endpoint> collectors;
     m_state.with([&](routing_state &routing) {
         m_otherCount = routing.members.otherCount();
-        m_state.setLargeFleet(routing.members.isLarge());
-        if (routing.members.isLarge())
-            collectors = routing.members.heartbeatTargets(now);
-        m_isCollector = routing.members.isLarge() && collectors.empty();
-        report.heartbeats = routing.members.takeHeartbeats();
+        m_isLargeFleet = routing.members.isLarge();
         targets = routing.members.reportTargets(now, m_sequence);
         if (routing.storeAnsweredAt != timestamp {})
             report.storeHeardAgoMs =
@@ -148,16 +143,7 @@
             m_wasAlive[other.name] = isAlive;
         }
     });
-    const bool repeatsTotals = !report.admitted.empty() && m_sequence % reportsPerFullReport == 0;
-    report.isHeartbeat = !collectors.empty() && !repeatsTotals && !m_state.isBusy()
-        && isCoveredByHeartbeat(report, m_lastFullReport);
     const std::string text = toText(report);
-    if (report.isHeartbeat) {
-        for (const endpoint &collector : collectors)
-            sendTo(collector, text);
-        return;
-    }
-    m_lastFullReport = report;
     const std::string forwarded = forwardMark + text;
     for (const report_target &target : targets)
         sendTo(target.to, target.isForwarded ? forwarded : text);
@@ -197,18 +183,13 @@
 void peer_exchange::applyReport(timestamp now, const peer_report &report)
 {
     endpoint peer;
-    bool isInOwnZone = false;
     const bool isNew = m_state.with([&](routing_state &routing) {
         if (!routing.members.recordReport(now, report.from, report.incarnation, report.sequence,
                                           report.isLeaving, report.leaderEpoch,
                                           fromSeconds(report.periodMs / 1000)))
             return false;
         peer = routing.members.peerAddress(report.from);
-        isInOwnZone = routing.members.isInOwnZone(report.from);
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
-        if (report.isHeartbeat)
-            routing.members.recordHeartbeat(report.from);
-        applyHeartbeats(now, report, routing);
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
         applyLimits(now, report, routing);
@@ -216,27 +197,13 @@
         return true;
     });
     if (isNew)
-        m_watch.recordPeerChanges(now, peer, isInOwnZone, report.revisions);
-}
-
-void peer_exchange::applyHeartbeats(timestamp now, const peer_report &report,
-                                    routing_state &routing)
-{
-    for (const heartbeat &each : report.heartbeats) {
-        const bool isNew = routing.members.recordReport(now, each.name, each.incarnation,
-                                                        each.sequence, false, 0, each.period);
-        if (isNew)
-            routing.limits.applyHeartbeat(now, each.name, each.incarnation, each.period);
-    }
+        m_watch.recordPeerChanges(now, peer, report.revisions);
 }
 
 void peer_exchange::applyServers(timestamp now, const peer_report &report, routing_state &routing)
 {
-    if (report.storeHeardAgoMs) {
-        const timestamp contactAt = now - std::chrono::milliseconds(*report.storeHeardAgoMs);
-        routing.storeOutage.recordContact(contactAt);
-        routing.members.recordStoreContact(report.from, contactAt);
-    }
+    if (report.storeHeardAgoMs)
+        routing.storeOutage.recordContact(now - std::chrono::milliseconds(*report.storeHeardAgoMs));
     for (auto it = report.storeEpochs.begin(); it != report.storeEpochs.end(); ++it)
         routing.balancer.setStoreEpoch(it->first, it->second);
     routing.balancer.setPeerLoad(now, report.from, report.load);
@@ -244,9 +211,6 @@
     routing.balancer.addPrefillRates(report.prefillRates);
     for (const std::string &server : report.gone)
         routing.balancer.markGone(server);
-    // An instance without callers needn't know; hundreds of them would probe the same servers.
-    if (m_state.isQuiet())
-        return;
     for (const std::string &server : report.unreachable)
         routing.balancer.requestProbe(now, server);
 }
@@ -273,11 +237,6 @@
 
 void peer_exchange::applyLimits(timestamp now, const peer_report &report, routing_state &routing)
 {
-    if (report.isHeartbeat) {
-        routing.limits.applyHeartbeat(now, report.from, report.incarnation,
-                                      fromSeconds(report.periodMs / 1000));
-        return;
-    }
     routing.limits.applyReport(now, report.from, report.incarnation, report.admitted,
                                report.demandRates, fromSeconds(report.periodMs / 1000));
     // An instance that just started adopts the levels of one that started earlier.
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -41,7 +41,6 @@
     void receive(std::string_view datagram);
     void sendTo(const endpoint &peer, std::string_view datagram);
     void applyReport(timestamp now, const peer_report &report);
-    void applyHeartbeats(timestamp now, const peer_report &report, routing_state &routing);
     void applyServers(timestamp now, const peer_report &report, routing_state &routing);
     void applyWeights(timestamp now, const peer_report &report, routing_state &routing);
     void applyLimits(timestamp now, const peer_report &report, routing_state &routing);
@@ -57,11 +56,8 @@
     std::mutex m_sendMutex;
     std::uint64_t m_sequence = 0;
     std::atomic<std::size_t> m_otherCount = 0;
+    std::atomic<bool> m_isLargeFleet = false;
     std::atomic<bool> m_isLeader = false;
-    /// Whether this instance collects the heartbeats of its zone.
-    std::atomic<bool> m_isCollector = false;
-    /// The last report that went to all instances.
-    peer_report m_lastFullReport;
     bool m_hasAdoptedLevels = false;
     std::map<std::string, bool, std::less<>> m_wasAlive;
     /// Totals last received, by instance, release and route: reports carry totals, and only the
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -1,12 +1,12 @@
 #include "edge/store_watch.h"
 
-#include <algorithm>
+#include <thread>
 #include <utility>
 
 #include <Poco/Net/HTTPResponse.h>
 #include <adapter/documents.h>
-#include <core/digest.h>
-#include <platform/object_copy.h>
+#include <core/json.h>
+#include <platform/codec.h>
 #include <telemetry/event_log.h>
 
 #include "http_util.h"
@@ -17,13 +17,24 @@
 
 using Poco::Net::HTTPResponse;
 
-/// Duration of a read that waits for changes; silence beyond it means that the connection is dead.
-/// The short one also shows the others that this instance is in contact with the store.
+/// Duration of a long poll; silence beyond it means that the connection is dead. Reports of other
+/// instances reveal earlier that this one is behind.
 constexpr duration shortWatchTime = std::chrono::seconds(3);
 constexpr duration longWatchTime = std::chrono::seconds(10);
 /// Pause after a watch that returned changes, so that changes in quick succession are read in one
 /// call.
-constexpr duration batchPause = std::chrono::milliseconds(200);
+constexpr duration batchPause = std::chrono::milliseconds(120);
+/// Added per other instance, since each change wakes all of them. The sum stays below a second in
+/// the largest fleet, a third of the time in which a leaving server must be noticed there.
+constexpr duration batchPausePerInstance = std::chrono::milliseconds(8);
+/// Number of instances that read the store's newest state. The others use stale reads, which cost a
+/// tenth.
+constexpr int maxFreshReaders = 8;
+/// The same for kinds that the reports carry as well, or that are not urgent.
+constexpr int reducedFreshReaders = 3;
+/// Factor on the poll duration of stale readers, which rely on reports anyway. The store allows
+/// polls of up to 30 s.
+constexpr int staleWatchTimeFactor = 3;
 /// Pause after a failed call, doubled with each consecutive failure up to a maximum, which is a
 /// third of the time that the platform allows after an outage.
 constexpr duration retryPause = std::chrono::milliseconds(250);
@@ -31,184 +42,71 @@
 constexpr int maxDoublings = 8;
 /// Servers whose entries expired in an outage register again within 2 s of its end.
 constexpr duration serverReregistrationTime = std::chrono::milliseconds(1900);
-/// Time that a reader's copy may be behind before it is fetched from another instance; normally the
-/// store's watch delivers changes sooner.
+/// Time that a copy may be behind before it is fetched from another instance; normally the store's
+/// watch delivers changes sooner.
 constexpr duration maxTimeBehind = std::chrono::milliseconds(350);
-/// The same for an instance that is told by others, and the range over which such instances spread,
-/// so that they don't fetch a change from one reader at the same time.
-constexpr duration minFetchDelay = std::chrono::milliseconds(60);
-constexpr int fetchDelaySpreadMs = 200;
+/// Assumed age of target weights found at startup, which may have been set long ago: about half of
+/// the time within which all servers must run them. Reports of other instances correct it.
+constexpr duration assumedWeightsAge = std::chrono::seconds(5);
 constexpr duration fetchTimeout = std::chrono::milliseconds(400);
-/// In a fleet of at most this many instances, all read the store.
-constexpr std::size_t maxFleetOfReaders = 8;
-/// Interval at which the role is checked, and at which an instance without a copy asks others.
-constexpr duration roleCheckInterval = std::chrono::seconds(1);
-constexpr duration firstCopyInterval = std::chrono::milliseconds(250);
-/// Instances that are asked for a first copy in one interval.
-constexpr std::size_t firstCopySources = 2;
-/// Time after which an instance that got no copy from others reads the store itself.
-constexpr duration maxTimeWithoutCopy = std::chrono::seconds(4);
-/// Time for the instances to register when all of them start for the first time.
-constexpr duration bootstrapDelay = std::chrono::milliseconds(1500);
 
-} // namespace
-
-store_watch::store_watch(edge_state &state, store_client &store)
-    : m_state(state), m_store(store), m_applier(state), m_role({}),
-      m_fetchDelay(minFetchDelay
-                   + std::chrono::milliseconds(hash64(state.settings().name) % fetchDelaySpreadMs))
-{
-    m_kinds = {{store_kinds::configuration, {.waitTime = shortWatchTime}},
-               {store_kinds::servers,
-                {.waitTime = shortWatchTime, .reregistrationTime = serverReregistrationTime}},
-               {store_kinds::weights, {.waitTime = shortWatchTime}},
-               {store_kinds::rollouts, {.waitTime = longWatchTime}},
-               {store_kinds::instances, {.waitTime = longWatchTime}}};
-}
-
-child_spec store_watch::child()
-{
-    return {.name = "watch", .body = [this](const std::stop_token &stop) { return run(stop); }};
-}
-
-result<void> store_watch::run(const std::stop_token &stop)
-{
-    if (m_state.settings().isFirstStart)
-        std::this_thread::sleep_for(bootstrapDelay);
-    std::map<std::string, std::jthread> watches;
-    const timestamp startedAt = boot_clock::now();
-    while (!stop.stop_requested()) {
-        const timestamp now = boot_clock::now();
-        const bool isReader = decideRole(now, startedAt);
-        for (auto it = m_kinds.begin(); isReader && it != m_kinds.end(); ++it)
-            startWatch(it->first, watches);
-        bool lacksCopy = false;
-        if (!isReader)
-            lacksCopy = fetchFirstCopies(now);
-        fetchStaleCopies(now);
-        const timestamp nextCheck = now + (lacksCopy ? firstCopyInterval : roleCheckInterval);
-        std::unique_lock<std::mutex> lock(m_mutex);
-        m_behind.wait_until(lock, stop, nextFetch(nextCheck), [this] { return m_isNewlyBehind; });
-        m_isNewlyBehind = false;
-    }
-    for (auto it = watches.begin(); it != watches.end(); ++it)
-        it->second.request_stop();
-    return {};
-}
+std::string nameWithoutKind(const std::string &name) { return name.substr(name.find('/') + 1); }
 
-bool store_watch::decideRole(timestamp now, timestamp startedAt)
-{
-    bool hasInstances = false;
-    bool hasAllCopies = true;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
-            hasAllCopies = hasAllCopies && it->second.mirror.upToVersion() > 0;
-        hasInstances = m_kinds.find(store_kinds::instances)->second.mirror.upToVersion() > 0;
-    }
-    // Without the list of instances, it is unknown who else reads the store.
-    if (!hasInstances && !readInstances())
-        return false;
-    const bool isReader = m_state.with([&](routing_state &routing) {
-        return routing.members.otherCount() < maxFleetOfReaders || !routing.members.isSelfListed()
-            || m_role.isReader(now, routing.members.storeReaderPosition(now));
-    });
-    const bool isForgotten = !hasAllCopies && now - startedAt > maxTimeWithoutCopy;
-    const bool reads = isReader || isForgotten;
-    if (reads != m_isReader)
-        writeEvent(event_line("store", "reader_role_changed").add("reads_store", reads));
-    m_isReader = reads;
-    return reads;
-}
+} // namespace
 
-bool store_watch::readInstances()
+store_watch::store_watch(edge_state &state, store_client &store) : m_state(state), m_store(store)
 {
-    const std::string kind = store_kinds::instances;
-    const result<object_changes> listed = m_store.snapshot(kind);
-    recordReachability(kind, listed.has_value(), listed ? "" : listed.error().message);
-    if (!listed) {
-        std::this_thread::sleep_for(nextRetryPause(kind));
-        return false;
-    }
-    m_state.recordStoreAnswer(boot_clock::now());
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_kinds.find(kind)->second.mirror.applySnapshot(boot_clock::now(), listed->changed,
-                                                        listed->upToVersion);
-    }
-    apply(kind);
-    return true;
+    m_kinds = {
+        {store_kinds::configuration, {.waitTime = shortWatchTime, .freshReaders = maxFreshReaders}},
+        {store_kinds::servers,
+         {.waitTime = shortWatchTime,
+          .freshReaders = maxFreshReaders,
+          .reregistrationTime = serverReregistrationTime}},
+        {store_kinds::weights, {.waitTime = shortWatchTime, .freshReaders = reducedFreshReaders}},
+        {store_kinds::rollouts, {.waitTime = longWatchTime, .freshReaders = reducedFreshReaders}},
+        {store_kinds::instances, {.waitTime = longWatchTime, .freshReaders = reducedFreshReaders}}};
 }
 
-void store_watch::startWatch(const std::string &kind, std::map<std::string, std::jthread> &watches)
+std::vector<child_spec> store_watch::children()
 {
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        watched_kind &watched = m_kinds.find(kind)->second;
-        if (watched.isWatched)
-            return;
-        watched.isWatched = true;
+    std::vector<child_spec> children;
+    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
+        const std::string kind = it->first;
+        children.push_back(
+            {.name = "watch-" + kind.substr(0, kind.size() - 1),
+             .body = [this, kind](const std::stop_token &stop) { return watch(kind, stop); }});
     }
-    // A thread of an earlier term as reader has ended or is about to.
-    watches[kind] = std::jthread([this, kind](const std::stop_token &stop) { watch(kind, stop); });
+    return children;
 }
 
-void store_watch::watch(const std::string &kind, const std::stop_token &stop)
+result<void> store_watch::watch(const std::string &kind, const std::stop_token &stop)
 {
-    while (!stop.stop_requested()) {
-        bool needsSnapshot = false;
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            watched_kind &watched = m_kinds.find(kind)->second;
-            if (!m_isReader) {
-                watched.isWatched = false;
-                return;
-            }
-            needsSnapshot = watched.needsSnapshot || watched.mirror.upToVersion() == 0;
-        }
+    bool needsSnapshot = true;
+    while (!stop.stop_requested())
         watchOnce(kind, needsSnapshot);
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_kinds.find(kind)->second.needsSnapshot = needsSnapshot;
-    }
-}
-
-bool store_watch::fetchFirstCopies(timestamp now)
-{
-    std::vector<std::string> missing;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
-            if (it->second.mirror.upToVersion() == 0)
-                missing.push_back(it->first);
-        }
-    }
-    if (missing.empty())
-        return false;
-    std::vector<endpoint> sources =
-        m_state.with([now](routing_state &routing) { return routing.members.copySources(now); });
-    sources.resize(std::min(sources.size(), firstCopySources));
-    bool lacksAny = false;
-    for (const std::string &kind : missing) {
-        const bool isFetched =
-            std::any_of(sources.begin(), sources.end(),
-                        [&](const endpoint &each) { return fetchCopy(kind, each); });
-        lacksAny = lacksAny || !isFetched;
-    }
-    return lacksAny;
+    return {};
 }
 
 void store_watch::watchOnce(const std::string &kind, bool &needsSnapshot)
 {
     std::uint64_t from = 0;
     duration waitTime {};
+    int freshReaders = 0;
+    const fleet_position fleet = fleetPosition();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const watched_kind &watched = m_kinds.find(kind)->second;
         from = watched.mirror.upToVersion();
         waitTime = watched.waitTime;
+        freshReaders = watched.freshReaders;
     }
+    // In a large fleet only a few instances read the newest state: reports tell the others when
+    // they are behind.
+    const bool isFresh = fleet.rank < freshReaders;
+    const read_freshness freshness = isFresh ? read_freshness::Newest : read_freshness::MayBeStale;
+    waitTime = isFresh ? waitTime : waitTime * staleWatchTimeFactor;
     const result<object_changes> answer =
-        needsSnapshot ? m_store.snapshot(kind) : m_store.watch(kind, from, waitTime);
+        needsSnapshot ? m_store.snapshot(kind) : m_store.watch(kind, from, waitTime, freshness);
     if (!answer) {
         if (answer.error().code == platform_errors::historyGone) {
             needsSnapshot = true;
@@ -240,10 +138,8 @@
     needsSnapshot = false;
     if (hasChanged)
         apply(kind);
-    if (hadChanges && m_onChange)
-        m_onChange();
     if (hadChanges)
-        std::this_thread::sleep_for(batchPause);
+        std::this_thread::sleep_for(batchPause + batchPausePerInstance * fleet.others);
 }
 
 duration store_watch::nextRetryPause(const std::string &kind)
@@ -255,6 +151,15 @@
     return pause;
 }
 
+store_watch::fleet_position store_watch::fleetPosition()
+{
+    const timestamp now = boot_clock::now();
+    return m_state.with([now](routing_state &routing) {
+        return fleet_position {.rank = routing.members.rank(now),
+                               .others = static_cast<int>(routing.members.otherCount())};
+    });
+}
+
 void store_watch::recordReachability(const std::string &kind, bool reachable,
                                      const std::string &reason)
 {
@@ -288,40 +193,22 @@
     return newest;
 }
 
-void store_watch::recordPeerChanges(timestamp now, const endpoint &peer, bool isInOwnZone,
+void store_watch::recordPeerChanges(timestamp now, const endpoint &peer,
                                     const std::map<std::string, std::uint64_t, std::less<>> &newest)
 {
-    bool isBehind = false;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        for (auto it = newest.begin(); it != newest.end(); ++it) {
-            const auto found = m_kinds.find(it->first);
-            if (found == m_kinds.end() || it->second <= found->second.mirror.newestChange())
-                continue;
-            watched_kind &watched = found->second;
-            if (!watched.behindSince || isInOwnZone)
-                watched.newerPeer = peer;
-            isBehind = isBehind || !watched.behindSince;
-            if (!watched.behindSince)
-                watched.behindSince = now;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto it = newest.begin(); it != newest.end(); ++it) {
+        const auto watched = m_kinds.find(it->first);
+        if (watched == m_kinds.end())
+            continue;
+        if (it->second > watched->second.mirror.newestChange()) {
+            if (!watched->second.behindSince)
+                watched->second.behindSince = now;
+            watched->second.newerPeer = peer;
         }
-        m_isNewlyBehind = m_isNewlyBehind || isBehind;
     }
-    if (isBehind)
-        m_behind.notify_all();
 }
 
-timestamp store_watch::nextFetch(timestamp latest) const
-{
-    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
-        if (it->second.behindSince)
-            latest = std::min(latest, *it->second.behindSince + timeBehind());
-    }
-    return latest;
-}
-
-duration store_watch::timeBehind() const { return m_isReader ? maxTimeBehind : m_fetchDelay; }
-
 void store_watch::removeExpired(timestamp now)
 {
     std::vector<std::string> changed;
@@ -343,52 +230,24 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
             watched_kind &watched = it->second;
-            if (!watched.behindSince || now - *watched.behindSince < timeBehind())
+            if (!watched.behindSince || now - *watched.behindSince < maxTimeBehind)
                 continue;
             // The next report sets it again if this copy is still behind.
             watched.behindSince.reset();
             stale.emplace_back(it->first, watched.newerPeer);
         }
     }
-    for (const std::pair<std::string, endpoint> &each : stale)
-        fetchCopy(each.first, each.second);
-}
-
-bool store_watch::fetchCopy(const std::string &kind, const endpoint &peer)
-{
-    std::uint64_t since = 0;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        since = m_kinds.find(kind)->second.mirror.upToVersion();
-    }
-    const std::string path = "/copy?kind=" + encodeUri(kind) + "&since=" + std::to_string(since);
-    const result<http_response> answer =
-        sendHttpRequestOnNewConnection(peer, {.path = path}, fetchTimeout);
-    result<bool> applied = failure("copy", answer ? "the peer refused" : answer.error().message);
-    std::uint64_t upTo = 0;
-    if (answer && answer->status == HTTPResponse::HTTP_OK) {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        object_mirror &mirror = m_kinds.find(kind)->second.mirror;
-        applied = applyCopy(boot_clock::now(), answer->body, mirror);
-        upTo = mirror.upToVersion();
-    }
-    if (!applied) {
-        writeEvent(event_line("store", "copy_fetch_failed")
-                       .add("kind", kind)
-                       .add("peer", toString(peer))
-                       .add("since", since)
-                       .add("reason", applied.error().message));
-        return false;
+    for (const std::pair<std::string, endpoint> &each : stale) {
+        const result<http_response> answer = sendHttpRequestOnNewConnection(
+            each.second, {.path = "/copy?kind=" + encodeUri(each.first)}, fetchTimeout);
+        if (answer && answer->status == HTTPResponse::HTTP_OK)
+            applyFetchedCopy(each.first, answer->body);
+        else
+            writeEvent(event_line("store", "copy_fetch_failed")
+                           .add("kind", each.first)
+                           .add("peer", toString(each.second))
+                           .add("reason", answer ? "status" : answer.error().message.c_str()));
     }
-    if (upTo > 0)
-        writeEvent(event_line("store", "copy_fetched")
-                       .add("kind", kind)
-                       .add("since", since)
-                       .add("revision", upTo)
-                       .add("changed", *applied));
-    if (*applied)
-        apply(kind);
-    return upTo > 0;
 }
 
 bool store_watch::lacksInstance(const std::string &name)
@@ -399,19 +258,217 @@
         && !watched.mirror.objects().contains(store_kinds::instances + name);
 }
 
-std::string store_watch::encodeCopy(const std::string &kind, std::uint64_t since)
+std::string store_watch::encodeCopy(const std::string &kind)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
+    Json::Value copy(Json::objectValue);
     const auto watched = m_kinds.find(kind);
-    return watched == m_kinds.end() ? "{}" : trefoil::encodeCopy(watched->second.mirror, since);
+    if (watched == m_kinds.end())
+        return writeJson(copy);
+    copy["up_to"] = Json::UInt64(watched->second.mirror.upToVersion());
+    copy["newest_change"] = Json::UInt64(watched->second.mirror.newestChange());
+    Json::Value list(Json::arrayValue);
+    const std::map<std::string, object, std::less<>> &objects = watched->second.mirror.objects();
+    for (auto it = objects.begin(); it != objects.end(); ++it) {
+        Json::Value entry(Json::objectValue);
+        entry["name"] = it->second.name;
+        entry["version"] = Json::UInt64(it->second.version);
+        entry["value"] = it->second.value;
+        entry["status"] = it->second.status;
+        list.append(entry);
+    }
+    copy["objects"] = list;
+    return writeJson(copy);
+}
+
+void store_watch::applyFetchedCopy(const std::string &kind, const std::string &text)
+{
+    const result<Json::Value> copy = parseJson(text, "a peer's copy");
+    if (!copy || !copy->isObject() || !(*copy)["objects"].isArray()) {
+        writeEvent(event_line("store", "copy_malformed").add("kind", kind));
+        return;
+    }
+    std::vector<object> objects;
+    for (const Json::Value &entry : (*copy)["objects"]) {
+        if (entry.isObject())
+            objects.push_back({.name = textOr(entry, "name"),
+                               .version = integerOr(entry, "version"),
+                               .value = textOr(entry, "value"),
+                               .status = textOr(entry, "status")});
+    }
+    bool hasChanged = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        object_mirror &mirror = m_kinds.find(kind)->second.mirror;
+        hasChanged = mirror.applySnapshot(boot_clock::now(), objects, integerOr(*copy, "up_to"));
+        mirror.recordNewestChange(integerOr(*copy, "newest_change"));
+    }
+    writeEvent(event_line("store", "copy_fetched").add("kind", kind).add("changed", hasChanged));
+    if (hasChanged)
+        apply(kind);
 }
 
 void store_watch::apply(const std::string &kind)
 {
-    m_applier.apply(kind, [this, &kind] {
+    using applier = void (store_watch::*)(const std::map<std::string, object, std::less<>> &);
+    static const std::map<std::string, applier> appliers {
+        {store_kinds::configuration, &store_watch::applyConfiguration},
+        {store_kinds::servers, &store_watch::applyServers},
+        {store_kinds::weights, &store_watch::applyWeights},
+        {store_kinds::rollouts, &store_watch::applyRollouts},
+        {store_kinds::instances, &store_watch::applyInstances},
+    };
+    const std::lock_guard<std::mutex> applyLock(m_applyMutex);
+    std::map<std::string, object, std::less<>> objects;
+    {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        return m_kinds.find(kind)->second.mirror.objects();
+        objects = m_kinds.find(kind)->second.mirror.objects();
+    }
+    (this->*appliers.at(kind))(objects);
+}
+
+void store_watch::applyConfiguration(const std::map<std::string, object, std::less<>> &objects)
+{
+    const auto found = objects.find(store_kinds::newestConfiguration);
+    if (found == objects.end())
+        return;
+    std::vector<std::string> dropped;
+    result<serving_tables> decoded = decodeConfiguration(found->second.value, dropped);
+    for (const std::string &reason : dropped)
+        writeEvent(event_line("configuration", "entry_dropped").add("reason", reason));
+    if (!decoded) {
+        writeEvent(event_line("configuration", "rejected")
+                       .add("revision", found->second.version)
+                       .add("reason", decoded.error().message));
+        return;
+    }
+    const std::shared_ptr<const serving_tables> tables =
+        std::make_shared<const serving_tables>(std::move(*decoded));
+    if (!m_state.publish(tables))
+        return;
+    const timestamp now = boot_clock::now();
+    m_state.with([&tables, now](routing_state &routing) {
+        routing.balancer.setTables(*tables);
+        for (auto it = tables->teams.begin(); it != tables->teams.end(); ++it) {
+            if (it->second.rate > 0)
+                routing.limits.setLimit(now, it->first, it->second.rate, it->second.burst);
+        }
+        routing.limits.keepOnly(tables->teams);
+    });
+    writeEvent(event_line("configuration", "in_force")
+                   .add("version", tables->version)
+                   .add("revision", found->second.version)
+                   .add("routes", std::uint64_t {tables->routes.size()})
+                   .add("teams", std::uint64_t {tables->teams.size()}));
+    // Server entries of services that were unknown until now become usable.
+    std::map<std::string, object, std::less<>> servers;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        servers = m_kinds.find(store_kinds::servers)->second.mirror.objects();
+    }
+    applyServers(servers);
+}
+
+void store_watch::applyServers(const std::map<std::string, object, std::less<>> &objects)
+{
+    const std::shared_ptr<const serving_tables> tables = m_state.tables();
+    std::vector<registered_server> servers;
+    std::map<std::string, std::string, std::less<>> conditions;
+    for (auto it = objects.begin(); it != objects.end(); ++it) {
+        const std::string id = nameWithoutKind(it->first);
+        result<registered_server> server = decodeServer(id, it->second.value);
+        const bool isServed = server && tables && tables->findService(server->service) != nullptr;
+        std::string condition = !server ? "unreadable"
+            : !isServed                 ? "of an unknown service"
+            : server->isLeaving         ? "leaving"
+                                        : "ready";
+        const auto before = m_serverConditions.find(id);
+        if (before == m_serverConditions.end() || before->second != condition)
+            writeEvent(event_line("servers", "server_seen")
+                           .add("server", id)
+                           .add("condition", condition)
+                           .add("revision", it->second.version)
+                           .add("reason", server ? "" : server.error().message.c_str()));
+        conditions[id] = std::move(condition);
+        if (isServed)
+            servers.push_back(std::move(*server));
+    }
+    for (auto it = m_serverConditions.begin(); it != m_serverConditions.end(); ++it) {
+        if (!conditions.contains(it->first))
+            writeEvent(event_line("servers", "server_gone").add("server", it->first));
+    }
+    m_serverConditions = std::move(conditions);
+    m_state.with([&servers](routing_state &routing) { routing.balancer.setServers(servers); });
+}
+
+void store_watch::applyWeights(const std::map<std::string, object, std::less<>> &objects)
+{
+    const timestamp now = boot_clock::now();
+    const timestamp since = m_hasAppliedWeights ? now : now - assumedWeightsAge;
+    m_hasAppliedWeights = true;
+    for (auto it = objects.begin(); it != objects.end(); ++it) {
+        const result<target_weights> weights = decodeTargetWeights(it->second.value);
+        if (!weights) {
+            writeEvent(event_line("weights", "entry_dropped")
+                           .add("entry", it->first)
+                           .add("reason", weights.error().message));
+            continue;
+        }
+        m_state.with([&weights, since](routing_state &routing) {
+            routing.balancer.addTargetWeights(weights->model, weights->version, since);
+        });
+        writeEvent(event_line("weights", "named")
+                       .add("model", weights->model)
+                       .add("version", weights->version)
+                       .add("revision", it->second.version));
+    }
+}
+
+void store_watch::applyRollouts(const std::map<std::string, object, std::less<>> &objects)
+{
+    const timestamp now = boot_clock::now();
+    for (auto it = objects.begin(); it != objects.end(); ++it) {
+        const result<rollout_request> request = decodeRollout(it->second.value, it->second.status);
+        if (!request) {
+            writeEvent(event_line("rollout", "entry_dropped")
+                           .add("entry", it->first)
+                           .add("reason", request.error().message));
+            continue;
+        }
+        m_state.with([&request, now](routing_state &routing) {
+            routing.releases.setRequest(now, request->service, *request);
+        });
+        writeEvent(event_line("rollout", "requested")
+                       .add("service", request->service)
+                       .add("release", request->release)
+                       .add("seconds", toSeconds(request->rampTime))
+                       .add("revision", it->second.version));
+    }
+}
+
+void store_watch::applyInstances(const std::map<std::string, object, std::less<>> &objects)
+{
+    const timestamp now = boot_clock::now();
+    std::vector<member_entry> entries;
+    std::vector<std::string> names;
+    for (auto it = objects.begin(); it != objects.end(); ++it) {
+        result<member_entry> entry = decodeMember(nameWithoutKind(it->first), it->second.value);
+        if (!entry) {
+            writeEvent(event_line("members", "entry_dropped")
+                           .add("entry", it->first)
+                           .add("reason", entry.error().message));
+            continue;
+        }
+        if (entry->name != m_state.settings().name)
+            names.push_back(entry->name);
+        entries.push_back(std::move(*entry));
+    }
+    m_state.with([&](routing_state &routing) {
+        routing.members.setListed(now, entries);
+        routing.limits.setPeers(now, names);
+        routing.divideExtraRetries(m_state.settings(), entries.size());
     });
+    writeEvent(event_line("members", "listed").add("instances", std::uint64_t {entries.size()}));
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -1,65 +1,56 @@
 #pragma once
 
-#include <atomic>
-#include <condition_variable>
-#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
-#include <thread>
+#include <vector>
 
 #include <adapter/store_client.h>
 #include <core/supervisor.h>
-#include <dispatch/store_reader_role.h>
 #include <platform/object_mirror.h>
 
 #include "edge/edge_state.h"
-#include "edge/object_applier.h"
 
 namespace trefoil {
 
-/// Keeps local copies of the store's objects. In a small fleet each instance watches the store with
-/// one thread per kind. In a large fleet a few instances of each zone do, see store_reader_role;
-/// the others learn from reports that they are behind and fetch the changes from an instance that
-/// has them. Changes are decoded and applied to the instance's state. Thread-safe.
+/// Keeps local copies of the store's objects. One thread per kind watches the store; a copy that
+/// falls behind is fetched from another instance. Changes are decoded and applied to the instance's
+/// state. Thread-safe.
 class store_watch
 {
 public:
     /// Precondition: @p state and @p store outlive this object.
     store_watch(edge_state &state, store_client &store);
 
-    /// Returns the child that keeps the copies up to date.
-    child_spec child();
-    /// Calls @p onChange after each change that this instance read from the store. Precondition:
-    /// the child isn't running yet.
-    void setOnChange(std::function<void()> onChange) { m_onChange = std::move(onChange); }
+    /// Returns the children that watch the store, one per kind.
+    std::vector<child_spec> children();
     /// Returns the revision of the newest change in each copy, by kind.
     std::map<std::string, std::uint64_t, std::less<>> newestChanges();
     /// Records the newest changes that another instance has seen. A copy that stays behind them is
-    /// fetched from it, or from an instance of the same zone if one reports them too.
-    void recordPeerChanges(timestamp now, const endpoint &peer, bool isInOwnZone,
+    /// fetched from it.
+    void recordPeerChanges(timestamp now, const endpoint &peer,
                            const std::map<std::string, std::uint64_t, std::less<>> &newest);
+    /// Fetches the copies that have been behind for too long from other instances. May block.
+    void fetchStaleCopies(timestamp now);
     /// Drops objects that expired during an outage and were not written again in time.
     void removeExpired(timestamp now);
     /// Returns whether the instance list is known and has no entry @p name.
     bool lacksInstance(const std::string &name);
-    /// Returns the changes of @p kind since version @p since for another instance, as JSON.
-    std::string encodeCopy(const std::string &kind, std::uint64_t since);
+    /// Returns the copy of @p kind for another instance, as JSON.
+    std::string encodeCopy(const std::string &kind);
 
 private:
     struct watched_kind
     {
         object_mirror mirror;
         duration waitTime;
+        /// Number of instances, counted by rank, that read the newest state from the store.
+        int freshReaders = 0;
         /// How long after an outage expired objects may be written again; zero for kinds whose
         /// objects do not expire.
         duration reregistrationTime {};
         bool isReachable = true;
-        /// Whether a thread watches the store for this kind.
-        bool isWatched = false;
-        /// Whether the store has discarded the changes since the copy.
-        bool needsSnapshot = false;
         /// Calls that failed in a row.
         int failures = 0;
         /// Since when another instance is known to have newer changes.
@@ -68,38 +59,34 @@
         endpoint newerPeer;
     };
 
+    /// Position of this instance among all instances.
+    struct fleet_position
+    {
+        int rank = 0;
+        int others = 0;
+    };
+
+    fleet_position fleetPosition();
     duration nextRetryPause(const std::string &kind);
-    result<void> run(const std::stop_token &stop);
-    bool decideRole(timestamp now, timestamp startedAt);
-    bool readInstances();
-    void startWatch(const std::string &kind, std::map<std::string, std::jthread> &watches);
-    void watch(const std::string &kind, const std::stop_token &stop);
+    result<void> watch(const std::string &kind, const std::stop_token &stop);
     void watchOnce(const std::string &kind, bool &needsSnapshot);
     void recordReachability(const std::string &kind, bool reachable, const std::string &reason);
-    /// Asks other instances for the copies that this one doesn't have yet. Returns whether any is
-    /// still missing.
-    bool fetchFirstCopies(timestamp now);
-    void fetchStaleCopies(timestamp now);
-    bool fetchCopy(const std::string &kind, const endpoint &peer);
-    /// Returns when the next copy is to be fetched, at most @p latest. Precondition: m_mutex is
-    /// held.
-    timestamp nextFetch(timestamp latest) const;
-    /// Returns for how long a copy may be behind before it is fetched.
-    duration timeBehind() const;
+    void applyFetchedCopy(const std::string &kind, const std::string &text);
     void apply(const std::string &kind);
+    void applyConfiguration(const std::map<std::string, object, std::less<>> &objects);
+    void applyServers(const std::map<std::string, object, std::less<>> &objects);
+    void applyWeights(const std::map<std::string, object, std::less<>> &objects);
+    void applyRollouts(const std::map<std::string, object, std::less<>> &objects);
+    void applyInstances(const std::map<std::string, object, std::less<>> &objects);
 
     edge_state &m_state;
     store_client &m_store;
-    object_applier m_applier;
-    std::function<void()> m_onChange;
-    store_reader_role m_role;
-    std::atomic<bool> m_isReader = false;
-    duration m_fetchDelay;
     std::mutex m_mutex;
-    /// Signalled when a copy is found to be behind.
-    std::condition_variable_any m_behind;
-    bool m_isNewlyBehind = false;
     std::map<std::string, watched_kind, std::less<>> m_kinds;
+    /// Serialises apply(), so that an older copy can't overwrite a newer one.
+    std::mutex m_applyMutex;
+    std::map<std::string, std::string, std::less<>> m_serverConditions;
+    bool m_hasAppliedWeights = false;
 };
 
 } // namespace trefoil
--- a/trefoilrouter/src/instance.cpp
+++ b/trefoilrouter/src/instance.cpp
@@ -22,10 +22,10 @@
 
 // Threads for blocking calls. Calls to the platform are few and take milliseconds. A watch is a
 // long poll, so it has its own thread. An unresponsive peer blocks a sender for 0.4 s.
-constexpr std::size_t platformThreads = 3;
-constexpr std::size_t watchThreads = 1;
-constexpr std::size_t peerThreads = 6;
-constexpr std::size_t serverThreads = 4;
+constexpr int platformThreads = 3;
+constexpr int watchThreads = 1;
+constexpr int peerThreads = 6;
+constexpr int serverThreads = 4;
 
 constexpr int peerListenerThreads = 16;
 constexpr int operatorThreads = 4;
@@ -126,11 +126,11 @@
             logError("supervisor",
                      "Child \"" + std::string(child) + "\" failed: " + reason.message + ".");
         };
-        std::vector<child_spec> platformChildren;
-        platformChildren.push_back(m_platformQueue.child("call"));
-        platformChildren.push_back(m_watchQueue.child("watch"));
-        std::vector<child_spec> peerChildren;
-        peerChildren.push_back(m_peerQueue.child("send"));
+        std::vector<child_spec> platformChildren =
+            m_platformQueue.makeWorkers("call", platformThreads);
+        for (child_spec &each : m_watchQueue.makeWorkers("watch", watchThreads))
+            platformChildren.push_back(std::move(each));
+        std::vector<child_spec> peerChildren = m_peerQueue.makeWorkers("send", peerThreads);
         peerChildren.push_back({.name = "listener",
                                 .body = makeHttpListener({.address = options.peers,
                                                           .threads = peerListenerThreads,
@@ -140,9 +140,10 @@
             {.name = "platform", .children = std::move(platformChildren), .onFailure = logFailure});
         const child_body peerTree = supervise(
             {.name = "peers", .children = std::move(peerChildren), .onFailure = logFailure});
-        const child_body serverTree = supervise({.name = "servers",
-                                                 .children = {m_serverQueue.child("poll")},
-                                                 .onFailure = logFailure});
+        const child_body serverTree =
+            supervise({.name = "servers",
+                       .children = m_serverQueue.makeWorkers("poll", serverThreads),
+                       .onFailure = logFailure});
         return supervise(
             {.name = options.name,
              .children = {{.name = "traces", .body = spans.body()},
@@ -205,10 +206,10 @@
         return platform.instances();
     }
 
-    work_queue m_platformQueue {platformThreads};
-    work_queue m_watchQueue {watchThreads};
-    work_queue m_peerQueue {peerThreads};
-    work_queue m_serverQueue {serverThreads};
+    work_queue m_platformQueue;
+    work_queue m_watchQueue;
+    work_queue m_peerQueue;
+    work_queue m_serverQueue;
 };
 
 instance::instance(settings options) : m_impl(std::make_unique<impl>(std::move(options))) { }
--- a/trefoilrouter/src/work_queue.h
+++ b/trefoilrouter/src/work_queue.h
@@ -1,53 +1,30 @@
 #pragma once
 
-#include <condition_variable>
-#include <deque>
 #include <functional>
-#include <list>
-#include <mutex>
+#include <stop_token>
 #include <string>
-#include <thread>
+#include <vector>
 
+#include <core/mailbox.h>
 #include <core/supervisor.h>
 
 namespace trefoil {
 
-/// Queue of tasks that may block, executed by threads that start when tasks wait and end after some
-/// seconds without one. Thread-safe.
+/// Queue of tasks that may block, executed by a fixed number of worker threads. Thread-safe.
 class work_queue
 {
 public:
-    /// Executes at most @p maxThreads tasks at the same time.
-    explicit work_queue(std::size_t maxThreads) : m_maxThreads(maxThreads) { }
-    ~work_queue();
+    /// Appends @p task. It must not throw: an exception fails the worker, which is then restarted.
+    void post(std::function<void()> task) { m_tasks.post(std::move(task)); }
 
-    /// Appends @p task. Tasks that were posted before the child runs wait for it. An exception of a
-    /// task is logged.
-    void post(std::function<void()> task);
-
-    /// Returns the child that executes the tasks until it is stopped, and then joins the threads.
-    /// Precondition: this object outlives the child.
-    child_spec child(std::string name);
+    /// Returns @p count child specs for workers named @p name-0, @p name-1 and so on. Precondition:
+    /// this object outlives the workers.
+    std::vector<child_spec> makeWorkers(const std::string &name, int count);
 
 private:
-    struct worker
-    {
-        std::thread thread;
-        bool hasEnded = false;
-    };
-
-    void startWorkers();
-    void joinEnded();
-    void joinAll();
-    void runWorker(worker &self);
-
-    std::size_t m_maxThreads;
-    std::mutex m_mutex;
-    std::condition_variable m_ready;
-    std::deque<std::function<void()>> m_tasks;
-    std::list<worker> m_workers;
-    std::size_t m_idleWorkers = 0;
-    bool m_isRunning = false;
+    result<void> runWorker(const std::stop_token &stop);
+
+    mailbox<std::function<void()>> m_tasks;
 };
 
 } // namespace trefoil
