Log for how long the store was silent when it is lost and regained

The log named the kind and the reason, but not since when an instance had heard nothing, which is what tells a silent connection from failed reads. dependency_lost and dependency_regained now carry silent_ms and the known revision.

--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -56,6 +56,7 @@
 
 store_watch::store_watch(edge_state &state, store_client &store) : m_state(state), m_store(store)
 {
+    const timestamp start = boot_clock::now();
     m_kinds = {
         {store_kinds::configuration, {.waitTime = shortWatchTime, .freshReaders = maxFreshReaders}},
         {store_kinds::servers,
@@ -65,6 +66,8 @@
         {store_kinds::weights, {.waitTime = shortWatchTime, .freshReaders = reducedFreshReaders}},
         {store_kinds::rollouts, {.waitTime = longWatchTime, .freshReaders = reducedFreshReaders}},
         {store_kinds::instances, {.waitTime = longWatchTime, .freshReaders = reducedFreshReaders}}};
+    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
+        it->second.answeredAt = start;
 }
 
 std::vector<child_spec> store_watch::children()
@@ -163,13 +166,20 @@
 void store_watch::recordReachability(const std::string &kind, bool reachable,
                                      const std::string &reason)
 {
+    const timestamp now = boot_clock::now();
     bool hasChanged = false;
     bool isAnyReachable = false;
+    duration silence {};
+    std::uint64_t revision = 0;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &watched = m_kinds.find(kind)->second;
         hasChanged = watched.isReachable != reachable;
         watched.isReachable = reachable;
+        silence = now - watched.answeredAt;
+        revision = watched.mirror.upToVersion();
+        if (reachable)
+            watched.answeredAt = now;
         for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
             isAnyReachable = isAnyReachable || it->second.isReachable;
     }
@@ -181,6 +191,8 @@
         writeEvent(event_line("store", reachable ? "dependency_regained" : "dependency_lost")
                        .add("dependency", "store")
                        .add("kind", kind)
+                       .add("silent_ms", toMilliseconds(silence))
+                       .add("revision", revision)
                        .add("reason", reason));
 }
 
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -51,6 +51,8 @@
         /// objects do not expire.
         duration reregistrationTime {};
         bool isReachable = true;
+        /// When the store last answered a read of this kind.
+        timestamp answeredAt;
         /// Calls that failed in a row.
         int failures = 0;
         /// Since when another instance is known to have newer changes.
