Give up silent reads of the store within the time in which an instance must be up to date

Callers were refused (401, 404) as an older configuration says, more than two seconds after the store had acknowledged a newer one. Cause: a long poll whose connection had fallen silent was given up only after 4.5 s (11.5 s for rollouts), and silence was read as "no change". All polls run in phase after a change, so no other instance knew better.

watch_pacer decides when and how a kind is read: each read, pauses included, ends within 0.7 of contact_ms after the last answer, and a silent one is repeated at once on a new connection. Connections that were idle for 0.5 s, or at the time of a failure, are not used again.

--- a/libs/platform/include/platform/object_store.h
+++ b/libs/platform/include/platform/object_store.h
@@ -76,14 +76,6 @@
                                       std::uint64_t expected) = 0;
     /// Reads all objects under @p prefix and the store version from which to watch.
     virtual result<object_changes> snapshot(const std::string &prefix);
-    /// Same as the watch() below. An implementation may ignore @p freshness, as the default one
-    /// does.
-    virtual result<object_changes> watch(const std::string &prefix, std::uint64_t from,
-                                         duration timeout, read_freshness freshness)
-    {
-        static_cast<void>(freshness);
-        return watch(prefix, from, timeout);
-    }
     /// Waits up to @p timeout for changes under @p prefix after version @p from. Errors:
     /// history-gone.
     virtual result<object_changes> watch(const std::string &prefix, std::uint64_t from,
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -17,29 +17,17 @@
 
 using Poco::Net::HTTPResponse;
 
-/// Duration of a long poll; silence beyond it means that the connection is dead. Reports of other
-/// instances reveal earlier that this one is behind.
-constexpr duration shortWatchTime = std::chrono::seconds(3);
-constexpr duration longWatchTime = std::chrono::seconds(10);
-/// Pause after a watch that returned changes, so that changes in quick succession are read in one
-/// call.
-constexpr duration batchPause = std::chrono::milliseconds(120);
-/// Added per other instance, since each change wakes all of them. The sum stays below a second in
-/// the largest fleet, a third of the time in which a leaving server must be noticed there.
-constexpr duration batchPausePerInstance = std::chrono::milliseconds(8);
+/// Part of the contact time within which a read on a silent connection is abandoned. The rest is
+/// for reading on a new connection and for instances that learn of a change from others.
+constexpr double silenceShare = 0.7;
+/// Longest silence for kinds whose changes are not urgent.
+constexpr duration maxWeightsSilence = std::chrono::milliseconds(3600);
+constexpr duration maxInstancesSilence = std::chrono::milliseconds(10600);
 /// Number of instances that read the store's newest state. The others use stale reads, which cost a
 /// tenth.
 constexpr int maxFreshReaders = 8;
 /// The same for kinds that the reports carry as well, or that are not urgent.
 constexpr int reducedFreshReaders = 3;
-/// Factor on the poll duration of stale readers, which rely on reports anyway. The store allows
-/// polls of up to 30 s.
-constexpr int staleWatchTimeFactor = 3;
-/// Pause after a failed call, doubled with each consecutive failure up to a maximum, which is a
-/// third of the time that the platform allows after an outage.
-constexpr duration retryPause = std::chrono::milliseconds(250);
-constexpr duration maxRetryPause = std::chrono::milliseconds(1000);
-constexpr int maxDoublings = 8;
 /// Servers whose entries expired in an outage register again within 2 s of its end.
 constexpr duration serverReregistrationTime = std::chrono::milliseconds(1900);
 /// Time that a copy may be behind before it is fetched from another instance; normally the store's
@@ -57,15 +45,20 @@
 store_watch::store_watch(edge_state &state, store_client &store) : m_state(state), m_store(store)
 {
     const timestamp start = boot_clock::now();
+    const duration urgent = fromSeconds(toSeconds(state.settings().contactTime) * silenceShare);
+    const auto kindOf = [](duration maxSilence, int freshReaders,
+                           duration reregistrationTime = {}) {
+        return watched_kind {.pacer = watch_pacer({.maxSilence = maxSilence}),
+                             .freshReaders = freshReaders,
+                             .reregistrationTime = reregistrationTime};
+    };
     m_kinds = {
-        {store_kinds::configuration, {.waitTime = shortWatchTime, .freshReaders = maxFreshReaders}},
-        {store_kinds::servers,
-         {.waitTime = shortWatchTime,
-          .freshReaders = maxFreshReaders,
-          .reregistrationTime = serverReregistrationTime}},
-        {store_kinds::weights, {.waitTime = shortWatchTime, .freshReaders = reducedFreshReaders}},
-        {store_kinds::rollouts, {.waitTime = longWatchTime, .freshReaders = reducedFreshReaders}},
-        {store_kinds::instances, {.waitTime = longWatchTime, .freshReaders = reducedFreshReaders}}};
+        {store_kinds::configuration, kindOf(urgent, maxFreshReaders)},
+        {store_kinds::servers, kindOf(urgent, maxFreshReaders, serverReregistrationTime)},
+        {store_kinds::weights, kindOf(std::max(urgent, maxWeightsSilence), reducedFreshReaders)},
+        {store_kinds::rollouts, kindOf(urgent, reducedFreshReaders)},
+        {store_kinds::instances,
+         kindOf(std::max(urgent, maxInstancesSilence), reducedFreshReaders)}};
     for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
         it->second.answeredAt = start;
 }
@@ -84,41 +77,43 @@
 
 result<void> store_watch::watch(const std::string &kind, const std::stop_token &stop)
 {
-    bool needsSnapshot = true;
     while (!stop.stop_requested())
-        watchOnce(kind, needsSnapshot);
+        std::this_thread::sleep_for(readOnce(kind));
     return {};
 }
 
-void store_watch::watchOnce(const std::string &kind, bool &needsSnapshot)
+duration store_watch::readOnce(const std::string &kind)
 {
-    std::uint64_t from = 0;
-    duration waitTime {};
-    int freshReaders = 0;
     const fleet_position fleet = fleetPosition();
+    std::uint64_t from = 0;
+    watch_read read;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        const watched_kind &watched = m_kinds.find(kind)->second;
+        watched_kind &watched = m_kinds.find(kind)->second;
         from = watched.mirror.upToVersion();
-        waitTime = watched.waitTime;
-        freshReaders = watched.freshReaders;
+        // In a large fleet only a few instances read the newest state: reports tell the others when
+        // they are behind.
+        const bool isFresh = fleet.rank < watched.freshReaders;
+        read = watched.pacer.nextRead(
+            boot_clock::now(), isFresh ? read_freshness::Newest : read_freshness::MayBeStale);
     }
-    // In a large fleet only a few instances read the newest state: reports tell the others when
-    // they are behind.
-    const bool isFresh = fleet.rank < freshReaders;
-    const read_freshness freshness = isFresh ? read_freshness::Newest : read_freshness::MayBeStale;
-    waitTime = isFresh ? waitTime : waitTime * staleWatchTimeFactor;
-    const result<object_changes> answer =
-        needsSnapshot ? m_store.snapshot(kind) : m_store.watch(kind, from, waitTime, freshness);
-    if (!answer) {
-        if (answer.error().code == platform_errors::historyGone) {
-            needsSnapshot = true;
-            return;
-        }
+    const result<object_changes> answer = m_store.read(kind, from, read);
+    if (answer)
+        return applyAnswer(kind, read, *answer, fleet.others);
+    const bool isHistoryGone = answer.error().code == platform_errors::historyGone;
+    if (!isHistoryGone)
         recordReachability(kind, false, answer.error().message);
-        std::this_thread::sleep_for(nextRetryPause(kind));
-        return;
-    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    watch_pacer &pacer = m_kinds.find(kind)->second.pacer;
+    if (!isHistoryGone)
+        return pacer.onFailed(boot_clock::now());
+    pacer.onHistoryGone();
+    return duration::zero();
+}
+
+duration store_watch::applyAnswer(const std::string &kind, const watch_read &read,
+                                  const object_changes &answer, int otherInstances)
+{
     recordReachability(kind, true, "");
     const timestamp now = boot_clock::now();
     m_state.recordStoreAnswer(now);
@@ -128,30 +123,18 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &watched = m_kinds.find(kind)->second;
-        watched.failures = 0;
         object_mirror &mirror = watched.mirror;
         const timestamp reregistrationDeadline = outageEnd + watched.reregistrationTime;
-        hasChanged = needsSnapshot ? mirror.applySnapshot(now, answer->changed, answer->upToVersion,
-                                                          reregistrationDeadline)
-                                   : mirror.applyChanges(now, answer->changed, answer->upToVersion,
-                                                         reregistrationDeadline);
+        hasChanged = read.isSnapshot
+            ? mirror.applySnapshot(now, answer.changed, answer.upToVersion, reregistrationDeadline)
+            : mirror.applyChanges(now, answer.changed, answer.upToVersion, reregistrationDeadline);
         hasChanged = mirror.removeExpired(now) || hasChanged;
     }
-    const bool hadChanges = !needsSnapshot && !answer->changed.empty();
-    needsSnapshot = false;
     if (hasChanged)
         apply(kind);
-    if (hadChanges)
-        std::this_thread::sleep_for(batchPause + batchPausePerInstance * fleet.others);
-}
-
-duration store_watch::nextRetryPause(const std::string &kind)
-{
     const std::lock_guard<std::mutex> lock(m_mutex);
-    watched_kind &watched = m_kinds.find(kind)->second;
-    const duration pause = std::min(retryPause * (1 << watched.failures), maxRetryPause);
-    watched.failures = std::min(watched.failures + 1, maxDoublings);
-    return pause;
+    return m_kinds.find(kind)->second.pacer.onAnswered(now, !answer.changed.empty(),
+                                                       otherInstances);
 }
 
 store_watch::fleet_position store_watch::fleetPosition()
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -9,6 +9,7 @@
 #include <adapter/store_client.h>
 #include <core/supervisor.h>
 #include <platform/object_mirror.h>
+#include <platform/watch_pacer.h>
 
 #include "edge/edge_state.h"
 
@@ -43,8 +44,8 @@
 private:
     struct watched_kind
     {
+        watch_pacer pacer;
         object_mirror mirror;
-        duration waitTime;
         /// Number of instances, counted by rank, that read the newest state from the store.
         int freshReaders = 0;
         /// How long after an outage expired objects may be written again; zero for kinds whose
@@ -53,8 +54,6 @@
         bool isReachable = true;
         /// When the store last answered a read of this kind.
         timestamp answeredAt;
-        /// Calls that failed in a row.
-        int failures = 0;
         /// Since when another instance is known to have newer changes.
         std::optional<timestamp> behindSince;
         /// Address of that instance.
@@ -69,9 +68,11 @@
     };
 
     fleet_position fleetPosition();
-    duration nextRetryPause(const std::string &kind);
     result<void> watch(const std::string &kind, const std::stop_token &stop);
-    void watchOnce(const std::string &kind, bool &needsSnapshot);
+    /// Makes one read and returns the pause before the next one.
+    duration readOnce(const std::string &kind);
+    duration applyAnswer(const std::string &kind, const watch_read &read,
+                         const object_changes &answer, int otherInstances);
     void recordReachability(const std::string &kind, bool reachable, const std::string &reason);
     void applyFetchedCopy(const std::string &kind, const std::string &text);
     void apply(const std::string &kind);
--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -9,6 +9,9 @@
 /// A server in the region accepts within milliseconds; a lost SYN is retransmitted after one
 /// second.
 constexpr duration connectTimeout = std::chrono::milliseconds(1200);
+/// Longest idle time of a connection that is used again. A connection may fall silent without being
+/// closed, and the next call on it would wait until its timeout.
+constexpr duration maxIdleTime = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -18,9 +21,12 @@
 
 json_http_client::session_ptr json_http_client::takeSession()
 {
+    const timestamp now = boot_clock::now();
     const std::lock_guard<std::mutex> lock(m_mutex);
+    std::erase_if(m_idle,
+                  [now](const idle_session &each) { return now - each.since > maxIdleTime; });
     while (!m_idle.empty()) {
-        session_ptr session = std::move(m_idle.back());
+        session_ptr session = std::move(m_idle.back().session);
         m_idle.pop_back();
         if (isReusable(*session))
             return session;
@@ -31,7 +37,13 @@
 void json_http_client::returnSession(session_ptr session)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_idle.push_back(std::move(session));
+    m_idle.push_back({.session = std::move(session), .since = boot_clock::now()});
+}
+
+void json_http_client::closeIdleSessions()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_idle.clear();
 }
 
 result<json_http_client::response> json_http_client::call(const http_request &request,
@@ -44,6 +56,7 @@
     setTimeouts(*session, std::min(connectTimeout, timeout), timeout);
     const result<http_response> httpResponse = sendHttpRequest(*session, request);
     if (!httpResponse) {
+        closeIdleSessions();
         const bool isWrite = request.method != "GET";
         const bool mayHaveArrived = isWrite && httpResponse.error().code == http_errors::broken;
         return failure(mayHaveArrived ? platform_errors::unknownOutcome
--- a/trefoilrouter/src/json_http_client.h
+++ b/trefoilrouter/src/json_http_client.h
@@ -41,14 +41,21 @@
 
 private:
     using session_ptr = std::unique_ptr<Poco::Net::HTTPClientSession>;
+    struct idle_session
+    {
+        session_ptr session;
+        timestamp since;
+    };
 
     session_ptr takeSession();
     void returnSession(session_ptr session);
+    /// Closes the idle connections: they may be as dead as the one that just failed.
+    void closeIdleSessions();
 
     endpoint m_address;
     call_budget m_budget;
     std::mutex m_mutex;
-    std::vector<session_ptr> m_idle;
+    std::vector<idle_session> m_idle;
 };
 
 } // namespace trefoil
