--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -690,10 +690,19 @@
                       [now](const auto &each) { return now - each.first > crashReportTime; });
         routing.localCrashes.emplace_back(now, crash);
     });
+    std::string parts;
+    for (const prompt_part &part : m_fields.prompt)
+        parts += (parts.empty() ? "" : " ") + part.id;
     writeEvent(event_line("proxy", "crash_suspected")
                    .add("request", m_fields.requestId)
+                   .add("route", m_route->name)
                    .add("server", current.placed.server)
-                   .add("digest", toHex(m_bodyDigest)));
+                   .add("digest", toHex(m_bodyDigest))
+                   .add("parts", parts)
+                   .add("had_events", current.hasEvents)
+                   .add("status", current.head.status)
+                   .add("sent_ms_ago", toMilliseconds(now - current.sentAt))
+                   .add("silent_ms", toMilliseconds(now - current.progressAt)));
 }
 
 bool request_runner::writeRefusal(const refusal &refused)
