Block the part of a prompt that crashes engines instead of whole requests

Callers saw streams cut and 502 while requests of one kind crashed one engine after the other. Cause: crash_tracker keys on the digest of the whole body, and no two of these requests are alike; a sound request that was in flight during two crashes was refused instead.

crash_attribution finds the parts at fault: suspects are the requests that a crashed engine had not begun to answer, a part is blocked when its presence among them can't be chance, and an answer that begins clears its parts. Instances exchange suspects, blocked and cleared parts in their reports.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -44,6 +44,8 @@
 struct server_placement
 {
     std::string server;
+    /// Start of the server in milliseconds since 1970, which tells a restart under the same id.
+    std::uint64_t startedAtMs = 0;
     endpoint address;
     std::string zone;
     std::string release;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -20,6 +20,26 @@
     digest128 request;
     /// Identifies the crash.
     std::string event;
+    /// Milliseconds since the crash.
+    std::uint64_t ageMs = 0;
+    /// Hashes of the parts of the request's prompt that other requests may share.
+    std::vector<std::uint64_t> parts;
+};
+
+/// A prompt part to which no requests are sent, since it crashes servers.
+struct blocked_part_record
+{
+    std::uint64_t part = 0;
+    /// Milliseconds since each of the crashes that speak against the part.
+    std::map<std::string, std::uint64_t, std::less<>> crashAgesMs;
+};
+
+/// A prompt part that was suspected of a crash and began to be answered later.
+struct cleared_part_record
+{
+    std::uint64_t part = 0;
+    /// Milliseconds since the last such answer began.
+    std::uint64_t ageMs = 0;
 };
 
 /// Request outcomes of one release on one route, counted by one instance since its start.
@@ -56,6 +76,8 @@
     /// See load_balancer::takePrefillRates().
     std::map<std::string, double, std::less<>> prefillRates;
     std::vector<crash_record> crashes;
+    std::vector<blocked_part_record> blockedParts;
+    std::vector<cleared_part_record> clearedParts;
     /// Servers that load weights on the order of the instance.
     std::vector<std::string> loading;
     /// Servers at whose addresses other servers answer.
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -95,6 +95,33 @@
         Json::Value entry(Json::arrayValue);
         entry.append(toHex(each.request));
         entry.append(each.event);
+        entry.append(Json::UInt64(each.ageMs));
+        for (const std::uint64_t part : each.parts)
+            entry.append(Json::UInt64(part));
+        list.append(entry);
+    }
+    return list;
+}
+
+Json::Value blockedPartsToJson(const std::vector<blocked_part_record> &parts)
+{
+    Json::Value list(Json::arrayValue);
+    for (const blocked_part_record &each : parts) {
+        Json::Value entry(Json::objectValue);
+        entry["part"] = Json::UInt64(each.part);
+        entry["crashes"] = numbersToJson(each.crashAgesMs);
+        list.append(entry);
+    }
+    return list;
+}
+
+Json::Value clearedPartsToJson(const std::vector<cleared_part_record> &parts)
+{
+    Json::Value list(Json::arrayValue);
+    for (const cleared_part_record &each : parts) {
+        Json::Value entry(Json::arrayValue);
+        entry.append(Json::UInt64(each.part));
+        entry.append(Json::UInt64(each.ageMs));
         list.append(entry);
     }
     return list;
@@ -137,6 +164,8 @@
     addNonEmpty(value, "placed", placedToJson(report.placed));
     addNonEmpty(value, "prefill_rates", numbersToJson(report.prefillRates));
     addNonEmpty(value, "crashes", crashesToJson(report.crashes));
+    addNonEmpty(value, "blocked_parts", blockedPartsToJson(report.blockedParts));
+    addNonEmpty(value, "cleared_parts", clearedPartsToJson(report.clearedParts));
     addNonEmpty(value, "loading", namesToJson(report.loading));
     addNonEmpty(value, "gone", namesToJson(report.gone));
     addNonEmpty(value, "unreachable", namesToJson(report.unreachable));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -128,6 +128,7 @@
 
 void readCrashes(const value_fields &fields, peer_report &report)
 {
+    constexpr std::size_t ageField = 2;
     forEach<value_list>(fields, "crashes", [&report](const value_list &items) {
         const std::optional<std::string_view> request = as<std::string_view>(items.at(0));
         const std::optional<std::string_view> event = as<std::string_view>(items.at(1));
@@ -135,10 +136,33 @@
         if (!request || !event || !fromHex(*request, crash.request))
             return;
         crash.event = std::string(*event);
+        // Reports of older builds end here.
+        crash.ageMs = as<std::uint64_t>(items.at(ageField)).value_or(0);
+        std::size_t index = 0;
+        for (const value item : items) {
+            const std::optional<std::uint64_t> part = as<std::uint64_t>(item);
+            if (index++ > ageField && part)
+                crash.parts.push_back(*part);
+        }
         report.crashes.push_back(std::move(crash));
     });
 }
 
+void readSuspectedParts(const value_fields &fields, peer_report &report)
+{
+    forEach<value_fields>(fields, "blocked_parts", [&report](const value_fields &blocked) {
+        blocked_part_record each {.part = integerField(blocked, "part")};
+        readNumbers(blocked, "crashes", each.crashAgesMs);
+        report.blockedParts.push_back(std::move(each));
+    });
+    forEach<value_list>(fields, "cleared_parts", [&report](const value_list &items) {
+        const std::optional<std::uint64_t> part = as<std::uint64_t>(items.at(0));
+        const std::optional<std::uint64_t> age = as<std::uint64_t>(items.at(1));
+        if (part && age)
+            report.clearedParts.push_back({.part = *part, .ageMs = *age});
+    });
+}
+
 } // namespace
 
 std::optional<peer_report> parsePeerReport(std::string_view text)
@@ -167,6 +191,7 @@
     readPlaced(fields, report);
     readNumbers(fields, "prefill_rates", report.prefillRates);
     readCrashes(fields, report);
+    readSuspectedParts(fields, report);
     readNames(fields, "loading", report.loading);
     readNames(fields, "gone", report.gone);
     readNames(fields, "unreachable", report.unreachable);
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -256,6 +256,7 @@
                                          const prompt_affinity &affinity) const
 {
     server_placement placed {.server = state.info.id,
+                             .startedAtMs = state.info.startedAtMs,
                              .address = state.info.address,
                              .zone = state.info.zone,
                              .release = state.info.release};
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -21,7 +21,12 @@
                     .isStored = true,
                     .storeTransferMs = 3.4}},
         .prefillRates = {{"llm", 37.5}},
-        .crashes = {{.request = digestOf("x"), .event = "s1"}},
+        .crashes = {{.request = digestOf("x"),
+                     .event = "s1",
+                     .ageMs = 40,
+                     .parts = {7, ~std::uint64_t {0}}}},
+        .blockedParts = {{.part = ~std::uint64_t {0}, .crashAgesMs = {{"s1", 40}}}},
+        .clearedParts = {{.part = 7, .ageMs = 12}},
         .loading = {"s2"},
         .weights = {{"s1=m", 4}},
         .targetAgeMs = {{"m=4", 1500}},
@@ -44,6 +49,14 @@
     EXPECT_EQ(read->prefillRates, report.prefillRates);
     EXPECT_EQ(read->storeEpochs, report.storeEpochs);
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
+    EXPECT_EQ(read->crashes[0].ageMs, 40u);
+    EXPECT_EQ(read->crashes[0].parts, report.crashes[0].parts);
+    ASSERT_EQ(read->blockedParts.size(), 1u);
+    EXPECT_EQ(read->blockedParts[0].part, report.blockedParts[0].part);
+    EXPECT_EQ(read->blockedParts[0].crashAgesMs, report.blockedParts[0].crashAgesMs);
+    ASSERT_EQ(read->clearedParts.size(), 1u);
+    EXPECT_EQ(read->clearedParts[0].part, 7u);
+    EXPECT_EQ(read->clearedParts[0].ageMs, 12u);
     EXPECT_EQ(read->loading, report.loading);
     EXPECT_EQ(read->weights, report.weights);
     EXPECT_EQ(read->targetAgeMs, report.targetAgeMs);
@@ -54,8 +67,9 @@
 {
     for (const char *text : {"", "[]", "{}", "{\"from\":3}", "\xff\xfe"})
         EXPECT_FALSE(parsePeerReport(text)) << text;
-    EXPECT_TRUE(
-        parsePeerReport("{\"from\":\"a\",\"load\":{\"s\":[1]},\"placed\":[[1]],\"releases\":[3]}"));
+    EXPECT_TRUE(parsePeerReport(
+        "{\"from\":\"a\",\"load\":{\"s\":[1]},\"placed\":[[1]],\"releases\":[3],\"crashes\":[[1]],"
+        "\"blocked_parts\":[3],\"cleared_parts\":[[1]]}"));
 }
 
 TEST(PeerReport, WeightsKeyRoundTrips)
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,6 +19,7 @@
 #include <dispatch/serving_tables.h>
 #include <dispatch/team_limits.h>
 #include <platform/outage_detector.h>
+#include <routing/crash_attribution.h>
 #include <routing/crash_tracker.h>
 #include <telemetry/metrics.h>
 
@@ -34,8 +36,10 @@
     member_table members;
     release_shares releases;
     crash_tracker crashes;
-    /// Crashes seen by this instance, repeated in its reports until they expire.
-    std::vector<std::pair<timestamp, crash_record>> localCrashes;
+    /// Finds prompt parts that crash servers.
+    crash_attribution partCrashes;
+    /// Newest crashes seen by this instance, for its reports.
+    std::deque<std::pair<timestamp, crash_record>> localCrashes;
     /// Retry budgets by service.
     std::map<std::string, windowed_retry_budget, std::less<>> retryBudgets;
     windowed_retry_budget_options retryBudgetOptions;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -23,6 +23,8 @@
 /// How long a change of weights is reported: many reports carry it, so that lost datagrams do no
 /// harm.
 constexpr duration weightsReportTime = std::chrono::seconds(3);
+/// How long a crash and a cleared prompt part are reported: many reports carry them.
+constexpr duration crashReportTime = std::chrono::seconds(3);
 /// Every fifth report contains the bucket levels.
 constexpr std::uint64_t reportsPerLevelUpdate = 5;
 /// How long a server gets no requests after a report that another instance has it load weights.
@@ -32,6 +34,34 @@
 /// brace.
 constexpr char forwardMark = '+';
 
+std::uint64_t ageMs(timestamp now, timestamp at)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMilliseconds(now - at)));
+}
+
+/// Adds the crashes that this instance saw, and what it knows of the prompt parts suspected of
+/// them.
+void addCrashes(timestamp now, const routing_state &routing, peer_report &report)
+{
+    for (const std::pair<timestamp, crash_record> &each : routing.localCrashes) {
+        if (now - each.first > crashReportTime)
+            continue;
+        report.crashes.push_back(each.second);
+        report.crashes.back().ageMs = ageMs(now, each.first);
+    }
+    for (const blocked_part &each : routing.partCrashes.blockedParts()) {
+        blocked_part_record blocked {.part = each.part, .crashAgesMs = {}};
+        for (auto it = each.crashes.begin(); it != each.crashes.end(); ++it)
+            blocked.crashAgesMs[it->first] = ageMs(now, it->second);
+        report.blockedParts.push_back(std::move(blocked));
+    }
+    const std::map<std::uint64_t, timestamp> cleared = routing.partCrashes.clearedParts();
+    for (auto it = cleared.begin(); it != cleared.end(); ++it) {
+        if (now - it->second <= crashReportTime)
+            report.clearedParts.push_back({.part = it->first, .ageMs = ageMs(now, it->second)});
+    }
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(edge_state &state, store_watch &watch,
@@ -118,8 +148,7 @@
         report.unreachable = routing.balancer.unreachableServers();
         report.placed = routing.balancer.takeCachePlacements();
         report.prefillRates = routing.balancer.takePrefillRates();
-        for (const std::pair<timestamp, crash_record> &each : routing.localCrashes)
-            report.crashes.push_back(each.second);
+        addCrashes(now, routing, report);
         for (auto it = routing.localOutcomes.begin(); it != routing.localOutcomes.end(); ++it)
             report.releases.push_back(it->second);
         for (const registered_server &server :
@@ -184,6 +213,8 @@
 {
     endpoint peer;
     const bool isNew = m_state.with([&](routing_state &routing) {
+        // Instances that are leaving are no longer listed, but may be the only ones that know.
+        applyCrashes(now, report, routing);
         if (!routing.members.recordReport(now, report.from, report.incarnation, report.sequence,
                                           report.isLeaving, report.leaderEpoch,
                                           fromSeconds(report.periodMs / 1000)))
@@ -193,7 +224,7 @@
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
         applyLimits(now, report, routing);
-        applyOutcomes(now, report, routing);
+        applyOutcomes(report, routing);
         return true;
     });
     if (isNew)
@@ -247,10 +278,28 @@
     m_hasAdoptedLevels = true;
 }
 
-void peer_exchange::applyOutcomes(timestamp now, const peer_report &report, routing_state &routing)
+void peer_exchange::applyCrashes(timestamp now, const peer_report &report, routing_state &routing)
 {
-    for (const crash_record &crash : report.crashes)
+    for (const crash_record &crash : report.crashes) {
         routing.crashes.recordCrash(now, crash.request, crash.event);
+        routing.partCrashes.recordSuspect(now,
+                                          {.crash = crash.event,
+                                           .at = now - std::chrono::milliseconds(crash.ageMs),
+                                           .request = crash.request.low,
+                                           .parts = crash.parts});
+    }
+    for (const blocked_part_record &each : report.blockedParts) {
+        blocked_part blocked {.part = each.part, .crashes = {}};
+        for (auto it = each.crashAgesMs.begin(); it != each.crashAgesMs.end(); ++it)
+            blocked.crashes[it->first] = now - std::chrono::milliseconds(it->second);
+        routing.partCrashes.adopt(now, blocked);
+    }
+    for (const cleared_part_record &each : report.clearedParts)
+        routing.partCrashes.clear(now - std::chrono::milliseconds(each.ageMs), each.part);
+}
+
+void peer_exchange::applyOutcomes(const peer_report &report, routing_state &routing)
+{
     for (const release_outcomes &each : report.releases) {
         outcome_counts &reported =
             m_reportedOutcomes[report.from + "/" + std::to_string(report.incarnation) + "/"
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -44,7 +44,8 @@
     void applyServers(timestamp now, const peer_report &report, routing_state &routing);
     void applyWeights(timestamp now, const peer_report &report, routing_state &routing);
     void applyLimits(timestamp now, const peer_report &report, routing_state &routing);
-    void applyOutcomes(timestamp now, const peer_report &report, routing_state &routing);
+    void applyCrashes(timestamp now, const peer_report &report, routing_state &routing);
+    void applyOutcomes(const peer_report &report, routing_state &routing);
     /// Returns the interval between reports, which is shorter for the leader and for an instance
     /// with callers.
     duration reportInterval(bool isLeader) const;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -46,8 +46,10 @@
 constexpr duration maxRetryAfter = std::chrono::milliseconds(1500);
 /// Timeout of the probe after a broken connection: the host of a crashed server refuses at once.
 constexpr duration crashProbeTimeout = std::chrono::milliseconds(100);
-/// How long a crash is reported to the other instances.
-constexpr duration crashReportTime = std::chrono::seconds(20);
+/// Limit on the crashes that are reported to the other instances.
+constexpr std::size_t maxLocalCrashes = 64;
+/// Retry-After time of a request with a blocked part, which is not tried again for minutes.
+constexpr duration blockedPartRetryAfter = std::chrono::seconds(60);
 
 constexpr int firstRedirect = 300;
 constexpr int firstServerFailure = 500;
@@ -116,6 +118,8 @@
     chooseService();
     const std::string_view team = m_team == nullptr ? std::string_view {} : m_team->name;
     m_bodyDigest = digestOf(m_request.body, digestOf(m_request.head.target, digestOf(team)));
+    for (std::size_t i = 0; i + 1 < m_fields.prompt.size(); ++i)
+        m_sharedParts.push_back(hash64(m_fields.prompt[i].id, hash64(m_fields.model)));
     const bool isCrashSuspect = m_state.with([&](routing_state &routing) {
         routing.retryBudgets.try_emplace(m_service, routing.retryBudgetOptions)
             .first->second.recordRequest(now);
@@ -127,6 +131,23 @@
     return checkLimit(now);
 }
 
+std::optional<request_runner::refusal> request_runner::checkPrompt(timestamp now)
+{
+    const std::optional<std::uint64_t> part = m_state.with([&](routing_state &routing) {
+        return routing.partCrashes.blockingPart(now, m_sharedParts);
+    });
+    if (!part)
+        return std::nullopt;
+    const auto found = std::find(m_sharedParts.begin(), m_sharedParts.end(), *part);
+    writeEvent(event_line("proxy", "part_refused")
+                   .add("request", m_fields.requestId)
+                   .add("part", m_fields.prompt[found - m_sharedParts.begin()].id));
+    constexpr const char *reason = "a part of the prompt crashes backend servers";
+    if (m_runs > 0)
+        return refusal {HTTPResponse::HTTP_BAD_GATEWAY, reason, std::nullopt};
+    return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, reason, blockedPartRetryAfter};
+}
+
 std::optional<request_runner::refusal> request_runner::checkLimit(timestamp now)
 {
     if (m_team == nullptr || m_team->rate <= 0)
@@ -214,6 +235,11 @@
         const timestamp now = boot_clock::now();
         if (now >= m_deadline)
             return finalRefusal(attempt_end::TimedOut);
+        if (const std::optional<refusal> blocked = checkPrompt(now)) {
+            if (m_answer)
+                break;
+            return blocked;
+        }
         attempt current;
         const std::optional<server_placement> placed = choosePlacement(now);
         if (!placed || wouldMissDeadline(now, *placed)) {
@@ -363,6 +389,17 @@
     current.isCounted = true;
 }
 
+void request_runner::recordStart(attempt &current)
+{
+    current.hasEvents = true;
+    const timestamp now = boot_clock::now();
+    m_state.with([&](routing_state &routing) {
+        routing.balancer.onFirstEvent(now, current.ticket);
+        if (current.head.status < firstRedirect)
+            routing.partCrashes.recordStart(now, m_sharedParts);
+    });
+}
+
 silence_limits request_runner::silenceLimitsOf(const attempt &current) const
 {
     const int runs = m_runs + (current.isCounted ? 0 : 1);
@@ -389,8 +426,12 @@
         const bool isUnreachable = m_state.with([&](routing_state &routing) {
             if (isOver(limits.suspectAfter, now))
                 routing.balancer.onServerSilent(now, current.ticket);
+            current.isWithdrawn =
+                !current.hasEvents && routing.partCrashes.isExpectedToCrash(m_sharedParts);
             return mayGiveUpUnreachable && routing.balancer.isUnreachable(current.placed.server);
         });
+        if (current.isWithdrawn)
+            return read_outcome::Broken;
         if (isUnreachable || isOver(limits.abandonAfter, now))
             return read_outcome::Broken;
         timestamp next = std::min(m_deadline, now + silenceCheckInterval);
@@ -520,9 +561,7 @@
     const attempt_end end = readBody(current, body);
     if (end != attempt_end::Delivered)
         return end;
-    const timestamp now = boot_clock::now();
-    m_state.with(
-        [&](routing_state &routing) { routing.balancer.onFirstEvent(now, current.ticket); });
+    recordStart(current);
     returnConnection(current);
     if (m_isHeadSent)
         return attempt_end::Broken;
@@ -601,12 +640,8 @@
             m_events.discardIncomplete();
             return attempt_end::Broken;
         }
-        if (!events.empty() && !current.hasEvents) {
-            current.hasEvents = true;
-            m_state.with([&](routing_state &routing) {
-                routing.balancer.onFirstEvent(boot_clock::now(), current.ticket);
-            });
-        }
+        if (!events.empty() && !current.hasEvents)
+            recordStart(current);
         if ((!events.empty() || isComplete) && !deliverEvents(current, events, isComplete))
             return attempt_end::CallerBroken;
         if (isComplete) {
@@ -633,7 +668,7 @@
     if (end == attempt_end::NotRun)
         outcome = current.wasSent ? attempt_outcome::Rejected : attempt_outcome::Unreachable;
     else if (end == attempt_end::Broken)
-        outcome = attempt_outcome::Lost;
+        outcome = current.isWithdrawn ? attempt_outcome::Abandoned : attempt_outcome::Lost;
     else if (end == attempt_end::Failed
              || (end == attempt_end::Delivered && m_status >= firstServerFailure))
         outcome = attempt_outcome::Failed;
@@ -647,7 +682,7 @@
         [&](routing_state &routing) { routing.balancer.end(now, current.ticket, outcome); });
     recordReleaseOutcome(current, end);
     logAttemptEnd(current, end);
-    if (end == attempt_end::Broken && current.wasSent)
+    if (end == attempt_end::Broken && current.wasSent && !current.isWithdrawn)
         recordCrash(current);
 }
 
@@ -678,16 +713,25 @@
 
 void request_runner::recordCrash(const attempt &current)
 {
+    // A request that had begun to be answered did not crash the server.
+    if (current.hasEvents)
+        return;
     const result<byte_stream> probe =
         byte_stream::connect(current.placed.address, crashProbeTimeout);
     if (probe || probe.error().code != connect_errors::refused)
         return;
     const timestamp now = boot_clock::now();
-    const crash_record crash {.request = m_bodyDigest, .event = current.placed.server};
+    const crash_record crash {.request = m_bodyDigest,
+                              .event = current.placed.server + "@"
+                                  + std::to_string(current.placed.startedAtMs),
+                              .parts = m_sharedParts};
     m_state.with([&](routing_state &routing) {
         routing.crashes.recordCrash(now, crash.request, crash.event);
-        std::erase_if(routing.localCrashes,
-                      [now](const auto &each) { return now - each.first > crashReportTime; });
+        routing.partCrashes.recordSuspect(
+            now,
+            {.crash = crash.event, .at = now, .request = crash.request.low, .parts = crash.parts});
+        if (routing.localCrashes.size() >= maxLocalCrashes)
+            routing.localCrashes.pop_front();
         routing.localCrashes.emplace_back(now, crash);
     });
     std::string parts;
@@ -699,7 +743,6 @@
                    .add("server", current.placed.server)
                    .add("digest", toHex(m_bodyDigest))
                    .add("parts", parts)
-                   .add("had_events", current.hasEvents)
                    .add("status", current.head.status)
                    .add("sent_ms_ago", toMilliseconds(now - current.sentAt))
                    .add("silent_ms", toMilliseconds(now - current.progressAt)));
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -74,6 +74,8 @@
         bool hasEnded = false;
         bool wasSent = false;
         bool hasEvents = false;
+        /// Whether the attempt was given up since it is expected to crash the server.
+        bool isWithdrawn = false;
         /// Whether the attempt is included in m_runs: the server may have started the request.
         bool isCounted = false;
         timestamp sentAt;
@@ -91,6 +93,7 @@
 
     std::optional<refusal> admit();
     std::optional<refusal> checkLimit(timestamp now);
+    std::optional<refusal> checkPrompt(timestamp now);
     void chooseService();
     std::optional<refusal> serve();
     std::optional<refusal> finalRefusal(attempt_end end) const;
@@ -107,6 +110,8 @@
     attempt_end forwardStream(attempt &current);
     bool deliverEvents(attempt &current, const std::string &events, bool isLast);
     void countRun(attempt &current);
+    /// Records that the server began to answer: its first event, or a complete answer.
+    void recordStart(attempt &current);
     silence_limits silenceLimitsOf(const attempt &current) const;
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
@@ -139,6 +144,8 @@
     double m_limitCost = 0;
     timestamp m_deadline;
     digest128 m_bodyDigest;
+    /// Hashes of the prompt's parts but the last, which belongs to this request alone.
+    std::vector<std::uint64_t> m_sharedParts;
     std::vector<std::string> m_triedServers;
     std::vector<std::string> m_excludedReleases;
     /// Attempts in which a server may have started the request.
