Take a stream that ends with its connection inside an event as broken off

A caller got the half event and the end of a complete answer. Cause: the orderly end of a connection was taken for the end of an answer that has neither a length nor chunks. Such a stream is now complete only if it has had an event and ends between events; else it is resumed, or the caller's connection is aborted.

StreamThatEndsWithItsConnectionInsideAnEventIsBrokenOff failed before in all three variants.

--- a/libs/http/include/http/sse_framer.h
+++ b/libs/http/include/http/sse_framer.h
@@ -19,6 +19,8 @@
     void discardIncomplete() { m_incomplete.clear(); }
     /// Returns the number of bytes of an incomplete event.
     std::size_t incompleteBytes() const { return m_incomplete.size(); }
+    /// Returns whether an event has begun and is not complete.
+    bool isInsideEvent() const;
     /// Returns the id of the last complete event that had one, or "".
     const std::string &lastEventId() const { return m_lastEventId; }
 
--- a/libs/http/src/sse_framer.cpp
+++ b/libs/http/src/sse_framer.cpp
@@ -40,6 +40,11 @@
 
 std::string sse_framer::takeIncomplete() { return std::exchange(m_incomplete, {}); }
 
+bool sse_framer::isInsideEvent() const
+{
+    return m_incomplete.find_first_not_of("\r\n") != std::string::npos;
+}
+
 bool containsData(std::string_view events)
 {
     constexpr std::string_view fieldName = "data";
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -653,7 +653,9 @@
         const read_outcome outcome = waitForBytes(current);
         const bool isOrderlyEnd =
             outcome == read_outcome::End && current.framing.end == body_end::Close;
-        if (isOrderlyEnd) {
+        // Without a length, only an end between events shows that the answer is whole.
+        const bool isBrokenOff = isOrderlyEnd && (!current.hasEvents || m_events.isInsideEvent());
+        if (isOrderlyEnd && !isBrokenOff) {
             current.hasEnded = true;
         } else if (outcome != read_outcome::Bytes) {
             m_events.discardIncomplete();
