Don't take a failed write of a request for the end of its answer

A caller got a truncated stream as a complete one. Cause: the flag that a request could not be written in full also meant that the answer had ended, so what had arrived by then was passed on with an end. A failed write now only keeps the connection from being used again; the end of the answer is read from the connection.

StreamThatBreaksOffWhileTheRequestIsSentIsNotComplete failed before.

--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -379,7 +379,7 @@
         countRun(current);
         return attempt_end::Broken;
     }
-    current.hasEnded = !isWritten;
+    current.isRequestWritten = isWritten;
     return attempt_end::Delivered;
 }
 
@@ -545,7 +545,7 @@
 
 void request_runner::returnConnection(attempt &current)
 {
-    const bool mayKeep = !current.hasEnded && current.framing.end != body_end::Close
+    const bool mayKeep = current.isRequestWritten && current.framing.end != body_end::Close
         && isKeepAlive(current.head.headers, current.head.isHttp10)
         && current.stream->buffer().empty();
     if (!mayKeep)
@@ -612,6 +612,8 @@
 request_runner::attempt_end request_runner::forwardStream(attempt &current)
 {
     std::string &buffer = current.stream->buffer();
+    // The end of the connection also ends the answer if it has no length.
+    bool hasConnectionEnded = false;
     while (true) {
         std::string decoded;
         bool isComplete = false;
@@ -630,7 +632,7 @@
             isComplete = current.framing.end == body_end::Length
                 && current.bodyBytes == current.framing.length;
         }
-        isComplete = isComplete || current.hasEnded;
+        isComplete = isComplete || hasConnectionEnded;
         std::string events = m_events.feed(decoded);
         if (isComplete)
             events += m_events.takeIncomplete();
@@ -656,7 +658,7 @@
         // Without a length, only an end between events shows that the answer is whole.
         const bool isBrokenOff = isOrderlyEnd && (!current.hasEvents || m_events.isInsideEvent());
         if (isOrderlyEnd && !isBrokenOff) {
-            current.hasEnded = true;
+            hasConnectionEnded = true;
         } else if (outcome != read_outcome::Bytes) {
             m_events.discardIncomplete();
             return attemptEndOf(outcome);
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -70,8 +70,8 @@
         body_framing framing;
         chunked_decoder chunks;
         std::uint64_t bodyBytes = 0;
-        /// Whether the server closed its side of the connection.
-        bool hasEnded = false;
+        /// Whether the whole request was written. A server may answer and close before that.
+        bool isRequestWritten = false;
         bool wasSent = false;
         bool hasEvents = false;
         /// Whether the attempt was given up since it is expected to crash the server.
