Write up the timeline of the slow release; log what a rollout's stages are decided on

The log told neither the release of an attempt, nor the time to its first event, nor the counts of a stage. attempt_ended now carries release and first_event_ms (successful attempts too while a service is under rollout), stage_changed the counts of both releases. No logic was changed.

--- a/libs/dispatch/include/dispatch/release_shares.h
+++ b/libs/dispatch/include/dispatch/release_shares.h
@@ -65,6 +65,10 @@
     std::optional<rollout_request> request(std::string_view service) const;
     /// Returns the stage of the request for @p service, or nothing if there is no request.
     std::optional<rollout_stage> stage(std::string_view service) const;
+    /// Returns the outcomes of @p release of @p service on all routes, from all instances.
+    outcome_counts outcomes(std::string_view service, std::string_view release) const;
+    /// Returns the release that the requested one is compared with, or "" if none was seen.
+    std::string baseline(std::string_view service) const;
     /// Returns the operator's requests for all services.
     std::vector<rollout_request> requests() const;
 
--- a/libs/dispatch/src/release_shares.cpp
+++ b/libs/dispatch/src/release_shares.cpp
@@ -104,6 +104,18 @@
     return found->second.stage;
 }
 
+outcome_counts release_shares::outcomes(std::string_view service, std::string_view release) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? outcome_counts {} : found->second.outcomes.total(release);
+}
+
+std::string release_shares::baseline(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? "" : found->second.baseline;
+}
+
 std::vector<rollout_request> release_shares::requests() const
 {
     std::vector<rollout_request> all;
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -37,6 +37,24 @@
     return words[static_cast<std::size_t>(answer)];
 }
 
+/// Logs a stage with the outcomes that it was decided on.
+void logStage(const release_shares &releases, const std::string &service)
+{
+    const std::string release = releases.request(service)->release;
+    const outcome_counts counts = releases.outcomes(service, release);
+    const outcome_counts baseline = releases.outcomes(service, releases.baseline(service));
+    writeEvent(event_line("rollout", "stage_changed")
+                   .add("service", service)
+                   .add("release", release)
+                   .add("stage", toString(*releases.stage(service)))
+                   .add("requests", counts.requests)
+                   .add("failures", counts.failures)
+                   .add("slow", counts.slow)
+                   .add("baseline_requests", baseline.requests)
+                   .add("baseline_failures", baseline.failures)
+                   .add("baseline_slow", baseline.slow));
+}
+
 } // namespace
 
 leader_runner::leader_runner(edge_state &state, store_client &store, work_queue &queue)
@@ -340,9 +358,7 @@
     std::map<std::string, rollout_stage, std::less<>> stages;
     m_state.with([&](routing_state &routing) {
         for (const std::string &service : routing.releases.step(now))
-            writeEvent(event_line("rollout", "stage_changed")
-                           .add("service", service)
-                           .add("stage", toString(*routing.releases.stage(service))));
+            logStage(routing.releases, service);
         for (const rollout_request &request : routing.releases.requests()) {
             rollouts.push_back(request);
             stages[request.service] = *routing.releases.stage(request.service);
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -45,7 +45,10 @@
 
 void request_runner::logAttemptEnd(const attempt &current, attempt_end end) const
 {
-    if (end == attempt_end::Delivered)
+    // Successful attempts are logged only where a rollout depends on them.
+    const bool isInRollout = m_state.with(
+        [this](routing_state &routing) { return routing.releases.request(m_service).has_value(); });
+    if (end == attempt_end::Delivered && !isInRollout)
         return;
     constexpr std::array<const char *, 7> words {
         "delivered", "not_run", "failed", "broken", "caller_left", "timed_out", "caller_broken"};
@@ -55,6 +58,9 @@
                    .add("end", words[static_cast<std::size_t>(end)])
                    .add("status", current.head.status)
                    .add("sent", current.wasSent)
+                   .add("release", current.placed.release)
+                   .add("first_event_ms",
+                        current.firstEventTime ? toMilliseconds(*current.firstEventTime) : -1)
                    .add("weights", current.placed.weights)
                    .add("answered_weights", current.fields.weights.value_or(0))
                    .add("runs", m_runs)
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -393,6 +393,7 @@
 {
     current.hasEvents = true;
     const timestamp now = boot_clock::now();
+    current.firstEventTime = now - current.sentAt;
     m_state.with([&](routing_state &routing) {
         routing.balancer.onFirstEvent(now, current.ticket);
         if (current.head.status < firstRedirect)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -79,6 +79,8 @@
         /// Whether the attempt is included in m_runs: the server may have started the request.
         bool isCounted = false;
         timestamp sentAt;
+        /// Time from sending the request to the first event, or to the end of a buffered answer.
+        std::optional<duration> firstEventTime;
         /// When the request was sent, the last complete event or the last part of a buffered body
         /// arrived.
         timestamp progressAt;
