Count requests that a release leaves unanswered, and slow streams, against it

Callers of a slow release left after two seconds without an event, or ended at their deadline; the rollout was completed and kept. Cause: only complete, failed and broken attempts were outcomes, no stream could be slow, and 20 requests without a failure were taken for evidence.

response_timing measures the time to the first event and between events, and knows a request to be slow once its limit has passed. Limits come from the responses of releases that are not being tested. Traffic moves on evidence only, and a suspect release is not completed.

--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -533,7 +533,8 @@
         parts[0], parts[1], parts[2],
         {.requests = current.requests - seen.requests,
          .failures = current.failures - std::min(seen.failures, current.failures),
-         .slow = current.slow - std::min(seen.slow, current.slow)});
+         .slow = current.slow - std::min(seen.slow, current.slow),
+         .timed = current.requests - seen.requests});
     seen = current;
 }
 
--- a/libs/dispatch/include/dispatch/release_shares.h
+++ b/libs/dispatch/include/dispatch/release_shares.h
@@ -8,6 +8,7 @@
 
 #include <core/clock.h>
 #include <rollout/outcome_statistics.h>
+#include <rollout/response_timing.h>
 #include <rollout/rollout_controller.h>
 
 namespace trefoil {
@@ -33,8 +34,9 @@
     /// move counts as done.
     double moveAt = 0.86;
     double doneAt = 0.95;
-    /// Minimum number of requests served by the new release before it gets all traffic.
-    std::uint64_t minRequests = 20;
+    /// Minimum number of requests to the new release of which it is known whether they were slow,
+    /// before it gets all traffic. Requests without an answer are no evidence that it is sound.
+    std::uint64_t minTimedRequests = 20;
 };
 
 /// Splits a service's requests between the old and the new release while traffic moves. Each
@@ -48,9 +50,16 @@
     /// Sets the operator's request for a service, or removes it.
     void setRequest(timestamp now, std::string_view service,
                     const std::optional<rollout_request> &request);
-    /// Counts the outcome of a request that this instance served.
+    /// Counts what this instance has learnt of a request that it sent.
     void recordOutcome(std::string_view service, std::string_view release, std::string_view route,
-                       bool failed, bool slow);
+                       const outcome_counts &counts);
+    /// Adds the times of a successful response to the baseline of @p route, unless @p release is
+    /// the one that is being tested.
+    void recordTimes(std::string_view service, std::string_view release, std::string_view route,
+                     const response_times &times);
+    /// Returns the limits above which a response on @p route is slow, or nothing if too few
+    /// responses were seen.
+    std::optional<response_limits> limits(std::string_view service, std::string_view route) const;
     /// Adds the outcomes that another instance has counted since its last report.
     void add(std::string_view service, std::string_view release, std::string_view route,
              const outcome_counts &counts);
@@ -69,6 +78,8 @@
     outcome_counts outcomes(std::string_view service, std::string_view release) const;
     /// Returns the release that the requested one is compared with, or "" if none was seen.
     std::string baseline(std::string_view service) const;
+    /// Returns why the requested release of @p service was found to be bad; empty if it was not.
+    bad_version_verdict verdict(std::string_view service) const;
     /// Returns the operator's requests for all services.
     std::vector<rollout_request> requests() const;
 
@@ -79,8 +90,11 @@
         timestamp seenAt;
         rollout_stage stage = rollout_stage::Moving;
         outcome_statistics outcomes;
+        bad_version_verdict verdict;
         /// Last seen other release, which the new release is compared with.
         std::string baseline;
+        /// Times of responses of releases that are not being tested, by route.
+        std::map<std::string, response_baseline, std::less<>> times;
     };
 
     double share(timestamp now, const service_state &state) const;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -83,6 +83,7 @@
         entry["requests"] = Json::UInt64(each.counts.requests);
         entry["failures"] = Json::UInt64(each.counts.failures);
         entry["slow"] = Json::UInt64(each.counts.slow);
+        entry["timed"] = Json::UInt64(each.counts.timed);
         list.append(entry);
     }
     return list;
--- a/libs/dispatch/src/release_shares.cpp
+++ b/libs/dispatch/src/release_shares.cpp
@@ -20,13 +20,14 @@
         state.seenAt = now;
         state.stage = rollout_stage::Moving;
         state.outcomes.forget(request->release);
+        state.verdict = {};
     }
     if (request->reported && *request->reported != rollout_stage::Moving)
         state.stage = *request->reported;
 }
 
 void release_shares::recordOutcome(std::string_view service, std::string_view release,
-                                   std::string_view route, bool failed, bool slow)
+                                   std::string_view route, const outcome_counts &counts)
 {
     const auto found = m_services.find(service);
     if (found == m_services.end() || !found->second.request)
@@ -34,7 +35,27 @@
     service_state &state = found->second;
     if (release != state.request->release)
         state.baseline = std::string(release);
-    state.outcomes.recordOutcome(release, route, failed, slow);
+    state.outcomes.add(release, route, counts);
+}
+
+void release_shares::recordTimes(std::string_view service, std::string_view release,
+                                 std::string_view route, const response_times &times)
+{
+    service_state &state = m_services[std::string(service)];
+    const bool isTested =
+        state.request && state.stage != rollout_stage::Done && release == state.request->release;
+    if (!isTested)
+        state.times[std::string(route)].add(times);
+}
+
+std::optional<response_limits> release_shares::limits(std::string_view service,
+                                                      std::string_view route) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return std::nullopt;
+    const auto times = found->second.times.find(route);
+    return times == found->second.times.end() ? std::nullopt : times->second.limits();
 }
 
 void release_shares::add(std::string_view service, std::string_view release, std::string_view route,
@@ -52,14 +73,14 @@
         service_state &state = it->second;
         if (!state.request || state.stage != rollout_stage::Moving)
             continue;
-        bad_version_verdict why;
         const std::string &release = state.request->release;
-        if (state.outcomes.isBad(release, state.baseline, why)) {
+        if (state.outcomes.isBad(release, state.baseline, state.verdict)) {
             state.stage = rollout_stage::RolledBack;
             changed.push_back(it->first);
         } else if (now - state.seenAt
                        >= fromSeconds(toSeconds(state.request->rampTime) * m_options.doneAt)
-                   && share(now, state) >= 1) {
+                   && share(now, state) >= 1
+                   && !state.outcomes.isSuspect(release, state.baseline)) {
             state.stage = rollout_stage::Done;
             changed.push_back(it->first);
         }
@@ -75,9 +96,9 @@
         return 0;
     const double age = toSeconds(now - state.seenAt);
     const double rampSeconds = toSeconds(state.request->rampTime);
-    const bool hasMinRequests =
-        state.outcomes.total(state.request->release).requests >= m_options.minRequests;
-    return age >= rampSeconds * m_options.moveAt && hasMinRequests ? 1 : m_options.canaryShare;
+    const bool hasEvidence =
+        state.outcomes.total(state.request->release).timed >= m_options.minTimedRequests;
+    return age >= rampSeconds * m_options.moveAt && hasEvidence ? 1 : m_options.canaryShare;
 }
 
 bool release_shares::allows(timestamp now, std::string_view service, std::string_view release,
@@ -116,6 +137,12 @@
     return found == m_services.end() ? "" : found->second.baseline;
 }
 
+bad_version_verdict release_shares::verdict(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? bad_version_verdict {} : found->second.verdict;
+}
+
 std::vector<rollout_request> release_shares::requests() const
 {
     std::vector<rollout_request> all;
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -122,7 +122,8 @@
                                    .route = textField(outcome, "route"),
                                    .counts = {.requests = integerField(outcome, "requests"),
                                               .failures = integerField(outcome, "failures"),
-                                              .slow = integerField(outcome, "slow")}});
+                                              .slow = integerField(outcome, "slow"),
+                                              .timed = integerField(outcome, "timed")}});
     });
 }
 
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -31,7 +31,7 @@
         .weights = {{"s1=m", 4}},
         .targetAgeMs = {{"m=4", 1500}},
         .leaderEpoch = 3,
-        .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2}}},
+        .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2, 4}}},
         .storeEpochs = {{"10.0.0.9:1", 77}}};
     const std::optional<peer_report> read = parsePeerReport(toText(report));
     ASSERT_TRUE(read);
--- a/libs/dispatch/tests/release_shares_test.cpp
+++ b/libs/dispatch/tests/release_shares_test.cpp
@@ -35,7 +35,8 @@
             EXPECT_NE(takesNew, shares.allows(now, service, "v1", randomBits));
             const bool fails =
                 takesNew && toSeconds(now - timestamp {}) >= failingFrom && i % 2 == 0;
-            shares.recordOutcome(service, takesNew ? "v2" : "v1", "r", fails, false);
+            shares.recordOutcome(service, takesNew ? "v2" : "v1", "r",
+                                 {.requests = 1, .failures = fails ? 1u : 0u, .timed = 1});
             newCount += takesNew ? 1 : 0;
             failedCount += fails ? 1 : 0;
             ++totalCount;
@@ -66,6 +67,83 @@
     }
 }
 
+// A release that answered three times slower was rolled out: callers left before its answers, and
+// only answers were counted.
+TEST(ReleaseShares, SlowReleaseIsRolledBackThoughItsCallersLeaveUnanswered)
+{
+    for (const std::uint64_t slowOfTen : {10, 5}) {
+        rollout_simulation slow;
+        std::uint64_t newRequests = 0;
+        for (int i = 0; i < 1200; ++i, slow.now += std::chrono::milliseconds(10)) {
+            slow.randomBits = slow.randomBits * 6364136223846793005u + 1442695040888963407u;
+            const bool takesNew = slow.shares.allows(slow.now, service, "v2", slow.randomBits);
+            const bool isSlow = takesNew ? newRequests % 10 < slowOfTen : i % 20 == 0;
+            newRequests += takesNew ? 1 : 0;
+            slow.shares.recordOutcome(service, takesNew ? "v2" : "v1", "r",
+                                      {.slow = isSlow ? 1u : 0u, .timed = 1});
+            slow.shares.step(slow.now);
+        }
+        EXPECT_EQ(slow.shares.stage(service), rollout_stage::RolledBack);
+        EXPECT_LE(newRequests, 1200u / 10);
+    }
+}
+
+TEST(ReleaseShares, ReleaseWithoutEvidenceGetsNoMoreTraffic)
+{
+    rollout_simulation unknown;
+    for (int i = 0; i < 1500; ++i, unknown.now += std::chrono::milliseconds(10)) {
+        // Requests end, but nothing is known of how long the new release takes.
+        unknown.shares.recordOutcome(service, "v2", "r", {.requests = 1});
+        unknown.shares.recordOutcome(service, "v1", "r", {.requests = 1, .timed = 1});
+        unknown.shares.step(unknown.now);
+    }
+    EXPECT_EQ(unknown.shares.stage(service), rollout_stage::Moving);
+    constexpr std::uint64_t midRange = std::uint64_t {1} << 63;
+    EXPECT_FALSE(unknown.shares.allows(unknown.now, service, "v2", midRange));
+}
+
+TEST(ReleaseShares, ReleaseThatBecomesSlowAtTheEndIsNotDone)
+{
+    rollout_simulation late;
+    late.serve(10.5, 1050, 100);
+    for (int i = 0; i < 80; ++i, late.now += std::chrono::milliseconds(10)) {
+        late.shares.recordOutcome(service, "v2", "r", {.slow = i > 65 ? 1u : 0u, .timed = 1});
+        late.shares.step(late.now);
+    }
+    for (int i = 0; i < 60; ++i, late.now += std::chrono::milliseconds(10)) {
+        late.shares.recordOutcome(service, "v2", "r", {.slow = 1, .timed = 1});
+        late.shares.step(late.now);
+    }
+    EXPECT_EQ(late.shares.stage(service), rollout_stage::RolledBack);
+}
+
+TEST(ReleaseShares, RouteWithLittleTrafficIsComparedWithAllRoutes)
+{
+    rollout_simulation noisy;
+    // One in ten requests fails, whatever the release.
+    for (int i = 0; i < 200; ++i)
+        noisy.shares.recordOutcome(service, "v1", "r",
+                                   {.requests = 1, .failures = i % 10 == 0 ? 1u : 0u});
+    for (int i = 0; i < 40; ++i)
+        noisy.shares.recordOutcome(service, "v2", "rare",
+                                   {.requests = 1, .failures = i % 8 == 0 ? 1u : 0u});
+    noisy.shares.step(noisy.now);
+    EXPECT_EQ(noisy.shares.stage(service), rollout_stage::Moving);
+}
+
+TEST(ReleaseShares, LimitsComeFromReleasesThatAreNotBeingTested)
+{
+    rollout_simulation measured;
+    for (int i = 0; i < 30; ++i) {
+        measured.shares.recordTimes(service, "v1", "r",
+                                    {.firstEvent = std::chrono::milliseconds(200)});
+        measured.shares.recordTimes(service, "v2", "r", {.firstEvent = std::chrono::seconds(2)});
+    }
+    ASSERT_TRUE(measured.shares.limits(service, "r"));
+    EXPECT_EQ(measured.shares.limits(service, "r")->firstEvent, std::chrono::milliseconds(250));
+    EXPECT_FALSE(measured.shares.limits(service, "other"));
+}
+
 TEST(ReleaseShares, ReportedStageIsRestoredAfterARestart)
 {
     release_shares shares({});
--- a/libs/http/include/http/sse_framer.h
+++ b/libs/http/include/http/sse_framer.h
@@ -31,6 +31,9 @@
     std::string m_lastEventId;
 };
 
+/// Returns the number of events that end in @p events. Thread-safe.
+int countEvents(std::string_view events);
+
 /// Returns whether @p events contains a data field. Comments and empty lines, which servers send to
 /// keep a connection open, are no progress of a stream. Thread-safe.
 bool containsData(std::string_view events);
--- a/libs/http/src/sse_framer.cpp
+++ b/libs/http/src/sse_framer.cpp
@@ -45,6 +45,26 @@
     return m_incomplete.find_first_not_of("\r\n") != std::string::npos;
 }
 
+int countEvents(std::string_view events)
+{
+    int count = 0;
+    bool hasLines = false;
+    bool isLineEmpty = true;
+    for (const char c : events) {
+        if (c == '\r')
+            continue;
+        if (c != '\n') {
+            hasLines = true;
+            isLineEmpty = false;
+            continue;
+        }
+        if (isLineEmpty && std::exchange(hasLines, false))
+            ++count;
+        isLineEmpty = true;
+    }
+    return count;
+}
+
 bool containsData(std::string_view events)
 {
     constexpr std::string_view fieldName = "data";
--- a/libs/rollout/include/rollout/outcome_statistics.h
+++ b/libs/rollout/include/rollout/outcome_statistics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,9 +14,12 @@
 {
     std::uint64_t requests = 0;
     std::uint64_t failures = 0;
-    /// Requests whose first token arrived much later than expected.
+    /// Requests that took much longer than expected, also those that were given up unanswered.
     std::uint64_t slow = 0;
+    /// Requests of which it is known whether they were slow.
+    std::uint64_t timed = 0;
 
+    outcome_counts &operator+=(const outcome_counts &other);
     bool operator==(const outcome_counts &) const = default;
 };
 
@@ -42,6 +46,9 @@
     /// Returns whether @p candidate is worse than @p baseline on any route; if so, sets @p why.
     bool isBad(std::string_view candidate, std::string_view baseline,
                bad_version_verdict &why) const;
+    /// Returns whether the outcomes of @p candidate on any route are on the way to those of a
+    /// version that is worse than @p baseline, so that it must not replace it yet.
+    bool isSuspect(std::string_view candidate, std::string_view baseline) const;
     /// Returns the sum of the outcomes of @p version over all routes.
     outcome_counts total(std::string_view version) const;
     /// Removes the outcomes of @p version, before a new rollout of a version with the same name.
@@ -57,8 +64,14 @@
     };
     using tally_key = std::pair<std::string, std::string>; // version, route
 
+    struct outcome_test;
+    static const std::array<outcome_test, 2> outcomeTests;
+
+    static double shareOf(const outcome_counts &counts, const outcome_test &test);
     double baselineShare(std::string_view version, std::string_view route,
-                         std::uint64_t outcome_counts::*field) const;
+                         const outcome_test &test) const;
+    bool isWorse(const tally &item, std::string_view baseline, std::string_view route,
+                 const outcome_test &test, double threshold) const;
 
     std::map<tally_key, tally> m_tallies;
 };
--- a/libs/rollout/src/outcome_statistics.cpp
+++ b/libs/rollout/src/outcome_statistics.cpp
@@ -1,6 +1,7 @@
 #include <rollout/outcome_statistics.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace trefoil {
@@ -10,6 +11,8 @@
 /// Cumulative sum at which a version counts as bad. A good version reaches it about once in e^9
 /// (8,000) tries.
 constexpr double badVersionThreshold = 9;
+/// Cumulative sum from which a version is suspect.
+constexpr double suspectThreshold = badVersionThreshold / 2;
 
 /// Shares of failed or slow requests: at most `good` for a good version, at least `bad` for a bad
 /// one.
@@ -43,75 +46,114 @@
 
 } // namespace
 
+outcome_counts &outcome_counts::operator+=(const outcome_counts &other)
+{
+    requests += other.requests;
+    failures += other.failures;
+    slow += other.slow;
+    timed += other.timed;
+    return *this;
+}
+
+/// A sequential test of one kind of outcome.
+struct outcome_statistics::outcome_test
+{
+    std::uint64_t outcome_counts::*requests;
+    std::uint64_t outcome_counts::*hits;
+    double tally::*sum;
+    test_shares shares;
+    const char *reason;
+};
+
+const std::array<outcome_statistics::outcome_test, 2> outcome_statistics::outcomeTests {
+    {{&outcome_counts::requests, &outcome_counts::failures, &tally::failureSum, failureShares,
+      "fails"},
+     {&outcome_counts::timed, &outcome_counts::slow, &tally::slowSum, slowShares, "slow"}}};
+
+double outcome_statistics::shareOf(const outcome_counts &counts, const outcome_test &test)
+{
+    return static_cast<double>(counts.*test.hits)
+        / static_cast<double>(std::max<std::uint64_t>(1, counts.*test.requests));
+}
+
 void outcome_statistics::recordOutcome(std::string_view version, std::string_view route,
                                        bool failed, bool slow)
 {
     add(version, route,
-        {.requests = 1, .failures = failed ? 1u : 0u, .slow = !failed && slow ? 1u : 0u});
+        {.requests = 1,
+         .failures = failed ? 1u : 0u,
+         .slow = !failed && slow ? 1u : 0u,
+         .timed = failed ? 0u : 1u});
 }
 
 void outcome_statistics::add(std::string_view version, std::string_view route,
                              const outcome_counts &counts)
 {
     tally &item = m_tallies[{std::string(version), std::string(route)}];
-    item.counts.requests += counts.requests;
-    item.counts.failures += counts.failures;
-    item.counts.slow += counts.slow;
+    item.counts += counts;
     item.failureSum = updatedSum(item.failureSum, std::min(counts.failures, counts.requests),
                                  counts.requests, failureShares);
-    item.slowSum = updatedSum(item.slowSum, std::min(counts.slow, counts.requests), counts.requests,
-                              slowShares);
+    item.slowSum =
+        updatedSum(item.slowSum, std::min(counts.slow, counts.timed), counts.timed, slowShares);
 }
 
 double outcome_statistics::baselineShare(std::string_view version, std::string_view route,
-                                         std::uint64_t outcome_counts::*field) const
+                                         const outcome_test &test) const
 {
     const auto found = m_tallies.find({std::string(version), std::string(route)});
-    if (found == m_tallies.end() || found->second.counts.requests < minBaselineRequests)
-        return 0;
-    const outcome_counts &counts = found->second.counts;
-    return static_cast<double>(counts.*field) / static_cast<double>(counts.requests);
+    const bool isKnown =
+        found != m_tallies.end() && found->second.counts.*test.requests >= minBaselineRequests;
+    // A route with little traffic is compared with all routes.
+    const outcome_counts counts = isKnown ? found->second.counts : total(version);
+    return counts.*test.requests >= minBaselineRequests ? shareOf(counts, test) : 0;
+}
+
+bool outcome_statistics::isWorse(const tally &item, std::string_view baseline,
+                                 std::string_view route, const outcome_test &test,
+                                 double threshold) const
+{
+    if (item.*test.sum < threshold)
+        return false;
+    // If the previous version is about as bad on this route, the new version is not the cause.
+    const double baselineValue = baselineShare(baseline, route, test);
+    return baselineValue < test.shares.good || shareOf(item.counts, test) > 3 * baselineValue;
 }
 
 bool outcome_statistics::isBad(std::string_view candidate, std::string_view baseline,
                                bad_version_verdict &why) const
 {
-    const auto isWorse = [&](const tally &item, std::string_view route,
-                             std::uint64_t outcome_counts::*field, const test_shares &shares) {
-        // If the previous version is about as bad on this route, the new version is not the cause.
-        const double baselineValue = baselineShare(baseline, route, field);
-        const double candidateValue = static_cast<double>(item.counts.*field)
-            / static_cast<double>(std::max<std::uint64_t>(1, item.counts.requests));
-        return baselineValue < shares.good || candidateValue > 3 * baselineValue;
-    };
     for (auto it = m_tallies.begin(); it != m_tallies.end(); ++it) {
         if (it->first.first != candidate)
             continue;
-        const tally &item = it->second;
-        const std::string &route = it->first.second;
-        const bool failing = item.failureSum >= badVersionThreshold
-            && isWorse(item, route, &outcome_counts::failures, failureShares);
-        const bool slow = item.slowSum >= badVersionThreshold
-            && isWorse(item, route, &outcome_counts::slow, slowShares);
-        if (!failing && !slow)
-            continue;
-        why = {.version = std::string(candidate),
-               .route = route,
-               .reason = failing ? "fails" : "slow"};
-        return true;
+        for (const outcome_test &test : outcomeTests) {
+            if (!isWorse(it->second, baseline, it->first.second, test, badVersionThreshold))
+                continue;
+            why = {.version = std::string(candidate),
+                   .route = it->first.second,
+                   .reason = test.reason};
+            return true;
+        }
     }
     return false;
 }
 
+bool outcome_statistics::isSuspect(std::string_view candidate, std::string_view baseline) const
+{
+    return std::any_of(m_tallies.begin(), m_tallies.end(), [&](const auto &each) {
+        return each.first.first == candidate
+            && std::any_of(outcomeTests.begin(), outcomeTests.end(), [&](const outcome_test &test) {
+                   return isWorse(each.second, baseline, each.first.second, test, suspectThreshold);
+               });
+    });
+}
+
 outcome_counts outcome_statistics::total(std::string_view version) const
 {
     outcome_counts sum;
     for (auto it = m_tallies.begin(); it != m_tallies.end(); ++it) {
         if (it->first.first != version)
             continue;
-        sum.requests += it->second.counts.requests;
-        sum.failures += it->second.counts.failures;
-        sum.slow += it->second.counts.slow;
+        sum += it->second.counts;
     }
     return sum;
 }
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -42,11 +42,14 @@
 {
     const std::string release = releases.request(service)->release;
     const outcome_counts counts = releases.outcomes(service, release);
+    const bad_version_verdict verdict = releases.verdict(service);
     const outcome_counts baseline = releases.outcomes(service, releases.baseline(service));
     writeEvent(event_line("rollout", "stage_changed")
                    .add("service", service)
                    .add("release", release)
                    .add("stage", toString(*releases.stage(service)))
+                   .add("reason", verdict.reason)
+                   .add("route", verdict.route)
                    .add("requests", counts.requests)
                    .add("failures", counts.failures)
                    .add("slow", counts.slow)
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -306,9 +306,10 @@
                                + each.service + "/" + each.release + "/" + each.route];
         const outcome_counts increase {.requests = each.counts.requests - reported.requests,
                                        .failures = each.counts.failures - reported.failures,
-                                       .slow = each.counts.slow - reported.slow};
+                                       .slow = each.counts.slow - reported.slow,
+                                       .timed = each.counts.timed - reported.timed};
         reported = each.counts;
-        if (increase.requests > 0)
+        if (increase != outcome_counts {})
             routing.releases.add(each.service, each.release, each.route, increase);
     }
 }
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -50,6 +50,8 @@
         [this](routing_state &routing) { return routing.releases.request(m_service).has_value(); });
     if (end == attempt_end::Delivered && !isInRollout)
         return;
+    const std::optional<duration> firstEventTime =
+        current.timer ? current.timer->firstEventTime() : std::nullopt;
     constexpr std::array<const char *, 7> words {
         "delivered", "not_run", "failed", "broken", "caller_left", "timed_out", "caller_broken"};
     writeEvent(event_line("proxy", "attempt_ended")
@@ -59,8 +61,7 @@
                    .add("status", current.head.status)
                    .add("sent", current.wasSent)
                    .add("release", current.placed.release)
-                   .add("first_event_ms",
-                        current.firstEventTime ? toMilliseconds(*current.firstEventTime) : -1)
+                   .add("first_event_ms", firstEventTime ? toMilliseconds(*firstEventTime) : -1)
                    .add("weights", current.placed.weights)
                    .add("answered_weights", current.fields.weights.value_or(0))
                    .add("runs", m_runs)
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -372,6 +372,7 @@
     current.wasSent = true;
     current.sentAt = boot_clock::now();
     current.progressAt = current.sentAt;
+    current.timer.emplace(current.sentAt, responseLimits(placed));
     // A server may answer, and close, before it has read the body; its answer is then in the
     // buffer.
     const bool isWritten = current.stream->write(head + m_request.body, m_deadline);
@@ -393,7 +394,6 @@
 {
     current.hasEvents = true;
     const timestamp now = boot_clock::now();
-    current.firstEventTime = now - current.sentAt;
     m_state.with([&](routing_state &routing) {
         routing.balancer.onFirstEvent(now, current.ticket);
         if (current.head.status < firstRedirect)
@@ -401,6 +401,19 @@
     });
 }
 
+void request_runner::recordEvents(attempt &current, const std::string &events)
+{
+    if (events.empty())
+        return;
+    if (!current.hasEvents)
+        recordStart(current);
+    if (!containsData(events))
+        return;
+    const timestamp now = boot_clock::now();
+    current.timer->onEvents(now, countEvents(events));
+    recordSpeed(now, current);
+}
+
 silence_limits request_runner::silenceLimitsOf(const attempt &current) const
 {
     const int runs = m_runs + (current.isCounted ? 0 : 1);
@@ -433,6 +446,7 @@
         });
         if (current.isWithdrawn)
             return read_outcome::Broken;
+        recordSpeed(now, current);
         if (isUnreachable || isOver(limits.abandonAfter, now))
             return read_outcome::Broken;
         timestamp next = std::min(m_deadline, now + silenceCheckInterval);
@@ -563,6 +577,8 @@
     if (end != attempt_end::Delivered)
         return end;
     recordStart(current);
+    current.timer->onEvents(boot_clock::now(), 1);
+    current.timer->onComplete();
     returnConnection(current);
     if (m_isHeadSent)
         return attempt_end::Broken;
@@ -643,11 +659,11 @@
             m_events.discardIncomplete();
             return attempt_end::Broken;
         }
-        if (!events.empty() && !current.hasEvents)
-            recordStart(current);
+        recordEvents(current, events);
         if ((!events.empty() || isComplete) && !deliverEvents(current, events, isComplete))
             return attempt_end::CallerBroken;
         if (isComplete) {
+            current.timer->onComplete();
             m_status = current.head.status;
             returnConnection(current);
             logEnd("answered", m_status);
@@ -683,36 +699,62 @@
     if (current.stream && end != attempt_end::Delivered)
         current.stream->abort();
     const timestamp now = boot_clock::now();
-    m_state.with(
-        [&](routing_state &routing) { routing.balancer.end(now, current.ticket, outcome); });
-    recordReleaseOutcome(current, end);
+    recordSpeed(now, current);
+    const std::optional<response_times> times =
+        outcome == attempt_outcome::Done && current.timer ? current.timer->times() : std::nullopt;
+    m_state.with([&](routing_state &routing) {
+        routing.balancer.end(now, current.ticket, outcome);
+        if (times)
+            routing.releases.recordTimes(m_service, current.placed.release, m_route->name, *times);
+    });
+    recordReleaseEnd(current, end);
     logAttemptEnd(current, end);
     if (end == attempt_end::Broken && current.wasSent && !current.isWithdrawn)
         recordCrash(current);
 }
 
-void request_runner::recordReleaseOutcome(const attempt &current, attempt_end end)
+response_limits request_runner::responseLimits(const server_placement &placed) const
+{
+    const std::optional<response_limits> limits = m_state.with([this](routing_state &routing) {
+        return routing.releases.limits(m_service, m_route->name);
+    });
+    return raisedFor(fromSeconds(placed.expectedMs / 1000),
+                     limits.value_or(response_limits {.firstEvent = m_route->targetLatency * 2}));
+}
+
+void request_runner::recordSpeed(timestamp now, attempt &current)
+{
+    if (current.isSpeedRecorded || !current.timer)
+        return;
+    const response_speed speed = current.timer->speed(now);
+    if (speed == response_speed::Unknown)
+        return;
+    current.isSpeedRecorded = true;
+    recordReleaseOutcome(current, {.slow = speed == response_speed::Slow ? 1u : 0u, .timed = 1});
+}
+
+void request_runner::recordReleaseEnd(const attempt &current, attempt_end end)
 {
-    const bool countsForRelease =
+    const bool isOutcome =
         end == attempt_end::Delivered || end == attempt_end::Failed || end == attempt_end::Broken;
-    if (!countsForRelease)
+    if (!isOutcome || current.isWithdrawn)
         return;
     const bool failed = end != attempt_end::Delivered || m_status >= firstServerFailure;
-    const duration taken = boot_clock::now() - m_request.receivedAt;
-    const bool slow = m_route->repeats != repeat_rule::Stream && taken > m_route->targetLatency * 2;
+    recordReleaseOutcome(current, {.requests = 1, .failures = failed ? 1u : 0u});
+}
+
+void request_runner::recordReleaseOutcome(const attempt &current, const outcome_counts &counts)
+{
     m_state.with([&](routing_state &routing) {
         if (!routing.releases.request(m_service))
             return;
-        routing.releases.recordOutcome(m_service, current.placed.release, m_route->name, failed,
-                                       slow);
+        routing.releases.recordOutcome(m_service, current.placed.release, m_route->name, counts);
         release_outcomes &outcomes =
             routing.localOutcomes[m_service + "/" + current.placed.release + "/" + m_route->name];
         outcomes.service = m_service;
         outcomes.release = current.placed.release;
         outcomes.route = m_route->name;
-        outcomes.counts.requests += 1;
-        outcomes.counts.failures += failed ? 1 : 0;
-        outcomes.counts.slow += slow ? 1 : 0;
+        outcomes.counts += counts;
     });
 }
 
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -12,6 +12,7 @@
 #include <http/chunked.h>
 #include <http/message.h>
 #include <http/sse_framer.h>
+#include <rollout/response_timing.h>
 
 #include "edge/edge_state.h"
 #include "edge/server_connection_pool.h"
@@ -79,8 +80,10 @@
         /// Whether the attempt is included in m_runs: the server may have started the request.
         bool isCounted = false;
         timestamp sentAt;
-        /// Time from sending the request to the first event, or to the end of a buffered answer.
-        std::optional<duration> firstEventTime;
+        /// Set when the request is sent.
+        std::optional<response_timer> timer;
+        /// Whether it was recorded that the response is slow or on time.
+        bool isSpeedRecorded = false;
         /// When the request was sent, the last complete event or the last part of a buffered body
         /// arrived.
         timestamp progressAt;
@@ -114,6 +117,7 @@
     void countRun(attempt &current);
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
+    void recordEvents(attempt &current, const std::string &events);
     silence_limits silenceLimitsOf(const attempt &current) const;
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
@@ -121,7 +125,11 @@
     void returnConnection(attempt &current);
     void finish(attempt &current, attempt_end end);
     void recordCrash(const attempt &current);
-    void recordReleaseOutcome(const attempt &current, attempt_end end);
+    /// Records whether the response is slow, as soon as that is known.
+    void recordSpeed(timestamp now, attempt &current);
+    void recordReleaseEnd(const attempt &current, attempt_end end);
+    void recordReleaseOutcome(const attempt &current, const outcome_counts &counts);
+    response_limits responseLimits(const server_placement &placed) const;
 
     bool writeRefusal(const refusal &refused);
     bool writeAnswer();
