Let one object own the response to a caller, so that a failure can't follow a stream

A caller received the head and events of a stream, and then the whole stored failure of another server on the same connection. Cause: the two places that send a stored failure did not look whether a response had begun; only refusals did.

caller_response owns the state of the response and all bytes pass through it: a whole response that comes after one has begun resets the connection instead. request_runner no longer writes to it.

--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -71,8 +71,8 @@
 request_runner::request_runner(edge_state &state, server_connection_pool &connections,
                                byte_stream &caller, const caller_request &request,
                                bool closesConnection)
-    : m_state(state), m_connections(connections), m_caller(caller), m_request(request),
-      m_closesConnection(closesConnection)
+    : m_state(state), m_connections(connections), m_request(request),
+      m_response(caller, request.head, closesConnection)
 { }
 
 bool request_runner::run()
@@ -82,16 +82,9 @@
     std::optional<refusal> refused = admit();
     if (!refused)
         refused = serve();
-    if (!refused)
-        return m_status != 0 && !m_closesConnection;
-    if (m_isHeadSent) {
-        // The caller has received part of an answer: only aborting the connection shows that it is
-        // incomplete.
-        m_caller.abort();
-        logEnd(refused->reason, 0);
-        return false;
-    }
-    return writeRefusal(*refused) && !m_closesConnection;
+    if (refused)
+        writeRefusal(*refused);
+    return m_response.isReusable();
 }
 
 std::optional<request_runner::refusal> request_runner::admit()
@@ -235,27 +228,13 @@
         const timestamp now = boot_clock::now();
         if (now >= m_deadline)
             return finalRefusal(attempt_end::TimedOut);
-        if (const std::optional<refusal> blocked = checkPrompt(now)) {
-            if (m_answer)
-                break;
-            return blocked;
-        }
+        if (const std::optional<refusal> blocked = checkPrompt(now))
+            return giveUp(blocked);
         attempt current;
         const std::optional<server_placement> placed = choosePlacement(now);
         if (!placed || wouldMissDeadline(now, *placed)) {
             logUnplaced(now, placed);
-            if (m_answer)
-                break;
-            if (m_runs > 0)
-                return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "no other backend server",
-                                std::nullopt};
-            // Capacity frees up once the expected wait has shrunk to the route's target latency.
-            duration wait = minRetryAfter * 2;
-            if (placed)
-                wait =
-                    std::max(wait, fromSeconds(placed->expectedMs / 1000) - m_route->targetLatency);
-            return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
-                            placed ? "overloaded" : "no backend server", withJitter(wait)};
+            return giveUp(unplacedRefusal(placed));
         }
         current.placed = *placed;
         const attempt_end end = runAttempt(current);
@@ -263,23 +242,39 @@
         if (end == attempt_end::Delivered)
             return std::nullopt;
         if (end == attempt_end::CallerLeft || end == attempt_end::CallerBroken) {
-            m_caller.abort();
+            m_response.abort();
             logEnd("caller left", 0);
             return std::nullopt;
         }
         rejections += end == attempt_end::NotRun ? 1 : 0;
         const bool canRetry = end != attempt_end::TimedOut && rejections <= maxRejections
             && mayRetryElsewhere(end, current);
-        if (!canRetry) {
-            if (m_answer)
-                break;
-            return finalRefusal(end);
-        }
+        if (!canRetry)
+            return giveUp(finalRefusal(end));
     }
+}
+
+std::optional<request_runner::refusal> request_runner::giveUp(const std::optional<refusal> &refused)
+{
+    if (!m_answer || m_response.currentState() != caller_response::state::NothingSent)
+        return refused;
     writeAnswer();
     return std::nullopt;
 }
 
+std::optional<request_runner::refusal>
+request_runner::unplacedRefusal(const std::optional<server_placement> &best) const
+{
+    if (m_runs > 0)
+        return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "no other backend server", std::nullopt};
+    // Capacity frees up once the expected wait has shrunk to the route's target latency.
+    duration wait = minRetryAfter * 2;
+    if (best)
+        wait = std::max(wait, fromSeconds(best->expectedMs / 1000) - m_route->targetLatency);
+    return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                    best ? "overloaded" : "no backend server", withJitter(wait)};
+}
+
 std::optional<request_runner::refusal> request_runner::finalRefusal(attempt_end end) const
 {
     if (m_runs == 0)
@@ -350,7 +345,7 @@
     if (!acquired)
         return attempt_end::NotRun;
     current.stream = std::move(acquired->stream);
-    if (m_caller.isClosedByRemote())
+    if (m_response.connection().isClosedByRemote())
         return attempt_end::CallerLeft;
     const std::string_view lastEvent = m_events.lastEventId().empty()
         ? std::string_view(m_fields.lastEventId)
@@ -452,7 +447,7 @@
         timestamp next = std::min(m_deadline, now + silenceCheckInterval);
         if (limits.abandonAfter != duration::max())
             next = std::min(next, current.progressAt + limits.abandonAfter);
-        const read_outcome outcome = current.stream->readMore(next, &m_caller);
+        const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
         if (outcome != read_outcome::TimedOut || next >= m_deadline)
             return outcome;
     }
@@ -580,7 +575,7 @@
     current.timer->onEvents(boot_clock::now(), 1);
     current.timer->onComplete();
     returnConnection(current);
-    if (m_isHeadSent)
+    if (m_response.currentState() != caller_response::state::NothingSent)
         return attempt_end::Broken;
     m_answer = {current.head, std::move(body)};
     if (current.head.status >= firstServerFailure && mayRepeat())
@@ -590,42 +585,13 @@
 
 bool request_runner::writeAnswer()
 {
-    std::string framing;
-    const std::string &body = m_answer->second;
-    const bool hasLength =
-        m_request.head.method != "HEAD" && m_answer->first.status != HTTPResponse::HTTP_NO_CONTENT;
-    if (hasLength)
-        appendField(framing, "Content-Length", std::to_string(body.size()));
-    m_status = m_answer->first.status;
-    const std::string text =
-        encodeCallerAnswer(m_answer->first, framing, m_closesConnection) + body;
-    if (!m_caller.write(text, std::max(m_deadline, boot_clock::now() + std::chrono::seconds(1)))) {
-        m_status = 0;
+    if (!m_response.sendAnswer(m_answer->first, m_answer->second, m_deadline))
         return false;
-    }
+    m_status = m_answer->first.status;
     logEnd("answered", m_status);
     return true;
 }
 
-bool request_runner::deliverEvents(attempt &current, const std::string &events, bool isLast)
-{
-    std::string text;
-    if (!m_isHeadSent) {
-        m_isChunked = !m_request.head.isHttp10;
-        m_closesConnection = m_closesConnection || !m_isChunked;
-        text = encodeCallerAnswer(current.head, m_isChunked ? "Transfer-Encoding: chunked\r\n" : "",
-                                  m_closesConnection);
-        m_isHeadSent = true;
-    }
-    if (m_isChunked)
-        appendChunk(text, events);
-    else
-        text += events;
-    if (isLast && m_isChunked)
-        text += lastChunk;
-    return text.empty() || m_caller.write(text, m_deadline);
-}
-
 request_runner::attempt_end request_runner::forwardStream(attempt &current)
 {
     std::string &buffer = current.stream->buffer();
@@ -660,7 +626,8 @@
             return attempt_end::Broken;
         }
         recordEvents(current, events);
-        if ((!events.empty() || isComplete) && !deliverEvents(current, events, isComplete))
+        if ((!events.empty() || isComplete)
+            && !m_response.sendEvents(current.head, events, isComplete, m_deadline))
             return attempt_end::CallerBroken;
         if (isComplete) {
             current.timer->onComplete();
@@ -795,15 +762,15 @@
                    .add("silent_ms", toMilliseconds(now - current.progressAt)));
 }
 
-bool request_runner::writeRefusal(const refusal &refused)
+void request_runner::writeRefusal(const refusal &refused)
 {
     if (m_limitCost > 0 && m_runs == 0)
         m_state.with(
             [&](routing_state &routing) { routing.limits.refund(m_team->name, m_limitCost); });
-    logEnd(refused.reason, refused.status);
-    const std::string text = encodeLocalAnswer(refused.status, m_fields.requestId, refused.reason,
-                                               refused.retryAfter, m_closesConnection);
-    return m_caller.write(text, boot_clock::now() + std::chrono::seconds(1));
+    const bool isSent = m_response.sendRefusal(refused.status, m_fields.requestId, refused.reason,
+                                               refused.retryAfter);
+    // A response that had begun was aborted.
+    logEnd(refused.reason, isSent ? refused.status : 0);
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -14,6 +14,7 @@
 #include <http/sse_framer.h>
 #include <rollout/response_timing.h>
 
+#include "edge/caller_response.h"
 #include "edge/edge_state.h"
 #include "edge/server_connection_pool.h"
 
@@ -102,6 +103,10 @@
     void chooseService();
     std::optional<refusal> serve();
     std::optional<refusal> finalRefusal(attempt_end end) const;
+    std::optional<refusal> unplacedRefusal(const std::optional<server_placement> &best) const;
+    /// Ends the request without a further attempt: with the failure that a server answered, if the
+    /// caller has received nothing yet, else with @p refused.
+    std::optional<refusal> giveUp(const std::optional<refusal> &refused);
     std::optional<server_placement> choosePlacement(timestamp now);
     bool wouldMissDeadline(timestamp now, const server_placement &placed) const;
     bool mayRetryElsewhere(attempt_end end, const attempt &last);
@@ -113,7 +118,6 @@
     attempt_end readBody(attempt &current, std::string &body);
     attempt_end forwardBuffered(attempt &current);
     attempt_end forwardStream(attempt &current);
-    bool deliverEvents(attempt &current, const std::string &events, bool isLast);
     void countRun(attempt &current);
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
@@ -131,7 +135,7 @@
     void recordReleaseOutcome(const attempt &current, const outcome_counts &counts);
     response_limits responseLimits(const server_placement &placed) const;
 
-    bool writeRefusal(const refusal &refused);
+    void writeRefusal(const refusal &refused);
     bool writeAnswer();
     request_profile requestProfile() const;
     bool mayRepeat() const { return m_route->mayRepeat(); }
@@ -142,9 +146,8 @@
 
     edge_state &m_state;
     server_connection_pool &m_connections;
-    byte_stream &m_caller;
     const caller_request &m_request;
-    bool m_closesConnection;
+    caller_response m_response;
 
     std::shared_ptr<const serving_tables> m_tables;
     caller_fields m_fields;
@@ -160,8 +163,6 @@
     std::vector<std::string> m_excludedReleases;
     /// Attempts in which a server may have started the request.
     int m_runs = 0;
-    bool m_isHeadSent = false;
-    bool m_isChunked = false;
     sse_framer m_events;
     /// Complete answer of a server. An error is forwarded only if no other server answers the
     /// request.
