Move the recording of outcomes out of request_runner.cpp

No behaviour changes: the functions that tell what an attempt says of its server, its release and the prompt's parts are in request_outcome.cpp, as the log lines are in request_log.cpp.

--- /dev/null
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -0,0 +1,156 @@
+// Records what an attempt tells of its server, of the server's release and of the prompt's parts.
+
+#include <algorithm>
+
+#include <telemetry/event_log.h>
+
+#include "edge/request_runner.h"
+
+namespace trefoil {
+
+namespace {
+
+/// Limit on the crashes that are reported to the other instances.
+constexpr std::size_t maxLocalCrashes = 64;
+/// Timeout of the probe after a broken connection: the host of a crashed server refuses at once.
+constexpr duration crashProbeTimeout = std::chrono::milliseconds(100);
+
+} // namespace
+
+void request_runner::recordStart(attempt &current)
+{
+    current.hasEvents = true;
+    const timestamp now = boot_clock::now();
+    m_state.with([&](routing_state &routing) {
+        routing.balancer.onFirstEvent(now, current.ticket);
+        if (current.head.status < firstRedirect)
+            routing.partCrashes.recordStart(now, m_sharedParts);
+    });
+}
+
+void request_runner::recordEvents(attempt &current, const std::string &events)
+{
+    if (events.empty())
+        return;
+    if (!current.hasEvents)
+        recordStart(current);
+    if (!containsData(events))
+        return;
+    const timestamp now = boot_clock::now();
+    current.timer->onEvents(now, countEvents(events));
+    recordSpeed(now, current);
+}
+
+void request_runner::finish(attempt &current, attempt_end end)
+{
+    attempt_outcome outcome = attempt_outcome::Done;
+    if (end == attempt_end::NotRun)
+        outcome = current.wasSent ? attempt_outcome::Rejected : attempt_outcome::Unreachable;
+    else if (end == attempt_end::Broken)
+        outcome = current.isWithdrawn ? attempt_outcome::Abandoned : attempt_outcome::Lost;
+    else if (end == attempt_end::Failed
+             || (end == attempt_end::Delivered && m_status >= firstServerFailure))
+        outcome = attempt_outcome::Failed;
+    else if (end != attempt_end::Delivered)
+        outcome = attempt_outcome::Abandoned;
+    // Aborting the connection makes the server stop its work.
+    if (current.stream && end != attempt_end::Delivered)
+        current.stream->abort();
+    const timestamp now = boot_clock::now();
+    recordSpeed(now, current);
+    const std::optional<response_times> times =
+        outcome == attempt_outcome::Done && current.timer ? current.timer->times() : std::nullopt;
+    m_state.with([&](routing_state &routing) {
+        routing.balancer.end(now, current.ticket, outcome);
+        if (times)
+            routing.releases.recordTimes(m_service, current.placed.release, m_route->name, *times);
+    });
+    recordReleaseEnd(current, end);
+    logAttemptEnd(current, end);
+    if (end == attempt_end::Broken && current.wasSent && !current.isWithdrawn)
+        recordCrash(current);
+}
+
+response_limits request_runner::responseLimits(const server_placement &placed) const
+{
+    const std::optional<response_limits> limits = m_state.with([this](routing_state &routing) {
+        return routing.releases.limits(m_service, m_route->name);
+    });
+    return raisedFor(fromSeconds(placed.expectedMs / 1000),
+                     limits.value_or(response_limits {.firstEvent = m_route->targetLatency * 2}));
+}
+
+void request_runner::recordSpeed(timestamp now, attempt &current)
+{
+    if (current.isSpeedRecorded || !current.timer)
+        return;
+    const response_speed speed = current.timer->speed(now);
+    if (speed == response_speed::Unknown)
+        return;
+    current.isSpeedRecorded = true;
+    recordReleaseOutcome(current, {.slow = speed == response_speed::Slow ? 1u : 0u, .timed = 1});
+}
+
+void request_runner::recordReleaseEnd(const attempt &current, attempt_end end)
+{
+    const bool isOutcome =
+        end == attempt_end::Delivered || end == attempt_end::Failed || end == attempt_end::Broken;
+    if (!isOutcome || current.isWithdrawn)
+        return;
+    const bool failed = end != attempt_end::Delivered || m_status >= firstServerFailure;
+    recordReleaseOutcome(current, {.requests = 1, .failures = failed ? 1u : 0u});
+}
+
+void request_runner::recordReleaseOutcome(const attempt &current, const outcome_counts &counts)
+{
+    m_state.with([&](routing_state &routing) {
+        if (!routing.releases.request(m_service))
+            return;
+        routing.releases.recordOutcome(m_service, current.placed.release, m_route->name, counts);
+        release_outcomes &outcomes =
+            routing.localOutcomes[m_service + "/" + current.placed.release + "/" + m_route->name];
+        outcomes.service = m_service;
+        outcomes.release = current.placed.release;
+        outcomes.route = m_route->name;
+        outcomes.counts += counts;
+    });
+}
+
+void request_runner::recordCrash(const attempt &current)
+{
+    // A request that had begun to be answered did not crash the server.
+    if (current.hasEvents)
+        return;
+    const result<byte_stream> probe =
+        byte_stream::connect(current.placed.address, crashProbeTimeout);
+    if (probe || probe.error().code != connect_errors::refused)
+        return;
+    const timestamp now = boot_clock::now();
+    const crash_record crash {.request = m_bodyDigest,
+                              .event = current.placed.server + "@"
+                                  + std::to_string(current.placed.startedAtMs),
+                              .parts = m_sharedParts};
+    m_state.with([&](routing_state &routing) {
+        routing.crashes.recordCrash(now, crash.request, crash.event);
+        routing.partCrashes.recordSuspect(
+            now,
+            {.crash = crash.event, .at = now, .request = crash.request.low, .parts = crash.parts});
+        if (routing.localCrashes.size() >= maxLocalCrashes)
+            routing.localCrashes.pop_front();
+        routing.localCrashes.emplace_back(now, crash);
+    });
+    std::string parts;
+    for (const prompt_part &part : m_fields.prompt)
+        parts += (parts.empty() ? "" : " ") + part.id;
+    writeEvent(event_line("proxy", "crash_suspected")
+                   .add("request", m_fields.requestId)
+                   .add("route", m_route->name)
+                   .add("server", current.placed.server)
+                   .add("digest", toHex(m_bodyDigest))
+                   .add("parts", parts)
+                   .add("status", current.head.status)
+                   .add("sent_ms_ago", toMilliseconds(now - current.sentAt))
+                   .add("silent_ms", toMilliseconds(now - current.progressAt)));
+}
+
+} // namespace trefoil
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -44,6 +44,10 @@
     bool run();
 
 private:
+    /// Lowest status of an answer that is no success, and of one that is the server's failure.
+    static constexpr int firstRedirect = 300;
+    static constexpr int firstServerFailure = 500;
+
     /// How an attempt at a backend server ended.
     enum class attempt_end {
         /// The complete answer was written to the caller.
