Don't take back removed objects with another instance's copy

Callers were refused for 16 s and more: three instances sent requests to servers that had left. Cause: a copy that an instance fetches from another one listed objects that the other one kept for the grace period after an outage. At a newer revision than their removal they were taken for present, and no later change removed them.

A copy now marks such objects with the end of their grace period, and an object that was dropped before does not come back.

CopyOfAnotherInstanceDoesNotBringBackRemovedObjects shows it on two mirrors.

--- a/libs/platform/include/platform/object_mirror.h
+++ b/libs/platform/include/platform/object_mirror.h
@@ -12,6 +12,16 @@
 
 namespace trefoil {
 
+/// Content of an object_mirror, for another instance.
+struct mirror_copy
+{
+    std::vector<object> objects;
+    /// Objects that the store has removed and that are kept for a grace period, with its end.
+    std::map<std::string, timestamp, std::less<>> missing;
+    std::uint64_t upToVersion = 0;
+    std::uint64_t newestChange = 0;
+};
+
 /// Local copy of all objects under one prefix. Snapshots and changes may arrive in any order and
 /// from several sources (the store itself or another instance's copy); older ones never overwrite
 /// newer state.
@@ -28,6 +38,10 @@
     /// objects are kept until then. Returns whether anything changed.
     bool applySnapshot(timestamp now, std::span<const object> objects, std::uint64_t upToVersion,
                        timestamp graceEnd = {});
+    /// Replaces the copy with that of another instance. Ignored if this one is newer. Objects that
+    /// the other instance keeps for a grace period are kept until its end, unless they were dropped
+    /// here before. Returns whether anything changed.
+    bool applyCopy(timestamp now, const mirror_copy &copy);
     /// Applies changes up to store version @p upToVersion. If @p now is before @p graceEnd, removed
     /// objects are kept until then. Returns whether anything changed.
     bool applyChanges(timestamp now, std::span<const object> changed, std::uint64_t upToVersion,
@@ -35,18 +49,14 @@
     /// Removes missing objects whose grace period is over. Returns whether there were any.
     bool removeExpired(timestamp now);
 
+    /// Returns the content for another instance.
+    mirror_copy copy() const;
     /// Returns the objects by name.
     const std::map<std::string, object, std::less<>> &objects() const { return m_objects; }
     /// Returns the store version that the copy reflects; 0 before the first snapshot.
     std::uint64_t upToVersion() const { return m_upToVersion; }
     /// Returns the version of the newest change seen. Instances compare it to detect a stale copy.
     std::uint64_t newestChange() const { return m_newestChange; }
-    /// Raises newestChange() to at least @p version, as reported by the instance that a snapshot
-    /// came from. The newest change may be a removal, which the objects of a snapshot don't show.
-    void recordNewestChange(std::uint64_t version)
-    {
-        m_newestChange = std::max(m_newestChange, version);
-    }
 
 private:
     std::map<std::string, object, std::less<>> m_objects;
--- a/libs/platform/src/object_mirror.cpp
+++ b/libs/platform/src/object_mirror.cpp
@@ -1,6 +1,7 @@
 #include <platform/object_mirror.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string_view>
 
@@ -37,6 +38,37 @@
     return hasChanged;
 }
 
+bool object_mirror::applyCopy(timestamp now, const mirror_copy &copy)
+{
+    if (copy.upToVersion < m_upToVersion)
+        return false;
+    // An object that this instance has already dropped does not come back.
+    const bool isFirst = m_upToVersion == 0;
+    std::vector<object> objects;
+    std::copy_if(copy.objects.begin(), copy.objects.end(), std::back_inserter(objects),
+                 [&](const object &each) {
+                     return isFirst || !copy.missing.contains(each.name)
+                         || m_objects.contains(each.name);
+                 });
+    const bool hasChanged = applySnapshot(now, objects, copy.upToVersion);
+    // The newest change may be a removal, which the objects don't show.
+    m_newestChange = std::max(m_newestChange, copy.newestChange);
+    for (auto it = copy.missing.begin(); it != copy.missing.end(); ++it) {
+        if (m_objects.contains(it->first))
+            m_missing.try_emplace(it->first, it->second);
+    }
+    return hasChanged;
+}
+
+mirror_copy object_mirror::copy() const
+{
+    mirror_copy copy {
+        .missing = m_missing, .upToVersion = m_upToVersion, .newestChange = m_newestChange};
+    for (auto it = m_objects.begin(); it != m_objects.end(); ++it)
+        copy.objects.push_back(it->second);
+    return copy;
+}
+
 bool object_mirror::applyChanges(timestamp now, std::span<const object> changed,
                                  std::uint64_t upToVersion, timestamp graceEnd)
 {
--- a/libs/platform/tests/object_mirror_test.cpp
+++ b/libs/platform/tests/object_mirror_test.cpp
@@ -83,4 +83,30 @@
     EXPECT_TRUE(mirror.objects().empty());
 }
 
+// Removed servers came back for good with the copy of an instance that still kept them.
+TEST(ObjectMirror, CopyOfAnotherInstanceDoesNotBringBackRemovedObjects)
+{
+    const timestamp now {};
+    const timestamp graceEnd = now + std::chrono::seconds(2);
+    object_mirror other;
+    other.applySnapshot(now, entries {entry("a", 1), entry("b", 2), entry("c", 3)}, 5);
+    // The other instance keeps "a" and "b" for the grace period after an outage.
+    other.applyChanges(now, entries {entry("a", 6, true), entry("b", 7, true)}, 8, graceEnd);
+    object_mirror mirror;
+    mirror.applySnapshot(now, entries {entry("b", 2), entry("c", 3)}, 6);
+    mirror.applyCopy(now, other.copy());
+    EXPECT_FALSE(mirror.objects().contains("a"));
+    EXPECT_TRUE(mirror.objects().contains("b"));
+    EXPECT_EQ(mirror.newestChange(), 7u);
+    EXPECT_TRUE(mirror.removeExpired(graceEnd));
+    EXPECT_EQ(mirror.objects().size(), 1u);
+    // An instance without a copy takes them over, until the end of the grace period.
+    object_mirror empty;
+    EXPECT_TRUE(empty.applyCopy(now, other.copy()));
+    EXPECT_EQ(empty.objects().size(), 3u);
+    EXPECT_TRUE(empty.removeExpired(graceEnd));
+    EXPECT_EQ(empty.objects().size(), 1u);
+    EXPECT_FALSE(empty.applyCopy(now, {.objects = entries {entry("z", 1)}, .upToVersion = 3}));
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -260,16 +260,20 @@
     const auto watched = m_kinds.find(kind);
     if (watched == m_kinds.end())
         return writeJson(copy);
-    copy["up_to"] = Json::UInt64(watched->second.mirror.upToVersion());
-    copy["newest_change"] = Json::UInt64(watched->second.mirror.newestChange());
+    const timestamp now = boot_clock::now();
+    const mirror_copy content = watched->second.mirror.copy();
+    copy["up_to"] = Json::UInt64(content.upToVersion);
+    copy["newest_change"] = Json::UInt64(content.newestChange);
     Json::Value list(Json::arrayValue);
-    const std::map<std::string, object, std::less<>> &objects = watched->second.mirror.objects();
-    for (auto it = objects.begin(); it != objects.end(); ++it) {
+    for (const object &each : content.objects) {
         Json::Value entry(Json::objectValue);
-        entry["name"] = it->second.name;
-        entry["version"] = Json::UInt64(it->second.version);
-        entry["value"] = it->second.value;
-        entry["status"] = it->second.status;
+        entry["name"] = each.name;
+        entry["version"] = Json::UInt64(each.version);
+        entry["value"] = each.value;
+        entry["status"] = each.status;
+        const auto missing = content.missing.find(each.name);
+        if (missing != content.missing.end())
+            entry["expires_in_ms"] = Json::Int64(toMilliseconds(missing->second - now));
         list.append(entry);
     }
     copy["objects"] = list;
@@ -283,20 +287,24 @@
         writeEvent(event_line("store", "copy_malformed").add("kind", kind));
         return;
     }
-    std::vector<object> objects;
+    const timestamp now = boot_clock::now();
+    mirror_copy content {.upToVersion = integerOr(*copy, "up_to"),
+                         .newestChange = integerOr(*copy, "newest_change")};
     for (const Json::Value &entry : (*copy)["objects"]) {
-        if (entry.isObject())
-            objects.push_back({.name = textOr(entry, "name"),
-                               .version = integerOr(entry, "version"),
-                               .value = textOr(entry, "value"),
-                               .status = textOr(entry, "status")});
+        if (!entry.isObject())
+            continue;
+        content.objects.push_back({.name = textOr(entry, "name"),
+                                   .version = integerOr(entry, "version"),
+                                   .value = textOr(entry, "value"),
+                                   .status = textOr(entry, "status")});
+        if (entry["expires_in_ms"].isInt64())
+            content.missing[textOr(entry, "name")] =
+                now + std::chrono::milliseconds(entry["expires_in_ms"].asInt64());
     }
     bool hasChanged = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        object_mirror &mirror = m_kinds.find(kind)->second.mirror;
-        hasChanged = mirror.applySnapshot(boot_clock::now(), objects, integerOr(*copy, "up_to"));
-        mirror.recordNewestChange(integerOr(*copy, "newest_change"));
+        hasChanged = m_kinds.find(kind)->second.mirror.applyCopy(now, content);
     }
     writeEvent(event_line("store", "copy_fetched").add("kind", kind).add("changed", hasChanged));
     if (hasChanged)
