--- a/libs/routing/include/routing/crash_attribution.h
+++ b/libs/routing/include/routing/crash_attribution.h
@@ -76,8 +76,8 @@
     /// if any. A request that is let through to test a part counts as the test of that part.
     std::optional<std::uint64_t> blockingPart(timestamp now, std::span<const std::uint64_t> parts);
 
-    /// Returns whether a request with @p parts that is waiting for its answer is expected to crash its
-    /// server: it has a blocked part, and no other one explains the same crashes.
+    /// Returns whether a request with @p parts that is waiting for its answer is expected to crash
+    /// its server: it has a blocked part, and no other one explains the same crashes.
     bool isExpectedToCrash(std::span<const std::uint64_t> parts) const;
 
     /// Returns the blocked parts, for other instances and for instances that start.
