Log what each instance admits and charges of the teams near their limits

Cause: over_limit shows the level at a refusal, not what it consists of; of a window that was overspent nobody could tell whether spending was reported late, never counted, or saved up. No decision changes.

--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -95,6 +95,23 @@
     /// Returns the state of @p team's limit.
     limit_state limitState(timestamp now, std::string_view team) const;
 
+    /// What this instance decided and learned about a team since the last account. All in units.
+    struct limit_account
+    {
+        double admitted = 0;
+        double refused = 0;
+        double refunded = 0;
+        /// Taken from the bucket for what other instances reported or are expected to report.
+        double chargedForPeers = 0;
+        /// Taken from the bucket for instances that don't report.
+        double chargedForSilent = 0;
+        /// Reported by other instances, but not taken from the bucket.
+        double notCharged = 0;
+    };
+    /// Returns the accounts of the teams that have used up more than half of their burst or were
+    /// refused since the last call, and resets all accounts.
+    std::map<std::string, limit_account, std::less<>> takeAccounts(timestamp now);
+
     /// Returns what this instance has admitted since it started.
     const admitted_totals &totals() const { return m_totals; }
     /// Returns the demand on this instance by team, in units per second.
@@ -115,6 +132,7 @@
         double demand = 0;
         /// Average units of a request.
         double size = 0;
+        limit_account account;
     };
     struct peer_usage
     {
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace trefoil {
@@ -68,7 +69,9 @@
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         peer_state &peer = it->second;
         if (isSilent(now, peer)) {
-            spentElsewhere += silentPeerRate(teamBucket) * elapsed;
+            const double charged = silentPeerRate(teamBucket) * elapsed;
+            teamBucket.account.chargedForSilent += charged;
+            spentElsewhere += charged;
             continue;
         }
         const auto usage = peer.teams.find(team);
@@ -76,6 +79,7 @@
             continue;
         const double expected = usage->second.rate * elapsed;
         usage->second.expected += expected;
+        teamBucket.account.chargedForPeers += expected;
         spentElsewhere += expected;
     }
     teamBucket.level =
@@ -123,17 +127,22 @@
     refill(now, team, teamBucket);
     teamBucket.demand += units;
     teamBucket.size += (units - teamBucket.size) * (teamBucket.size > 0 ? sizeWeight : 1);
-    if (teamBucket.level <= 0)
+    if (teamBucket.level <= 0) {
+        teamBucket.account.refused += units;
         return fromSeconds((units - teamBucket.level) / teamBucket.rate);
+    }
     const team_demand demand = demandOf(team, teamBucket);
     const bool isShared = teamBucket.level < sharingThreshold(demand, teamBucket);
-    if (isShared && teamBucket.allowance <= 0)
+    if (isShared && teamBucket.allowance <= 0) {
+        teamBucket.account.refused += units;
         return fromSeconds((units - teamBucket.allowance)
                            / (teamBucket.rate * std::max(minShare, demand.share())));
+    }
     teamBucket.level -= units;
     // Units admitted above the threshold don't count against the instance's share.
     if (isShared)
         teamBucket.allowance -= units;
+    teamBucket.account.admitted += units;
     const auto total = m_totals.try_emplace(std::string(team), 0).first;
     total->second += units;
     return std::nullopt;
@@ -146,6 +155,7 @@
     if (found == m_buckets.end() || total == m_totals.end())
         return;
     found->second.level = std::min(found->second.burst, found->second.level + units);
+    found->second.account.refunded += units;
     total->second -= units;
 }
 
@@ -184,8 +194,12 @@
         if (isKnown && !wasSilent && delta == 0 && usage.rate == 0)
             continue;
         refill(now, it->first, teamBucket->second);
-        if (!wasSilent && (isKnown || state.incarnation != 0))
+        if (!wasSilent && (isKnown || state.incarnation != 0)) {
             teamBucket->second.level += usage.expected - delta;
+            teamBucket->second.account.chargedForPeers += delta - usage.expected;
+        } else {
+            teamBucket->second.account.notCharged += delta;
+        }
         teamBucket->second.level = std::min(teamBucket->second.level, teamBucket->second.burst);
         usage.rate = isKnown && age > 0 ? std::max(0.0, delta / age) : 0;
         usage.total = it->second;
@@ -226,6 +240,19 @@
     return state;
 }
 
+std::map<std::string, team_limits::limit_account, std::less<>>
+team_limits::takeAccounts(timestamp now)
+{
+    std::map<std::string, limit_account, std::less<>> accounts;
+    for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
+        refill(now, it->first, it->second);
+        const limit_account account = std::exchange(it->second.account, {});
+        if (account.refused > 0 || it->second.level < it->second.burst / 2)
+            accounts.emplace(it->first, account);
+    }
+    return accounts;
+}
+
 admitted_totals team_limits::demandRates(timestamp now)
 {
     admitted_totals rates;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr std::uint64_t reportsPerLevelUpdate = 5;
 /// How long a server gets no requests after a report that another instance has it load weights.
 constexpr duration loadingReportLifetime = std::chrono::milliseconds(1500);
+/// Interval between log lines about the teams near their limits.
+constexpr duration accountInterval = std::chrono::seconds(1);
 constexpr std::size_t maxDatagramBytes = 60000;
 /// First byte of a report that its receiver forwards within its zone; other reports begin with a
 /// brace.
@@ -172,12 +174,44 @@
             m_wasAlive[other.name] = isAlive;
         }
     });
+    logLimitAccounts(now);
     const std::string text = toText(report);
     const std::string forwarded = forwardMark + text;
     for (const report_target &target : targets)
         sendTo(target.to, target.isForwarded ? forwarded : text);
 }
 
+void peer_exchange::logLimitAccounts(timestamp now)
+{
+    if (now - m_accountsAt < accountInterval)
+        return;
+    m_accountsAt = now;
+    std::vector<event_line> lines;
+    m_state.with([&](routing_state &routing) {
+        const std::map<std::string, team_limits::limit_account, std::less<>> accounts =
+            routing.limits.takeAccounts(now);
+        for (auto it = accounts.begin(); it != accounts.end(); ++it) {
+            const team_limits::limit_state state = routing.limits.limitState(now, it->first);
+            lines.push_back(event_line("limits", "account"));
+            lines.back()
+                .add("team", it->first)
+                .add("rate", state.rate)
+                .add("level", state.level)
+                .add("own_part", state.share)
+                .add("admitted", it->second.admitted)
+                .add("refused", it->second.refused)
+                .add("refunded", it->second.refunded)
+                .add("charged_for_others", it->second.chargedForPeers)
+                .add("charged_for_silent", it->second.chargedForSilent)
+                .add("not_charged", it->second.notCharged)
+                .add("instances_heard", state.heardPeers)
+                .add("instances_known", state.knownPeers);
+        }
+    });
+    for (const event_line &line : lines)
+        writeEvent(line);
+}
+
 void peer_exchange::sendTo(const endpoint &peer, std::string_view datagram)
 {
     try {
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -46,6 +46,8 @@
     void applyLimits(timestamp now, const peer_report &report, routing_state &routing);
     void applyCrashes(timestamp now, const peer_report &report, routing_state &routing);
     void applyOutcomes(const peer_report &report, routing_state &routing);
+    /// Writes what was admitted and charged of the teams near their limits to the log.
+    void logLimitAccounts(timestamp now);
     /// Returns the interval between reports, which is shorter for the leader and for an instance
     /// with callers.
     duration reportInterval(bool isLeader) const;
@@ -64,6 +66,8 @@
     /// Totals last received, by instance, release and route: reports carry totals, and only the
     /// increase is added.
     std::map<std::string, outcome_counts, std::less<>> m_reportedOutcomes;
+    /// When the limits' accounts were last written to the log.
+    timestamp m_accountsAt;
 };
 
 } // namespace trefoil
