Keep each instance's copy of a team's bucket exact, and bound what it admits by its share

Change: expected spending is taken from the bucket in advance and replaced by what is reported, whenever that comes, also for silent, unlisted and restarted instances. What is spent is summed over the window, so that the whole burst can be used at once and never more than the limit in a window. An instance admits its share of rate and level; while a team exceeds its limit, shares of less than a request are rounded at random. Half of the tolerated excess covers what instances don't know of each other; the platform's settings now carry it.

--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -68,7 +68,8 @@
     std::map<std::string, std::uint64_t, std::less<>> revisions;
     /// Load that the instance has put on each server.
     std::map<std::string, server_load, std::less<>> load;
-    /// See team_limits::totals(), team_limits::levels() and team_limits::demandRates().
+    /// See team_limits::totals(), team_limits::takeLevels() and
+    /// team_limits::takeDemandRates().
     admitted_totals admitted;
     admitted_totals levels;
     admitted_totals demandRates;
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <core/clock.h>
@@ -16,46 +19,99 @@
 /// totals, so that a lost report is made up for by the next.
 using admitted_totals = std::map<std::string, double, std::less<>>;
 
+/// Limit of one team, across all instances.
+struct team_limit
+{
+    /// Units per second.
+    double rate = 0;
+    /// Units at once.
+    double burst = 0;
+    /// Units by which all instances together may exceed the limit because they learn late of each
+    /// other's admissions.
+    double tolerance = 0;
+};
+
+/// Sum of the units of a sliding window, kept in slots. Not thread-safe.
+class windowed_sum
+{
+public:
+    explicit windowed_sum(duration window = {}) : m_slotTime(window / slots) { }
+
+    /// Adds @p units, which may be negative, at @p now.
+    void add(timestamp now, double units);
+    /// Returns the sum of the window that ends at @p now.
+    double sum(timestamp now);
+    /// Replaces the contents by @p units, spread evenly over the window that ends at @p now.
+    void fill(timestamp now, double units);
+    /// Multiplies all units by @p factor.
+    void scale(double factor);
+
+private:
+    static constexpr int slots = 32;
+
+    void removeOld(timestamp now);
+
+    duration m_slotTime;
+    /// Units by slot, the oldest first.
+    std::deque<std::pair<std::int64_t, double>> m_units;
+    double m_sum = 0;
+};
+
 /// Options of team_limits.
 struct team_limit_options
 {
-    /// An instance that does not report for longer is assumed to spend an equal share of each
-    /// limit.
+    /// An instance that does not report for longer is assumed to spend its share of each limit.
     report_timeout reportTimeout;
-    /// Bounds, as fractions of the burst, of the level below which an instance admits only its
-    /// share of the rate, in proportion to the demand that it sees. Between the bounds, that level
-    /// is what all instances together could overspend until the next report; otherwise each of them
-    /// would spend the same remainder.
-    double maxSharedLevel = 0.5;
-    double minSharedLevel = 0.03;
-    /// Time until other instances learn what was admitted: a report period plus transit time.
-    duration reportLag = std::chrono::milliseconds(500);
-    /// Window in which a team may always use the rate times the window plus its burst; zero if a
-    /// spent burst must be refilled at the rate. With a window, a fraction of the burst is added to
-    /// the rate and the rest is admitted at once, which never exceeds that total in any window.
+    /// Window in which a team may use its rate times the window plus its burst, in any order; zero
+    /// if a spent burst must be refilled at the rate. With a window, what the limit still allows in
+    /// it is added to the rate by and by.
     duration window {};
-    /// Fraction of the burst that is added to the rate. The rest covers uneven arrivals within a
-    /// second.
-    double burstRateShare = 0.75;
     /// Time constant of the demand average: a few report periods.
-    duration demandTime = std::chrono::milliseconds(800);
+    duration demandTime = std::chrono::milliseconds(1500);
+    /// Fraction of each limit that is divided equally among all instances; the rest is divided by
+    /// demand. Lets an instance admit requests before the others know of its demand.
+    double equalShare = 0.1;
+    /// Time in which instances use up a positive level of the bucket, and in which they make up for
+    /// a negative one: longer than reports take to arrive.
+    duration levelTime = std::chrono::milliseconds(400);
+    duration debtTime = std::chrono::seconds(1);
+    std::uint32_t randomSeed = 1;
+};
+
+/// What another instance reports about the limits.
+struct limit_report
+{
+    std::string_view peer;
+    /// Start time of the peer's process; totals begin at 0 with each.
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool isLeaving = false;
+    /// See team_limits::totals() and team_limits::takeDemandRates().
+    const admitted_totals &admitted;
+    const admitted_totals &demandRates;
+    /// Announced time until the next report, zero if it is unknown.
+    duration period {};
 };
 
 /// Rate limits of teams across all instances. Each instance keeps a replica of each team's token
-/// bucket and takes from it what it admits, what the others report, and what the others are
-/// expected to have admitted since their last report. So a team is limited on all instances within
-/// the report delay, and an instance that receives no reports keeps to its share. Not thread-safe.
+/// bucket and takes from it what it admits, what the others are expected to admit, and the
+/// difference to that once they report. What an instance itself admits is bounded by its share of
+/// the rate and of the level, so that instances that learn late of each other's admissions exceed a
+/// limit by no more than its tolerance. Not thread-safe.
 ///
-/// Handles a team that sends several times its usual load: admission stops at the limit, before the
-/// requests take a backend server's memory.
+/// Handles a team that sends several times its usual load, in fleets of any size, beside lost
+/// reports, cut links and restarts: admission stops at the limit, before the requests take a
+/// backend server's memory.
 class team_limits
 {
 public:
-    explicit team_limits(const team_limit_options &options) : m_options(options) { }
+    /// @p now is the start of the instance.
+    explicit team_limits(const team_limit_options &options, timestamp now = {})
+        : m_options(options), m_random(options.randomSeed), m_startedAt(now)
+    { }
 
-    /// Sets the limit of @p team to @p rate units per second and @p burst units at once. A changed
-    /// limit keeps the level, capped at the new burst.
-    void setLimit(timestamp now, std::string_view team, double rate, double burst);
+    /// Sets the limit of @p team. A changed limit keeps the level, capped at the new burst.
+    void setLimit(timestamp now, std::string_view team, const team_limit &limit);
     /// Removes the limits of teams that are not in @p keep.
     template <typename Teams>
     void keepOnly(const Teams &keep)
@@ -69,15 +125,13 @@
     /// Refunds the units of a request that never ran.
     void refund(std::string_view team, double units);
 
-    /// Sets the names of all other known instances, whether or not they have reported.
+    /// Sets the names of all other listed instances, whether or not they have reported. One that is
+    /// no longer listed but reports still counts.
     void setPeers(timestamp now, const std::vector<std::string> &peers);
-    /// Applies the totals and demand rates that @p peer reports, which announces its next report
-    /// after @p period. A changed @p incarnation means that the peer restarted with totals of 0.
-    void applyReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                     const admitted_totals &admitted, const admitted_totals &demandRates,
-                     duration period = {});
+    /// Applies what another instance reports. Ignores reports older than the last one.
+    void applyReport(timestamp now, const limit_report &report);
     /// Replaces the levels by those that an instance reports which has run for longer than this
-    /// one, capped at the burst.
+    /// one, capped at the burst. Only the first call has an effect.
     void adoptLevels(timestamp now, const admitted_totals &levels);
 
     /// State of a team's limit, for the log of an admission decision.
@@ -85,8 +139,10 @@
     {
         double rate = 0;
         double level = 0;
-        /// Share of the rate that this instance may admit while the level is low.
+        /// Share of the limit that this instance may use.
         double share = 1;
+        /// Units that this instance may admit at once.
+        double allowance = 0;
         /// Other instances that reported recently.
         int heardPeers = 0;
         /// Other known instances.
@@ -114,69 +170,118 @@
 
     /// Returns what this instance has admitted since it started.
     const admitted_totals &totals() const { return m_totals; }
-    /// Returns the demand on this instance by team, in units per second.
-    admitted_totals demandRates(timestamp now);
-    /// Returns the bucket level of each team at @p now.
-    admitted_totals levels(timestamp now);
+    /// Returns the demand on this instance by team, in units per second, for a report that is sent
+    /// now. This instance's shares follow from the demand that it has reported.
+    admitted_totals takeDemandRates(timestamp now);
+    /// Returns the bucket level of each team at @p now for a report, if an instance that has just
+    /// started may need it and this instance knows it.
+    admitted_totals takeLevels(timestamp now);
 
 private:
+    /// What is known of one team on another instance.
+    struct peer_usage
+    {
+        /// Whether the instance has reported since the team's limit is known.
+        bool isKnown = false;
+        /// Total up to which the bucket was charged.
+        double total = 0;
+        double demandRate = 0;
+        /// Units taken from the bucket in advance for the time since the last report.
+        double expected = 0;
+    };
     struct bucket
     {
         double rate = 0;
         double burst = 0;
+        double tolerance = 0;
         double level = 0;
         timestamp filledAt;
-        /// Units that this instance may admit while the level is low.
+        /// Units that this instance may admit; negative after a request that was larger.
         double allowance = 0;
+        /// Units spent in the window, by all instances.
+        windowed_sum spent;
         /// Units requested recently, with exponential decay over demandTime.
         double demand = 0;
+        /// Demand in units per second as last reported.
+        double reportedDemand = 0;
         /// Average units of a request.
         double size = 0;
+        /// By peer_state::index.
+        std::vector<peer_usage> peers;
         limit_account account;
     };
-    struct peer_usage
-    {
-        double total = 0;
-        /// Units per second admitted between the last two reports.
-        double rate = 0;
-        double demandRate = 0;
-        /// Units taken from the bucket in advance for the time since the last report.
-        double expected = 0;
-    };
     struct peer_state
     {
+        std::size_t index = 0;
         std::uint64_t incarnation = 0;
-        timestamp heardAt;
+        std::uint64_t sequence = 0;
+        /// When the instance was listed or last heard.
+        timestamp seenAt;
+        /// When the first report of this incarnation was heard.
+        timestamp firstHeardAt;
+        bool isHeard = false;
+        bool isListed = true;
+        bool isLeaving = false;
         /// Announced time until the next report.
         duration period {};
-        std::map<std::string, peer_usage, std::less<>> teams;
     };
 
-    /// Demand of a team in units per second, on this instance and on all instances.
+    /// Demand of a team in units per second, as instances know it of each other.
     struct team_demand
     {
+        /// Demand on this instance by which its share is computed: as the others know it.
         double own = 0;
+        /// Demand on this instance at present.
+        double current = 0;
         double all = 0;
         /// Instances with demand, including this one.
         int requesters = 1;
-        /// Returns the share of the rate that falls to this instance.
-        double share() const { return all > 0 ? own / all : 1; }
+        /// All instances, and those that report, including this one.
+        double instances = 1;
+        double heard = 1;
     };
 
     bool isSilent(timestamp now, const peer_state &peer) const
     {
-        return now - peer.heardAt > m_options.reportTimeout.timeout(m_peers.size(), peer.period);
+        return !peer.isHeard
+            || now - peer.seenAt > m_options.reportTimeout.timeout(m_peers.size(), peer.period);
     }
-    void refill(timestamp now, std::string_view team, bucket &teamBucket);
-    double silentPeerRate(const bucket &teamBucket) const;
-    team_demand demandOf(std::string_view team, const bucket &teamBucket) const;
-    /// Returns the level below which each instance admits only its share of the rate.
-    double sharingThreshold(const team_demand &demand, const bucket &teamBucket) const;
+    /// Returns whether nothing more is expected of an instance that doesn't report.
+    bool hasEnded(timestamp now, const peer_state &peer) const;
+    peer_state &addPeer(timestamp now, std::string_view name, bool isListed);
+    void refill(timestamp now, bucket &teamBucket);
+    void chargePeers(timestamp now, bucket &teamBucket, const team_demand &demand, double elapsed);
+    /// Charges the total that an instance reported instead of what was expected of it.
+    void reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total);
+    void spend(timestamp now, bucket &teamBucket, double units);
+    team_demand demandOf(timestamp now, const bucket &teamBucket) const;
+    /// Returns the share of a limit that falls to an instance with @p demandRate: in proportion to
+    /// it while the team exceeds its rate, otherwise the demand and a part of what is left.
+    double shareOf(const team_demand &demand, const bucket &teamBucket, double demandRate) const;
+    /// Returns whether the team keeps to its rate, as far as this instance knows.
+    bool isCalm(timestamp now, const team_demand &demand, bucket &teamBucket) const;
+    /// Decides on a request, and takes it from the allowance.
+    bool takeAllowance(timestamp now, const team_demand &demand, bucket &teamBucket, double units);
+    /// Returns what all instances may still admit at @p now, in the window too.
+    double available(timestamp now, bucket &teamBucket) const;
+    /// Returns the units per second at which the bucket fills.
+    double refillRate(timestamp now, bucket &teamBucket) const;
+    /// Returns the units per second that all instances may admit when @p level is available.
+    double admissionRate(timestamp now, bucket &teamBucket, double level) const;
+    /// Returns the units that this instance may admit at once when @p level is available.
+    double maxAllowance(timestamp now, const team_demand &demand, bucket &teamBucket,
+                        double level) const;
 
     team_limit_options m_options;
+    std::minstd_rand m_random;
     std::map<std::string, bucket, std::less<>> m_buckets;
     std::map<std::string, peer_state, std::less<>> m_peers;
+    /// Number of indexes in use, and those that are free again.
+    std::size_t m_indexCount = 0;
+    std::vector<std::size_t> m_freeIndexes;
     admitted_totals m_totals;
+    timestamp m_startedAt;
+    bool m_hasAdoptedLevels = false;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -9,17 +11,27 @@
 
 namespace {
 
-/// An instance may save up the larger of this many seconds of its share of the rate and this many
-/// requests of average size, so that uneven arrivals can still use all of a small share.
-constexpr double allowanceSeconds = 0.1;
-constexpr double allowanceRequests = 2;
-/// Fraction of this instance's demand that every instance is assumed to see. Less than 1, because
-/// arrivals at one instance are uneven.
-constexpr double surgeShare = 0.5;
 /// Weight of the newest request in the average size.
 constexpr double sizeWeight = 0.1;
-/// Minimum share of the rate used to compute a refused caller's wait.
-constexpr double minShare = 0.01;
+/// Requests of average size that an instance may admit at once while the team keeps to its limit.
+constexpr double calmRequests = 4;
+/// Multiple of the tolerance that all instances together may then admit at once. More than one,
+/// because few instances see a surge of requests at the same time.
+constexpr double calmTolerances = 4;
+/// Fraction of the burst above which a team that keeps to its rate is not refused.
+constexpr double minFreeLevel = 0.25;
+/// Windows in which what a limit still allows is added to the rate. Less than one, so that a team
+/// that always asks for more gets nearly all of its limit.
+constexpr double windowRefillTime = 0.5;
+/// How long the units of an instance that is no longer listed or heard are charged, without a
+/// window.
+constexpr duration unlistedTime = std::chrono::seconds(8);
+
+/// How long after its first report an instance is sent the levels, and how long an instance runs
+/// until it knows them by itself.
+constexpr duration newInstanceTime = std::chrono::seconds(3);
+/// Least rate in units per second used to compute a refused caller's wait.
+constexpr double minRate = 1;
 
 /// Rounds @p rate to a sixteenth, which is exact in binary and short as text.
 double rounded(double rate)
@@ -30,92 +42,239 @@
 
 } // namespace
 
-void team_limits::setLimit(timestamp now, std::string_view team, double rate, double burst)
+void windowed_sum::removeOld(timestamp now)
 {
-    if (m_options.window > duration::zero()) {
-        const double asRate = burst * m_options.burstRateShare;
-        rate += asRate / toSeconds(m_options.window);
-        burst -= asRate;
+    const std::int64_t oldest = now.time_since_epoch() / m_slotTime - slots;
+    while (!m_units.empty() && m_units.front().first < oldest) {
+        m_sum -= m_units.front().second;
+        m_units.pop_front();
     }
+}
+
+void windowed_sum::add(timestamp now, double units)
+{
+    if (m_slotTime == duration::zero())
+        return;
+    const std::int64_t slot = now.time_since_epoch() / m_slotTime;
+    if (m_units.empty() || m_units.back().first < slot)
+        m_units.emplace_back(slot, 0);
+    m_units.back().second += units;
+    m_sum += units;
+}
+
+double windowed_sum::sum(timestamp now)
+{
+    if (m_slotTime == duration::zero())
+        return 0;
+    removeOld(now);
+    return m_sum;
+}
+
+void windowed_sum::fill(timestamp now, double units)
+{
+    if (m_slotTime == duration::zero())
+        return;
+    m_units.clear();
+    m_sum = 0;
+    for (int i = slots - 1; i >= 0; --i)
+        add(now - i * m_slotTime, units / slots);
+}
+
+void windowed_sum::scale(double factor)
+{
+    m_sum *= factor;
+    for (std::pair<std::int64_t, double> &each : m_units)
+        each.second *= factor;
+}
+
+void team_limits::setLimit(timestamp now, std::string_view team, const team_limit &limit)
+{
+    const double windowTime = toSeconds(m_options.window);
+    const double inWindow = limit.rate * windowTime + limit.burst;
     const auto found = m_buckets.find(team);
     if (found == m_buckets.end()) {
-        // A new instance doesn't know what others have spent and starts with its share of the
-        // burst.
-        const double share = burst / static_cast<double>(m_peers.size() + 1);
-        m_buckets.emplace(
-            std::string(team),
-            bucket {
-                .rate = rate, .burst = burst, .level = share, .filledAt = now, .allowance = share});
+        // An instance that has just started doesn't know what the others have spent. It begins with
+        // an empty bucket and assumes that the rate was used until now.
+        const double level = m_peers.empty() ? limit.burst : 0;
+        bucket added {.rate = limit.rate,
+                      .burst = limit.burst,
+                      .tolerance = limit.tolerance,
+                      .level = level,
+                      .filledAt = now,
+                      .allowance = level,
+                      .spent = windowed_sum(m_options.window),
+                      .peers = std::vector<peer_usage>(m_indexCount)};
+        added.spent.fill(now, limit.rate * windowTime);
+        m_buckets.emplace(std::string(team), std::move(added));
         return;
     }
-    refill(now, team, found->second);
-    found->second.rate = rate;
-    found->second.burst = burst;
-    found->second.level = std::min(found->second.level, burst);
+    bucket &changed = found->second;
+    refill(now, changed);
+    // What was spent under a higher limit isn't held against a lower one.
+    const double previous = changed.rate * windowTime + changed.burst;
+    if (inWindow < previous)
+        changed.spent.scale(inWindow / previous);
+    changed.rate = limit.rate;
+    changed.burst = limit.burst;
+    changed.tolerance = limit.tolerance;
+    changed.level = std::min(changed.level, limit.burst);
 }
 
-double team_limits::silentPeerRate(const bucket &teamBucket) const
+bool team_limits::hasEnded(timestamp now, const peer_state &peer) const
 {
-    return teamBucket.rate / static_cast<double>(m_peers.size() + 1);
+    if (peer.isLeaving)
+        return isSilent(now, peer);
+    const duration kept = std::max<duration>(m_options.window, unlistedTime);
+    return !peer.isListed && now - peer.seenAt > kept;
 }
 
-void team_limits::refill(timestamp now, std::string_view team, bucket &teamBucket)
+team_limits::team_demand team_limits::demandOf(timestamp now, const bucket &teamBucket) const
 {
-    const double elapsed = toSeconds(now - teamBucket.filledAt);
-    if (elapsed <= 0)
-        return;
-    teamBucket.filledAt = now;
-    double spentElsewhere = 0;
+    const double current = teamBucket.demand / toSeconds(m_options.demandTime);
+    team_demand demand {.own = teamBucket.reportedDemand > 0 ? teamBucket.reportedDemand : current,
+                        .current = std::max(current, teamBucket.reportedDemand)};
+    demand.all = demand.own;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
-        peer_state &peer = it->second;
-        if (isSilent(now, peer)) {
-            const double charged = silentPeerRate(teamBucket) * elapsed;
-            teamBucket.account.chargedForSilent += charged;
-            spentElsewhere += charged;
+        if (hasEnded(now, it->second))
             continue;
-        }
-        const auto usage = peer.teams.find(team);
-        if (usage == peer.teams.end())
-            continue;
-        const double expected = usage->second.rate * elapsed;
-        usage->second.expected += expected;
-        teamBucket.account.chargedForPeers += expected;
-        spentElsewhere += expected;
+        demand.instances += 1;
+        demand.heard += isSilent(now, it->second) ? 0 : 1;
+        // The demand on an instance that was never heard is assumed to equal that on this one.
+        const double rate =
+            it->second.isHeard ? teamBucket.peers[it->second.index].demandRate : demand.own;
+        demand.all += rate;
+        demand.requesters += rate > 0 ? 1 : 0;
     }
-    teamBucket.level =
-        std::min(teamBucket.burst, teamBucket.level + teamBucket.rate * elapsed - spentElsewhere);
-    teamBucket.demand *= std::exp(-elapsed / toSeconds(m_options.demandTime));
-    const double ownRate = teamBucket.rate * demandOf(team, teamBucket).share();
-    // Kept small, because all instances may spend their saved allowances at once.
-    const double maxAllowance = std::max(
-        {teamBucket.allowance, ownRate * allowanceSeconds, teamBucket.size * allowanceRequests});
-    teamBucket.allowance = std::min(teamBucket.allowance + ownRate * elapsed, maxAllowance);
+    return demand;
 }
 
-team_limits::team_demand team_limits::demandOf(std::string_view team,
-                                               const bucket &teamBucket) const
+double team_limits::shareOf(const team_demand &demand, const bucket &teamBucket,
+                            double demandRate) const
 {
-    team_demand demand {.own = teamBucket.demand / toSeconds(m_options.demandTime)};
-    demand.all = demand.own;
+    const double equal = 1 / demand.instances;
+    if (demand.all <= 0)
+        return equal;
+    double part = demandRate / demand.all;
+    if (demand.all < teamBucket.rate) {
+        const double sharers = demandRate > 0 ? demand.requesters : demand.instances;
+        part = (demandRate + (teamBucket.rate - demand.all) / sharers) / teamBucket.rate;
+    }
+    return m_options.equalShare * equal + (1 - m_options.equalShare) * part;
+}
+
+double team_limits::available(timestamp now, bucket &teamBucket) const
+{
+    if (m_options.window == duration::zero())
+        return teamBucket.level;
+    const double inWindow = teamBucket.rate * toSeconds(m_options.window) + teamBucket.burst;
+    return std::min(teamBucket.level, inWindow - teamBucket.spent.sum(now));
+}
+
+double team_limits::refillRate(timestamp now, bucket &teamBucket) const
+{
+    if (m_options.window == duration::zero())
+        return teamBucket.rate;
+    const double windowTime = toSeconds(m_options.window);
+    const double unspent =
+        teamBucket.rate * windowTime + teamBucket.burst - teamBucket.spent.sum(now);
+    return teamBucket.rate
+        + std::max(0.0, unspent - std::max(0.0, teamBucket.level))
+        / (windowTime * windowRefillTime);
+}
+
+double team_limits::admissionRate(timestamp now, bucket &teamBucket, double level) const
+{
+    const duration time = level > 0 ? m_options.levelTime : m_options.debtTime;
+    return std::max(0.0, refillRate(now, teamBucket) + level / toSeconds(time));
+}
+
+bool team_limits::isCalm(timestamp now, const team_demand &demand, bucket &teamBucket) const
+{
+    const double level = std::max(0.0, available(now, teamBucket));
+    return demand.all - demand.own + demand.current
+        <= teamBucket.rate + level / toSeconds(m_options.levelTime);
+}
+
+double team_limits::maxAllowance(timestamp now, const team_demand &demand, bucket &teamBucket,
+                                 double level) const
+{
+    const double share = shareOf(demand, teamBucket, demand.own);
+    // An instance that knows of all admissions needs no tolerance.
+    // Silent instances may be using the rest of the tolerance.
+    const double tolerance = teamBucket.tolerance * (1 - share) * demand.heard / demand.instances;
+    const double shared = share * std::max(0.0, level + tolerance);
+    if (!isCalm(now, demand, teamBucket) || level <= 0)
+        return shared;
+    return std::max(shared,
+                    std::min(teamBucket.size * calmRequests,
+                             calmTolerances * teamBucket.tolerance / demand.requesters));
+}
+
+void team_limits::spend(timestamp now, bucket &teamBucket, double units)
+{
+    teamBucket.level -= units;
+    teamBucket.spent.add(now, units);
+}
+
+void team_limits::chargePeers(timestamp now, bucket &teamBucket, const team_demand &demand,
+                              double elapsed)
+{
+    const double rate = admissionRate(now, teamBucket, available(now, teamBucket));
+    const double silentRate = std::max(rate, refillRate(now, teamBucket));
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
-        const auto usage = it->second.teams.find(team);
-        if (usage == it->second.teams.end() || usage->second.demandRate <= 0)
+        const peer_state &peer = it->second;
+        peer_usage &usage = teamBucket.peers[peer.index];
+        const bool isPeerSilent = isSilent(now, peer);
+        if (hasEnded(now, peer) || (!isPeerSilent && usage.demandRate <= 0))
             continue;
-        demand.all += usage->second.demandRate;
-        demand.requesters += 1;
+        const double share =
+            shareOf(demand, teamBucket, peer.isHeard ? usage.demandRate : demand.own);
+        const double expected = elapsed
+            * (isPeerSilent ? share * silentRate : std::min(share * rate, usage.demandRate));
+        usage.expected += expected;
+        spend(now, teamBucket, expected);
+        (isPeerSilent ? teamBucket.account.chargedForSilent : teamBucket.account.chargedForPeers) +=
+            expected;
     }
-    return demand;
 }
 
-double team_limits::sharingThreshold(const team_demand &demand, const bucket &teamBucket) const
+void team_limits::refill(timestamp now, bucket &teamBucket)
+{
+    const double elapsed = toSeconds(now - teamBucket.filledAt);
+    if (elapsed <= 0)
+        return;
+    teamBucket.filledAt = now;
+    const team_demand demand = demandOf(now, teamBucket);
+    teamBucket.level += refillRate(now, teamBucket) * elapsed;
+    chargePeers(now, teamBucket, demand, elapsed);
+    teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
+    teamBucket.demand *= std::exp(-elapsed / toSeconds(m_options.demandTime));
+    const double level = available(now, teamBucket);
+    teamBucket.allowance = std::min(teamBucket.allowance
+                                        + admissionRate(now, teamBucket, level)
+                                            * shareOf(demand, teamBucket, demand.own) * elapsed,
+                                    maxAllowance(now, demand, teamBucket, level));
+}
+
+bool team_limits::takeAllowance(timestamp now, const team_demand &demand, bucket &teamBucket,
+                                double units)
 {
-    // The figures of other instances are up to a report period old, so a rise in demand on this
-    // instance is assumed to affect all instances.
-    const double excess =
-        std::max(demand.all, demand.own * demand.requesters * surgeShare) - teamBucket.rate;
-    const double overshoot = std::max(0.0, excess) * toSeconds(m_options.reportLag);
-    return std::clamp(overshoot, teamBucket.burst * m_options.minSharedLevel,
-                      teamBucket.burst * m_options.maxSharedLevel);
+    double &allowance = teamBucket.allowance;
+    // While much of the burst is left, a team that keeps to its rate may send it in any pattern.
+    const bool isFree = isCalm(now, demand, teamBucket)
+        && available(now, teamBucket) > teamBucket.burst * minFreeLevel;
+    if (allowance <= 0 && !isFree)
+        return false;
+    if (allowance >= teamBucket.size || isCalm(now, demand, teamBucket)) {
+        allowance = std::max(allowance - units, std::min(allowance, -teamBucket.size));
+        return true;
+    }
+    // Rounds to a whole request at random and independently of its size. If all instances of a
+    // large fleet rounded up, they would together exceed the limit by many requests.
+    const bool isTaken =
+        std::uniform_real_distribution<double>(0, teamBucket.size)(m_random) < allowance;
+    allowance = isTaken ? teamBucket.size - units : 0;
+    return isTaken;
 }
 
 std::optional<duration> team_limits::admit(timestamp now, std::string_view team, double units)
@@ -124,24 +283,19 @@
     if (found == m_buckets.end() || found->second.rate <= 0)
         return std::nullopt;
     bucket &teamBucket = found->second;
-    refill(now, team, teamBucket);
+    refill(now, teamBucket);
     teamBucket.demand += units;
     teamBucket.size += (units - teamBucket.size) * (teamBucket.size > 0 ? sizeWeight : 1);
-    if (teamBucket.level <= 0) {
+    const team_demand demand = demandOf(now, teamBucket);
+    teamBucket.allowance = std::min(
+        teamBucket.allowance, maxAllowance(now, demand, teamBucket, available(now, teamBucket)));
+    if (!takeAllowance(now, demand, teamBucket, units)) {
         teamBucket.account.refused += units;
-        return fromSeconds((units - teamBucket.level) / teamBucket.rate);
+        const double rate = std::max(
+            minRate, refillRate(now, teamBucket) * shareOf(demand, teamBucket, demand.own));
+        return fromSeconds((units - teamBucket.allowance) / rate);
     }
-    const team_demand demand = demandOf(team, teamBucket);
-    const bool isShared = teamBucket.level < sharingThreshold(demand, teamBucket);
-    if (isShared && teamBucket.allowance <= 0) {
-        teamBucket.account.refused += units;
-        return fromSeconds((units - teamBucket.allowance)
-                           / (teamBucket.rate * std::max(minShare, demand.share())));
-    }
-    teamBucket.level -= units;
-    // Units admitted above the threshold don't count against the instance's share.
-    if (isShared)
-        teamBucket.allowance -= units;
+    spend(now, teamBucket, units);
     teamBucket.account.admitted += units;
     const auto total = m_totals.try_emplace(std::string(team), 0).first;
     total->second += units;
@@ -154,74 +308,106 @@
     const auto total = m_totals.find(team);
     if (found == m_buckets.end() || total == m_totals.end())
         return;
-    found->second.level = std::min(found->second.burst, found->second.level + units);
-    found->second.account.refunded += units;
+    bucket &teamBucket = found->second;
+    spend(teamBucket.filledAt, teamBucket, -units);
+    teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
+    teamBucket.allowance += units;
+    teamBucket.account.refunded += units;
     total->second -= units;
 }
 
+team_limits::peer_state &team_limits::addPeer(timestamp now, std::string_view name, bool isListed)
+{
+    const auto added =
+        m_peers.try_emplace(std::string(name), peer_state {.seenAt = now, .isListed = isListed});
+    peer_state &peer = added.first->second;
+    if (!added.second)
+        return peer;
+    if (m_freeIndexes.empty()) {
+        m_freeIndexes.push_back(m_indexCount);
+        m_indexCount += 1;
+    }
+    peer.index = m_freeIndexes.back();
+    m_freeIndexes.pop_back();
+    for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
+        it->second.peers.resize(m_indexCount);
+        it->second.peers[peer.index] = {};
+    }
+    return peer;
+}
+
 void team_limits::setPeers(timestamp now, const std::vector<std::string> &peers)
 {
-    std::erase_if(m_peers, [&peers](const auto &each) {
-        return std::find(peers.begin(), peers.end(), each.first) == peers.end();
-    });
-    // An instance that never reported counts as silent from the start.
+    const std::set<std::string_view> listed(peers.begin(), peers.end());
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        it->second.isListed = listed.contains(it->first);
+        const bool isGone = !it->second.isListed && hasEnded(now, it->second);
+        if (isGone)
+            m_freeIndexes.push_back(it->second.index);
+        it = isGone ? m_peers.erase(it) : std::next(it);
+    }
     for (const std::string &name : peers)
-        m_peers.try_emplace(
-            name,
-            peer_state {.heardAt = now - 2 * m_options.reportTimeout.timeout(m_peers.size())});
+        addPeer(now, name, true);
+}
+
+void team_limits::reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total)
+{
+    const double admitted = total - usage.total;
+    const double expected = std::exchange(usage.expected, 0);
+    // The totals of an instance that is heard for the first time may be of long ago.
+    const double charged = usage.isKnown ? admitted : std::min(admitted, expected);
+    usage.isKnown = true;
+    usage.total = total;
+    teamBucket.account.notCharged += admitted - charged;
+    teamBucket.account.chargedForPeers += charged - expected;
+    spend(now, teamBucket, charged - expected);
+    teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
 }
 
-void team_limits::applyReport(timestamp now, std::string_view peer, std::uint64_t incarnation,
-                              const admitted_totals &admitted, const admitted_totals &demandRates,
-                              duration period)
+void team_limits::applyReport(timestamp now, const limit_report &report)
 {
-    const auto found = m_peers.find(peer);
-    if (found == m_peers.end())
+    peer_state &state = addPeer(now, report.peer, false);
+    if (std::pair(report.incarnation, report.sequence)
+        <= std::pair(state.incarnation, state.sequence))
         return;
-    peer_state &state = found->second;
-    // While the peer was silent, its equal share was deducted. The new totals cover that time and
-    // must not be deducted again.
-    const bool wasSilent = isSilent(now, state);
-    const double age = toSeconds(now - state.heardAt);
-    const bool isKnown = state.incarnation == incarnation;
-    for (auto it = admitted.begin(); it != admitted.end(); ++it) {
-        const auto teamBucket = m_buckets.find(it->first);
-        if (teamBucket == m_buckets.end())
-            continue;
-        peer_usage &usage = state.teams[it->first];
-        const double delta = it->second - (isKnown ? usage.total : 0);
-        // Shortcut: in a large fleet, most instances report no change for most teams.
-        if (isKnown && !wasSilent && delta == 0 && usage.rate == 0)
-            continue;
-        refill(now, it->first, teamBucket->second);
-        if (!wasSilent && (isKnown || state.incarnation != 0)) {
-            teamBucket->second.level += usage.expected - delta;
-            teamBucket->second.account.chargedForPeers += delta - usage.expected;
-        } else {
-            teamBucket->second.account.notCharged += delta;
-        }
-        teamBucket->second.level = std::min(teamBucket->second.level, teamBucket->second.burst);
-        usage.rate = isKnown && age > 0 ? std::max(0.0, delta / age) : 0;
-        usage.total = it->second;
-        usage.expected = 0;
+    const bool isRestarted = state.isHeard && state.incarnation != report.incarnation;
+    for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
+        bucket &teamBucket = it->second;
+        // Charges what was expected of the instance until now.
+        refill(now, teamBucket);
+        peer_usage &usage = teamBucket.peers[state.index];
+        // The totals of a restarted instance begin at zero, also those that it doesn't name yet.
+        if (isRestarted)
+            usage.total = 0;
+        const auto total = report.admitted.find(it->first);
+        reconcile(now, teamBucket, usage, total == report.admitted.end() ? 0 : total->second);
+        const auto demand = report.demandRates.find(it->first);
+        usage.demandRate = demand == report.demandRates.end() ? 0 : demand->second;
     }
-    for (auto it = state.teams.begin(); it != state.teams.end(); ++it)
-        it->second.demandRate = 0;
-    for (auto it = demandRates.begin(); it != demandRates.end(); ++it)
-        state.teams[it->first].demandRate = it->second;
-    state.incarnation = incarnation;
-    state.heardAt = now;
-    state.period = period;
+    if (!state.isHeard || isRestarted)
+        state.firstHeardAt = now;
+    state.isHeard = true;
+    state.incarnation = report.incarnation;
+    state.sequence = report.sequence;
+    state.seenAt = now;
+    state.isLeaving = report.isLeaving;
+    state.period = report.period;
 }
 
 void team_limits::adoptLevels(timestamp now, const admitted_totals &levels)
 {
+    if (m_hasAdoptedLevels || levels.empty())
+        return;
+    m_hasAdoptedLevels = true;
     for (auto it = levels.begin(); it != levels.end(); ++it) {
-        const auto teamBucket = m_buckets.find(it->first);
-        if (teamBucket == m_buckets.end())
+        const auto found = m_buckets.find(it->first);
+        if (found == m_buckets.end())
             continue;
-        refill(now, it->first, teamBucket->second);
-        teamBucket->second.level = std::min(teamBucket->second.burst, it->second);
+        bucket &teamBucket = found->second;
+        refill(now, teamBucket);
+        teamBucket.level = std::min(teamBucket.burst, it->second);
+        const double inWindow = teamBucket.rate * toSeconds(m_options.window) + teamBucket.burst;
+        teamBucket.spent.fill(now, inWindow - teamBucket.level);
     }
 }
 
@@ -230,9 +416,11 @@
     limit_state state;
     const auto found = m_buckets.find(team);
     if (found != m_buckets.end()) {
+        const team_demand demand = demandOf(now, found->second);
         state.rate = found->second.rate;
         state.level = found->second.level;
-        state.share = demandOf(team, found->second).share();
+        state.share = shareOf(demand, found->second, demand.own);
+        state.allowance = found->second.allowance;
     }
     state.knownPeers = static_cast<int>(m_peers.size());
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
@@ -245,7 +433,7 @@
 {
     std::map<std::string, limit_account, std::less<>> accounts;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
-        refill(now, it->first, it->second);
+        refill(now, it->second);
         const limit_account account = std::exchange(it->second.account, {});
         if (account.refused > 0 || it->second.level < it->second.burst / 2)
             accounts.emplace(it->first, account);
@@ -253,23 +441,33 @@
     return accounts;
 }
 
-admitted_totals team_limits::demandRates(timestamp now)
+admitted_totals team_limits::takeDemandRates(timestamp now)
 {
     admitted_totals rates;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
-        refill(now, it->first, it->second);
-        if (it->second.demand >= 1)
-            rates[it->first] = rounded(it->second.demand / toSeconds(m_options.demandTime));
+        refill(now, it->second);
+        bucket &teamBucket = it->second;
+        teamBucket.reportedDemand = teamBucket.demand >= 1
+            ? rounded(teamBucket.demand / toSeconds(m_options.demandTime))
+            : 0;
+        if (teamBucket.reportedDemand > 0)
+            rates[it->first] = teamBucket.reportedDemand;
     }
     return rates;
 }
 
-admitted_totals team_limits::levels(timestamp now)
+admitted_totals team_limits::takeLevels(timestamp now)
 {
     admitted_totals all;
+    const bool isKnown = m_hasAdoptedLevels || now - m_startedAt > newInstanceTime;
+    const bool isNeeded = std::any_of(m_peers.begin(), m_peers.end(), [now](const auto &each) {
+        return each.second.isHeard && now - each.second.firstHeardAt < newInstanceTime;
+    });
+    if (!isKnown || !isNeeded)
+        return all;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
-        refill(now, it->first, it->second);
-        all[it->first] = it->second.level;
+        refill(now, it->second);
+        all[it->first] = available(now, it->second);
     }
     return all;
 }
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -23,6 +23,8 @@
 /// What the limit allows in a window, and what the platform tolerates beyond it.
 constexpr double limitInWindow = rate * 8 + burst;
 constexpr double allowedInWindow = limitInWindow * 1.1 + 110000;
+/// Half of what is tolerated.
+constexpr double tolerance = (allowedInWindow - limitInWindow) / 2;
 constexpr double requestUnits = 9200;
 constexpr duration step = std::chrono::milliseconds(2);
 
@@ -90,7 +92,6 @@
         member &restarted = m_members[index];
         restarted.limits = newLimits();
         restarted.incarnation += 1;
-        restarted.hasAdopted = false;
         restarted.startedAt = m_now;
         listPeers(restarted);
         applyLimit(restarted);
@@ -129,7 +130,6 @@
         timestamp reportedAt;
         double requestedAt = -100;
         double startedAt = -10;
-        bool hasAdopted = false;
     };
     struct report
     {
@@ -155,8 +155,16 @@
         return sum;
     }
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
-    team_limits newLimits() { return team_limits({.window = window}); }
-    void applyLimit(member &each) { each.limits.setLimit(at(m_now), "team", rate, burst); }
+    team_limits newLimits()
+    {
+        return team_limits({.window = window, .randomSeed = static_cast<std::uint32_t>(m_random())},
+                           at(m_now));
+    }
+    void applyLimit(member &each)
+    {
+        each.limits.setLimit(at(m_now), "team",
+                             {.rate = rate, .burst = burst, .tolerance = tolerance});
+    }
     void listPeers(member &each)
     {
         std::vector<std::string> peers;
@@ -188,10 +196,9 @@
                          .sequence = sender.sequence,
                          .senderStartedAt = sender.startedAt,
                          .admitted = sender.limits.totals(),
-                         .demandRates = sender.limits.demandRates(at(m_now)),
+                         .demandRates = sender.limits.takeDemandRates(at(m_now)),
                          .period = period};
-            if (sender.sequence % 5 == 0)
-                sent.levels = sender.limits.levels(at(m_now));
+            sent.levels = sender.limits.takeLevels(at(m_now));
             for (std::size_t to = 0; to < m_members.size(); ++to) {
                 const double transit = 0.001 + m_options.maxTransit * uniform();
                 if (to == i || m_options.isLost(m_now, i, to))
@@ -208,17 +215,15 @@
             const report arrived = m_reports.top();
             m_reports.pop();
             member &receiver = m_members[arrived.to];
-            // The daemon drops reports of instances that are not listed.
-            if (!m_listed.contains(arrived.from))
-                continue;
-            receiver.limits.applyReport(at(m_now), m_members[arrived.from].name,
-                                        arrived.incarnation, arrived.admitted, arrived.demandRates,
-                                        arrived.period);
-            if (receiver.hasAdopted || arrived.levels.empty()
-                || arrived.senderStartedAt >= receiver.startedAt)
-                continue;
-            receiver.limits.adoptLevels(at(m_now), arrived.levels);
-            receiver.hasAdopted = true;
+            receiver.limits.applyReport(at(m_now),
+                                        {.peer = m_members[arrived.from].name,
+                                         .incarnation = arrived.incarnation,
+                                         .sequence = arrived.sequence,
+                                         .admitted = arrived.admitted,
+                                         .demandRates = arrived.demandRates,
+                                         .period = arrived.period});
+            if (arrived.senderStartedAt < receiver.startedAt)
+                receiver.limits.adoptLevels(at(m_now), arrived.levels);
         }
     }
     void sendRequests()
@@ -370,9 +375,13 @@
         simulated_fleet spread(
             {.instances = 81, .load = jumpAt(0, 0.66), .active = always(81), .seed = seed});
         simulated_fleet late(fleetWithLateReports(0.66, seed));
-        for (simulated_fleet *fleet : {&small, &large, &spread, &late}) {
-            fleet->runUntil(24);
-            EXPECT_GE(fleet->admittedBetween(0, 24), 0.99 * fleet->offeredBetween(0, 24)) << seed;
+        const std::vector<std::pair<const char *, simulated_fleet *>> fleets {
+            {"small", &small}, {"large", &large}, {"spread", &spread}, {"late", &late}};
+        for (const std::pair<const char *, simulated_fleet *> &each : fleets) {
+            each.second->runUntil(24);
+            EXPECT_GE(each.second->admittedBetween(0, 24),
+                      0.99 * each.second->offeredBetween(0, 24))
+                << each.first << " " << seed;
         }
     }
 }
--- a/libs/dispatch/tests/team_limits_test.cpp
+++ b/libs/dispatch/tests/team_limits_test.cpp
@@ -15,6 +15,9 @@
 constexpr double burst = 100000;
 constexpr double requestUnits = 4000;
 constexpr duration step = std::chrono::milliseconds(10);
+/// Half of what the platform tolerates beyond the limit of 8 s.
+constexpr double tolerance = 0.5 * ((rate * 8 + burst) * 0.1 + 110000);
+constexpr team_limit limit {.rate = rate, .burst = burst, .tolerance = tolerance};
 
 struct admission
 {
@@ -37,19 +40,25 @@
             std::vector<std::string> peers = names;
             std::erase(peers, names[i]);
             instances[i].setPeers(timestamp {}, peers);
-            instances[i].setLimit(timestamp {}, "team", rate, burst);
+            instances[i].setLimit(timestamp {}, "team", limit);
         }
     }
 
     void report(timestamp now)
     {
+        sequence += 1;
         for (std::size_t from = 0; from < instances.size(); ++from) {
+            const admitted_totals demandRates = instances[from].takeDemandRates(now);
             for (std::size_t to = 0; to < instances.size(); ++to) {
                 const bool isIsolated = std::count(isolated.begin(), isolated.end(), from) > 0
                     || std::count(isolated.begin(), isolated.end(), to) > 0;
                 if (from != to && !isIsolated)
-                    instances[to].applyReport(now, names[from], 1, instances[from].totals(),
-                                              instances[from].demandRates(now));
+                    instances[to].applyReport(now,
+                                              {.peer = names[from],
+                                               .incarnation = 1,
+                                               .sequence = sequence,
+                                               .admitted = instances[from].totals(),
+                                               .demandRates = demandRates});
             }
         }
     }
@@ -77,6 +86,7 @@
     std::vector<team_limits> instances;
     std::vector<std::string> names;
     std::vector<int> isolated;
+    std::uint64_t sequence = 0;
     duration reportEvery = std::chrono::milliseconds(200);
     timestamp now {};
     /// Number of instances that callers send requests to.
@@ -217,8 +227,8 @@
 TEST(TeamLimits, LoweredLimitAppliesImmediately)
 {
     team_limits limits({});
-    limits.setLimit(timestamp {}, "team", rate, burst);
-    limits.setLimit(timestamp {}, "team", rate / 10, burst / 10);
+    limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
+    limits.setLimit(timestamp {}, "team", {.rate = rate / 10, .burst = burst / 10});
     EXPECT_FALSE(limits.admit(timestamp {}, "team", burst / 10));
     const std::optional<duration> wait = limits.admit(timestamp {}, "team", requestUnits);
     ASSERT_TRUE(wait);
@@ -228,7 +238,7 @@
 TEST(TeamLimits, NewInstanceAdoptsReportedLevels)
 {
     team_limits limits({});
-    limits.setLimit(timestamp {}, "team", rate, burst);
+    limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
     limits.adoptLevels(timestamp {}, {{"team", -500.0}});
     EXPECT_TRUE(limits.admit(timestamp {}, "team", 1));
 }
@@ -236,7 +246,7 @@
 TEST(TeamLimits, UnitsOfARequestThatNeverRanAreRefunded)
 {
     team_limits limits({});
-    limits.setLimit(timestamp {}, "team", rate, burst);
+    limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
     EXPECT_FALSE(limits.admit(timestamp {}, "team", burst));
     EXPECT_TRUE(limits.admit(timestamp {}, "team", 1));
     limits.refund("team", burst);
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -37,7 +37,9 @@
     : balancer({.zone = settings.zone,
                 .randomSeed = hash64(settings.name),
                 .staleWeightsLimit = settings.weightsDeadline - maxServerWait}),
-      limits({.window = settings.limitWindow}),
+      limits({.window = settings.limitWindow,
+              .randomSeed = static_cast<std::uint32_t>(hash64(settings.name))},
+             boot_clock::now()),
       members({.self = settings.name, .zone = settings.zone}),
       releases({.canaryShare = settings.maxBadReleaseShare / 2}),
       retryBudgetOptions(retryBudgetOptionsOf(settings))
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -25,8 +25,6 @@
 constexpr duration weightsReportTime = std::chrono::seconds(3);
 /// How long a crash and a cleared prompt part are reported: many reports carry them.
 constexpr duration crashReportTime = std::chrono::seconds(3);
-/// Every fifth report contains the bucket levels.
-constexpr std::uint64_t reportsPerLevelUpdate = 5;
 /// How long a server gets no requests after a report that another instance has it load weights.
 constexpr duration loadingReportLifetime = std::chrono::milliseconds(1500);
 /// Interval between log lines about the teams near their limits.
@@ -142,10 +140,8 @@
         report.delayMs = toSeconds(routing.schedulingDelay) * 1000;
         report.load = routing.balancer.ownLoad();
         report.admitted = routing.limits.totals();
-        report.demandRates = routing.limits.demandRates(now);
-        // Only an instance that just started needs the levels, and it can wait for a few reports.
-        if (m_sequence % reportsPerLevelUpdate == 0)
-            report.levels = routing.limits.levels(now);
+        report.demandRates = routing.limits.takeDemandRates(now);
+        report.levels = routing.limits.takeLevels(now);
         report.gone = routing.balancer.goneServers();
         report.unreachable = routing.balancer.unreachableServers();
         report.placed = routing.balancer.takeCachePlacements();
@@ -247,8 +243,10 @@
 {
     endpoint peer;
     const bool isNew = m_state.with([&](routing_state &routing) {
-        // Instances that are leaving are no longer listed, but may be the only ones that know.
+        // Instances that are leaving are no longer listed, but may be the only ones that know of a
+        // crash, and still admit requests.
         applyCrashes(now, report, routing);
+        applyLimits(now, report, routing);
         if (!routing.members.recordReport(now, report.from, report.incarnation, report.sequence,
                                           report.isLeaving, report.leaderEpoch,
                                           fromSeconds(report.periodMs / 1000)))
@@ -257,7 +255,6 @@
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
-        applyLimits(now, report, routing);
         applyOutcomes(report, routing);
         return true;
     });
@@ -302,14 +299,17 @@
 
 void peer_exchange::applyLimits(timestamp now, const peer_report &report, routing_state &routing)
 {
-    routing.limits.applyReport(now, report.from, report.incarnation, report.admitted,
-                               report.demandRates, fromSeconds(report.periodMs / 1000));
+    routing.limits.applyReport(now,
+                               {.peer = report.from,
+                                .incarnation = report.incarnation,
+                                .sequence = report.sequence,
+                                .isLeaving = report.isLeaving,
+                                .admitted = report.admitted,
+                                .demandRates = report.demandRates,
+                                .period = fromSeconds(report.periodMs / 1000)});
     // An instance that just started adopts the levels of one that started earlier.
-    const bool isSenderOlder = report.incarnation < m_state.incarnation();
-    if (m_hasAdoptedLevels || report.levels.empty() || !isSenderOlder)
-        return;
-    routing.limits.adoptLevels(now, report.levels);
-    m_hasAdoptedLevels = true;
+    if (report.incarnation < m_state.incarnation())
+        routing.limits.adoptLevels(now, report.levels);
 }
 
 void peer_exchange::applyCrashes(timestamp now, const peer_report &report, routing_state &routing)
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -61,7 +61,6 @@
     std::atomic<std::size_t> m_otherCount = 0;
     std::atomic<bool> m_isLargeFleet = false;
     std::atomic<bool> m_isLeader = false;
-    bool m_hasAdoptedLevels = false;
     std::map<std::string, bool, std::less<>> m_wasAlive;
     /// Totals last received, by instance, release and route: reports carry totals, and only the
     /// increase is added.
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -156,6 +156,7 @@
                    .add("rate", state.rate)
                    .add("level", state.level)
                    .add("own_part", state.share)
+                   .add("allowance", state.allowance)
                    .add("instances_heard", state.heardPeers)
                    .add("instances_known", state.knownPeers)
                    .add("wait_ms", toMilliseconds(*wait)));
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -40,6 +40,17 @@
 
 std::string nameWithoutKind(const std::string &name) { return name.substr(name.find('/') + 1); }
 
+/// Returns the limit of @p team. Half of what the platform tolerates beyond it is used for what
+/// instances don't know of each other; the rest covers instances that end without a last report.
+team_limit limitOf(const served_team &team, const platform_settings &settings)
+{
+    const double inWindow = team.rate * toSeconds(settings.limitWindow) + team.burst;
+    const double tokens = team.unit == limit_unit::Tokens ? settings.limitOverageTokens : 0;
+    return {.rate = team.rate,
+            .burst = team.burst,
+            .tolerance = (inWindow * settings.limitOverage + tokens) / 2};
+}
+
 } // namespace
 
 store_watch::store_watch(edge_state &state, store_client &store) : m_state(state), m_store(store)
@@ -350,11 +361,11 @@
     if (!m_state.publish(tables))
         return;
     const timestamp now = boot_clock::now();
-    m_state.with([&tables, now](routing_state &routing) {
+    m_state.with([&](routing_state &routing) {
         routing.balancer.setTables(*tables);
         for (auto it = tables->teams.begin(); it != tables->teams.end(); ++it) {
             if (it->second.rate > 0)
-                routing.limits.setLimit(now, it->first, it->second.rate, it->second.burst);
+                routing.limits.setLimit(now, it->first, limitOf(it->second, m_state.settings()));
         }
         routing.limits.keepOnly(tables->teams);
     });
