Keep to a small share of a team's limit until the other instances are known

Cause: an instance that has the configuration before the list of instances took itself for the only one and began with the whole burst. Change: until the list is known, it assumes a fleet of eight.

Also, what a report says of teams that are idle there isn't applied one by one: in a fleet of 295 that took a tenth of a small instance's time (estimated from the loop's length, not measured). A mode that always keeps to the share, for limits of few requests, and removeLimit() are for the servers' limits.

--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -75,6 +75,9 @@
     /// a negative one: longer than reports take to arrive.
     duration levelTime = std::chrono::milliseconds(400);
     duration debtTime = std::chrono::seconds(1);
+    /// Whether an instance always keeps to its share. For limits of few requests, which instances
+    /// would exceed if each let one request through.
+    bool isStrict = false;
     std::uint32_t randomSeed = 1;
 };
 
@@ -119,6 +122,9 @@
         std::erase_if(m_buckets, [&keep](const auto &each) { return !keep.contains(each.first); });
     }
 
+    /// Removes the limit of @p team.
+    void removeLimit(std::string_view team);
+
     /// Tries to admit @p units of @p team. Returns nothing if they were admitted, otherwise the
     /// time after which to retry. A team without a limit is always admitted.
     std::optional<duration> admit(timestamp now, std::string_view team, double units);
@@ -126,7 +132,8 @@
     void refund(std::string_view team, double units);
 
     /// Sets the names of all other listed instances, whether or not they have reported. One that is
-    /// no longer listed but reports still counts.
+    /// no longer listed but reports still counts. Before the first call, this instance keeps to a
+    /// small share.
     void setPeers(timestamp now, const std::vector<std::string> &peers);
     /// Applies what another instance reports. Ignores reports older than the last one.
     void applyReport(timestamp now, const limit_report &report);
@@ -282,6 +289,7 @@
     admitted_totals m_totals;
     timestamp m_startedAt;
     bool m_hasAdoptedLevels = false;
+    bool m_arePeersKnown = false;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -30,6 +30,10 @@
 /// How long after its first report an instance is sent the levels, and how long an instance runs
 /// until it knows them by itself.
 constexpr duration newInstanceTime = std::chrono::seconds(3);
+/// Instances that a fleet is assumed to have until their list is known.
+constexpr double unknownFleetSize = 8;
+/// Least demand that is reported, as a fraction of a request of average size.
+constexpr double minReportedDemand = 0.05;
 /// Least rate in units per second used to compute a refused caller's wait.
 constexpr double minRate = 1;
 
@@ -40,6 +44,12 @@
     return std::round(rate * steps) / steps;
 }
 
+double valueOf(const admitted_totals &values, std::string_view name)
+{
+    const auto found = values.find(name);
+    return found == values.end() ? 0 : found->second;
+}
+
 } // namespace
 
 void windowed_sum::removeOld(timestamp now)
@@ -95,7 +105,7 @@
     if (found == m_buckets.end()) {
         // An instance that has just started doesn't know what the others have spent. It begins with
         // an empty bucket and assumes that the rate was used until now.
-        const double level = m_peers.empty() ? limit.burst : 0;
+        const double level = m_arePeersKnown && m_peers.empty() ? limit.burst : 0;
         bucket added {.rate = limit.rate,
                       .burst = limit.burst,
                       .tolerance = limit.tolerance,
@@ -120,6 +130,13 @@
     changed.level = std::min(changed.level, limit.burst);
 }
 
+void team_limits::removeLimit(std::string_view team)
+{
+    const auto found = m_buckets.find(team);
+    if (found != m_buckets.end())
+        m_buckets.erase(found);
+}
+
 bool team_limits::hasEnded(timestamp now, const peer_state &peer) const
 {
     if (peer.isLeaving)
@@ -134,6 +151,10 @@
     team_demand demand {.own = teamBucket.reportedDemand > 0 ? teamBucket.reportedDemand : current,
                         .current = std::max(current, teamBucket.reportedDemand)};
     demand.all = demand.own;
+    if (!m_arePeersKnown) {
+        demand.instances = unknownFleetSize;
+        demand.all *= unknownFleetSize;
+    }
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         if (hasEnded(now, it->second))
             continue;
@@ -190,6 +211,8 @@
 
 bool team_limits::isCalm(timestamp now, const team_demand &demand, bucket &teamBucket) const
 {
+    if (m_options.isStrict)
+        return false;
     const double level = std::max(0.0, available(now, teamBucket));
     return demand.all - demand.own + demand.current
         <= teamBucket.rate + level / toSeconds(m_options.levelTime);
@@ -338,6 +361,7 @@
 
 void team_limits::setPeers(timestamp now, const std::vector<std::string> &peers)
 {
+    m_arePeersKnown = true;
     const std::set<std::string_view> listed(peers.begin(), peers.end());
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         it->second.isListed = listed.contains(it->first);
@@ -373,16 +397,21 @@
     const bool isRestarted = state.isHeard && state.incarnation != report.incarnation;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
         bucket &teamBucket = it->second;
-        // Charges what was expected of the instance until now.
-        refill(now, teamBucket);
         peer_usage &usage = teamBucket.peers[state.index];
         // The totals of a restarted instance begin at zero, also those that it doesn't name yet.
         if (isRestarted)
             usage.total = 0;
-        const auto total = report.admitted.find(it->first);
-        reconcile(now, teamBucket, usage, total == report.admitted.end() ? 0 : total->second);
-        const auto demand = report.demandRates.find(it->first);
-        usage.demandRate = demand == report.demandRates.end() ? 0 : demand->second;
+        const double total = valueOf(report.admitted, it->first);
+        const double demandRate = valueOf(report.demandRates, it->first);
+        // In a large fleet, most instances report nothing new of most teams.
+        const bool isIdle = usage.isKnown && usage.total == total && usage.expected == 0
+            && usage.demandRate == 0 && demandRate == 0;
+        if (isIdle)
+            continue;
+        // Charges what was expected of the instance until now.
+        refill(now, teamBucket);
+        reconcile(now, teamBucket, usage, total);
+        usage.demandRate = demandRate;
     }
     if (!state.isHeard || isRestarted)
         state.firstHeardAt = now;
@@ -447,7 +476,8 @@
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
         refill(now, it->second);
         bucket &teamBucket = it->second;
-        teamBucket.reportedDemand = teamBucket.demand >= 1
+        teamBucket.reportedDemand =
+            teamBucket.demand >= std::min(1.0, teamBucket.size * minReportedDemand)
             ? rounded(teamBucket.demand / toSeconds(m_options.demandTime))
             : 0;
         if (teamBucket.reportedDemand > 0)
--- a/libs/dispatch/tests/team_limits_test.cpp
+++ b/libs/dispatch/tests/team_limits_test.cpp
@@ -227,6 +227,7 @@
 TEST(TeamLimits, LoweredLimitAppliesImmediately)
 {
     team_limits limits({});
+    limits.setPeers(timestamp {}, {});
     limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
     limits.setLimit(timestamp {}, "team", {.rate = rate / 10, .burst = burst / 10});
     EXPECT_FALSE(limits.admit(timestamp {}, "team", burst / 10));
@@ -238,6 +239,7 @@
 TEST(TeamLimits, NewInstanceAdoptsReportedLevels)
 {
     team_limits limits({});
+    limits.setPeers(timestamp {}, {});
     limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
     limits.adoptLevels(timestamp {}, {{"team", -500.0}});
     EXPECT_TRUE(limits.admit(timestamp {}, "team", 1));
@@ -246,6 +248,7 @@
 TEST(TeamLimits, UnitsOfARequestThatNeverRanAreRefunded)
 {
     team_limits limits({});
+    limits.setPeers(timestamp {}, {});
     limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
     EXPECT_FALSE(limits.admit(timestamp {}, "team", burst));
     EXPECT_TRUE(limits.admit(timestamp {}, "team", 1));
