Keep all instances together to the limit that a backend server names

What callers saw: nothing yet; a server in need got 15 requests in 4 s while it named a limit of 1.1 a second, of which 12 are allowed. Cause: the field that names the limit was read nowhere. Class of fault: a statement of a server about itself that has no owner in the code.

Change: server_statements (libs/dispatch) owns what servers state about themselves; the adapter alone knows the field's name. It keeps the limits, tells the other instances of them in reports, and shares each limit among the instances that have requests for the server, with the same distributed bucket as the teams' limits in a strict mode (random rounding instead of one request for each instance). Placement asks it for each choice, so first attempts, retries and resumed streams count alike; a request that it refuses goes to another server, or is rejected at once with the time until the limit allows one. The limit ends with an answer that names none to a later request, or with the server. Invalid values are logged, counted and ignored.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -12,6 +12,7 @@
 
 #include <core/clock.h>
 #include <dispatch/prefill_rate.h>
+#include <dispatch/server_statements.h>
 #include <dispatch/serving_tables.h>
 
 namespace trefoil {
@@ -193,8 +194,17 @@
     /// A changed epoch means that the store has restarted empty.
     void setStoreEpoch(std::string_view address, std::uint64_t epoch);
 
-    /// Returns the server of least cost, or nothing if no server may take the request.
+    /// Returns what servers have stated about themselves.
+    server_statements &statements() { return m_statements; }
+
+    /// Returns the server of least cost, or nothing if no server may take the request. The request
+    /// counts against the limit of the server until cancel() or end() is called.
     std::optional<server_placement> choose(timestamp now, const request_profile &request);
+    /// Takes back a choice for which begin() is not called.
+    void cancel(const server_placement &placed);
+    /// Returns how long all servers that the last choose() refused because of their limits take no
+    /// further request, or nothing if it refused none.
+    std::optional<duration> limitedFor() const { return m_limitedFor; }
     /// Adds the load of a request sent to @p placed. Returns a ticket to pass to the calls below.
     std::uint64_t begin(timestamp now, const server_placement &placed,
                         const request_profile &request);
@@ -350,9 +360,11 @@
     };
 
     static std::uint64_t weightsOf(const server_state &state, std::string_view model);
-    static bool mayTake(timestamp now, const server_state &state, const request_profile &request);
+    bool mayTake(timestamp now, const server_state &state, const request_profile &request) const;
     std::optional<server_placement> chooseAmong(timestamp now, const request_profile &request,
                                                 bool includesUnreachable);
+    std::optional<server_placement> chooseAdmitted(timestamp now, const request_profile &request,
+                                                   bool includesUnreachable);
     double staleWeightsCost(timestamp now, const server_state &state,
                             const request_profile &request) const;
     server_placement estimate(timestamp now, const server_state &state,
@@ -409,6 +421,10 @@
     std::map<std::uint64_t, ticket_state> m_tickets;
     std::uint64_t m_nextTicket = 1;
     std::vector<cache_placement> m_placed;
+    server_statements m_statements;
+    /// Servers that the choice in progress must not use because of their limits.
+    std::vector<std::string> m_limitedServers;
+    std::optional<duration> m_limitedFor;
 };
 
 /// Returns the salt under which engines share KV cache of @p model at version @p weights. It
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -96,6 +96,12 @@
     /// Epoch of the instance's leader lease, 0 if it is not the leader.
     std::uint64_t leaderEpoch = 0;
     std::vector<release_outcomes> releases;
+    /// Limits that servers have named, and the requests sent to such servers. See
+    /// server_statements.
+    std::vector<server_limit_record> serverLimits;
+    admitted_totals serverRequests;
+    admitted_totals serverDemandRates;
+    admitted_totals serverLevels;
     /// Boot epochs of the KV cache stores by address, 0 for a store that doesn't answer. Filled by
     /// the leader, which polls the stores; empty in reports of other instances.
     std::map<std::string, std::uint64_t, std::less<>> storeEpochs;
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -58,9 +58,12 @@
 }
 
 load_balancer::load_balancer(const load_balancer_options &options)
-    : m_options(options), m_random(options.randomSeed)
+    : m_options(options), m_random(options.randomSeed),
+      m_statements({.randomSeed = static_cast<std::uint32_t>(options.randomSeed)})
 { }
 
+void load_balancer::cancel(const server_placement &placed) { m_statements.refund(placed.server); }
+
 void load_balancer::setServers(std::span<const registered_server> servers)
 {
     std::map<std::string, server_state, std::less<>> next;
@@ -82,6 +85,7 @@
         next.emplace(server.id, std::move(state));
     }
     m_servers = std::move(next);
+    m_statements.setServers(servers);
 }
 
 void load_balancer::setTables(const serving_tables &tables)
@@ -521,6 +525,9 @@
     server_state *server = findServer(state.server);
     if (server == nullptr)
         return;
+    // The request did not reach the server.
+    if (outcome == attempt_outcome::Unreachable)
+        m_statements.refund(state.server);
     server_state &target = *server;
     target.own.running -= 1;
     target.own.memoryTokens -= state.memoryTokens;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -116,6 +116,19 @@
     return list;
 }
 
+Json::Value serverLimitsToJson(const std::vector<server_limit_record> &limits)
+{
+    Json::Value list(Json::arrayValue);
+    for (const server_limit_record &each : limits) {
+        Json::Value entry(Json::arrayValue);
+        entry.append(each.server);
+        entry.append(each.requestsPerSecond);
+        entry.append(Json::UInt64(each.ageMs));
+        list.append(entry);
+    }
+    return list;
+}
+
 Json::Value clearedPartsToJson(const std::vector<cleared_part_record> &parts)
 {
     Json::Value list(Json::arrayValue);
@@ -178,6 +191,10 @@
         value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
     addNonEmpty(value, "stores", numbersToJson(report.storeEpochs));
     addNonEmpty(value, "releases", releasesToJson(report.releases));
+    addNonEmpty(value, "server_limits", serverLimitsToJson(report.serverLimits));
+    addNonEmpty(value, "server_requests", numbersToJson(report.serverRequests));
+    addNonEmpty(value, "server_asked_rates", numbersToJson(report.serverDemandRates));
+    addNonEmpty(value, "server_levels", numbersToJson(report.serverLevels));
     return writeJson(value);
 }
 
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -164,6 +164,19 @@
     });
 }
 
+void readServerLimits(const value_fields &fields, peer_report &report)
+{
+    constexpr std::size_t ageField = 2;
+    forEach<value_list>(fields, "server_limits", [&report](const value_list &items) {
+        const std::optional<std::string_view> server = as<std::string_view>(items.at(0));
+        const std::optional<double> limit = as<double>(items.at(1));
+        const std::optional<std::uint64_t> age = as<std::uint64_t>(items.at(ageField));
+        if (server && limit && *limit >= 0 && age)
+            report.serverLimits.push_back(
+                {.server = std::string(*server), .requestsPerSecond = *limit, .ageMs = *age});
+    });
+}
+
 } // namespace
 
 std::optional<peer_report> parsePeerReport(std::string_view text)
@@ -200,6 +213,10 @@
     readNumbers(fields, "named_age_ms", report.targetAgeMs);
     readNumbers(fields, "stores", report.storeEpochs);
     readReleases(fields, report);
+    readServerLimits(fields, report);
+    readNumbers(fields, "server_requests", report.serverRequests);
+    readNumbers(fields, "server_asked_rates", report.serverDemandRates);
+    readNumbers(fields, "server_levels", report.serverLevels);
     return report;
 }
 
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 bool load_balancer::mayTake(timestamp now, const server_state &state,
-                            const request_profile &request)
+                            const request_profile &request) const
 {
     const registered_server &info = state.info;
     if (info.service != request.service || info.isLeaving || state.isGone)
@@ -36,6 +36,9 @@
         return false;
     if (now < state.loadingUntil)
         return false;
+    if (std::find(m_limitedServers.begin(), m_limitedServers.end(), info.id)
+        != m_limitedServers.end())
+        return false;
     return std::find(request.tried.begin(), request.tried.end(), info.id) == request.tried.end();
 }
 
@@ -244,10 +247,27 @@
 
 std::optional<server_placement> load_balancer::choose(timestamp now, const request_profile &request)
 {
-    std::optional<server_placement> best = chooseAmong(now, request, false);
+    m_limitedServers.clear();
+    m_limitedFor = std::nullopt;
+    std::optional<server_placement> best = chooseAdmitted(now, request, false);
     // If no server is reachable, wrong reachability data is more likely than the loss of all
     // servers.
-    return best ? best : chooseAmong(now, request, true);
+    return best ? best : chooseAdmitted(now, request, true);
+}
+
+std::optional<server_placement> load_balancer::chooseAdmitted(timestamp now,
+                                                              const request_profile &request,
+                                                              bool includesUnreachable)
+{
+    while (true) {
+        std::optional<server_placement> best = chooseAmong(now, request, includesUnreachable);
+        const std::optional<duration> wait =
+            best ? m_statements.admit(now, best->server) : std::nullopt;
+        if (!wait)
+            return best;
+        m_limitedServers.push_back(best->server);
+        m_limitedFor = std::min(m_limitedFor.value_or(*wait), *wait);
+    }
 }
 
 server_placement load_balancer::estimate(timestamp now, const server_state &state,
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -32,6 +32,10 @@
         .targetAgeMs = {{"m=4", 1500}},
         .leaderEpoch = 3,
         .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2, 4}}},
+        .serverLimits = {{.server = "s1", .requestsPerSecond = 1.5, .ageMs = 9}},
+        .serverRequests = {{"s1", 4}},
+        .serverDemandRates = {{"s1", 2.5}},
+        .serverLevels = {{"s1", -1}},
         .storeEpochs = {{"10.0.0.9:1", 77}}};
     const std::optional<peer_report> read = parsePeerReport(toText(report));
     ASSERT_TRUE(read);
@@ -48,6 +52,13 @@
     EXPECT_DOUBLE_EQ(read->placed[0].storeTransferMs, 3.4);
     EXPECT_EQ(read->prefillRates, report.prefillRates);
     EXPECT_EQ(read->storeEpochs, report.storeEpochs);
+    ASSERT_EQ(read->serverLimits.size(), 1u);
+    EXPECT_EQ(read->serverLimits[0].server, "s1");
+    EXPECT_EQ(read->serverLimits[0].requestsPerSecond, 1.5);
+    EXPECT_EQ(read->serverLimits[0].ageMs, 9u);
+    EXPECT_EQ(read->serverRequests, report.serverRequests);
+    EXPECT_EQ(read->serverDemandRates, report.serverDemandRates);
+    EXPECT_EQ(read->serverLevels, report.serverLevels);
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
     EXPECT_EQ(read->crashes[0].ageMs, 40u);
     EXPECT_EQ(read->crashes[0].parts, report.crashes[0].parts);
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -142,6 +142,11 @@
         report.admitted = routing.limits.totals();
         report.demandRates = routing.limits.takeDemandRates(now);
         report.levels = routing.limits.takeLevels(now);
+        server_statements &statements = routing.balancer.statements();
+        report.serverLimits = statements.limits(now);
+        report.serverRequests = statements.requests().totals();
+        report.serverDemandRates = statements.requests().takeDemandRates(now);
+        report.serverLevels = statements.requests().takeLevels(now);
         report.gone = routing.balancer.goneServers();
         report.unreachable = routing.balancer.unreachableServers();
         report.placed = routing.balancer.takeCachePlacements();
@@ -299,17 +304,26 @@
 
 void peer_exchange::applyLimits(timestamp now, const peer_report &report, routing_state &routing)
 {
-    routing.limits.applyReport(now,
-                               {.peer = report.from,
-                                .incarnation = report.incarnation,
-                                .sequence = report.sequence,
-                                .isLeaving = report.isLeaving,
-                                .admitted = report.admitted,
-                                .demandRates = report.demandRates,
-                                .period = fromSeconds(report.periodMs / 1000)});
-    // An instance that just started adopts the levels of one that started earlier.
-    if (report.incarnation < m_state.incarnation())
-        routing.limits.adoptLevels(now, report.levels);
+    const bool isSenderOlder = report.incarnation < m_state.incarnation();
+    const auto apply = [&](team_limits &limits, const admitted_totals &admitted,
+                           const admitted_totals &demandRates, const admitted_totals &levels) {
+        limits.applyReport(now,
+                           {.peer = report.from,
+                            .incarnation = report.incarnation,
+                            .sequence = report.sequence,
+                            .isLeaving = report.isLeaving,
+                            .admitted = admitted,
+                            .demandRates = demandRates,
+                            .period = fromSeconds(report.periodMs / 1000)});
+        // An instance that just started adopts the levels of one that started earlier.
+        if (isSenderOlder)
+            limits.adoptLevels(now, levels);
+    };
+    apply(routing.limits, report.admitted, report.demandRates, report.levels);
+    server_statements &statements = routing.balancer.statements();
+    statements.applyLimits(now, report.serverLimits);
+    apply(statements.requests(), report.serverRequests, report.serverDemandRates,
+          report.serverLevels);
 }
 
 void peer_exchange::applyCrashes(timestamp now, const peer_report &report, routing_state &routing)
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -205,7 +205,11 @@
                     m_excludedReleases.push_back(std::move(release));
             }
         }
-        return routing.balancer.choose(now, requestProfile());
+        std::optional<server_placement> placed = routing.balancer.choose(now, requestProfile());
+        m_limitedFor = routing.balancer.limitedFor();
+        if (placed && wouldMissDeadline(now, *placed))
+            routing.balancer.cancel(*placed);
+        return placed;
     });
 }
 
@@ -261,6 +265,9 @@
 {
     if (m_runs > 0)
         return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "no other backend server", std::nullopt};
+    if (!best && m_limitedFor)
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                        "the backend servers are at their limits", withJitter(*m_limitedFor)};
     // Capacity frees up once the expected wait has shrunk to the route's target latency.
     duration wait = minRetryAfter * 2;
     if (best)
@@ -314,6 +321,7 @@
             routing.balancer.onLoadReported(boot_clock::now(), current.placed.server,
                                             *current.fields.running, current.fields.waiting);
     });
+    recordStatement(current);
     if (current.fields.wasNotRun)
         return handleRejection(current);
     countRun(current);
@@ -373,6 +381,39 @@
     return attempt_end::Delivered;
 }
 
+void request_runner::recordStatement(const attempt &current)
+{
+    const server_answer_fields &fields = current.fields;
+    const std::string &server = current.placed.server;
+    // Another server may answer at the address.
+    if (fields.isMisdirected || (!fields.server.empty() && fields.server != server))
+        return;
+    if (!fields.invalidField.empty()) {
+        m_state.metrics().counterOf("trefoil_invalid_server_statements_total").add();
+        writeEvent(event_line("servers", "statement_invalid")
+                       .add("request", m_fields.requestId)
+                       .add("server", server)
+                       .add("field", fields.invalidField));
+        return;
+    }
+    server_statements::change change = server_statements::change::None;
+    std::size_t limited = 0;
+    m_state.with([&](routing_state &routing) {
+        change = routing.balancer.statements().record(boot_clock::now(), current.sentAt, server,
+                                                      fields.stated);
+        limited = routing.balancer.statements().limitedCount();
+    });
+    if (change == server_statements::change::None)
+        return;
+    m_state.metrics().gaugeOf("trefoil_servers_limited").set(static_cast<double>(limited));
+    writeEvent(
+        event_line("servers",
+                   change == server_statements::change::LimitNamed ? "limit_named" : "limit_ended")
+            .add("request", m_fields.requestId)
+            .add("server", server)
+            .add("requests_per_second", fields.stated.requestsPerSecond.value_or(0)));
+}
+
 void request_runner::countRun(attempt &current)
 {
     m_runs += current.isCounted ? 0 : 1;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -122,6 +122,8 @@
     attempt_end readBody(attempt &current, std::string &body);
     attempt_end forwardBuffered(attempt &current);
     attempt_end forwardStream(attempt &current);
+    /// Records what the server stated about itself in the head of its answer.
+    void recordStatement(const attempt &current);
     void countRun(attempt &current);
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
@@ -165,6 +167,8 @@
     std::vector<std::uint64_t> m_sharedParts;
     std::vector<std::string> m_triedServers;
     std::vector<std::string> m_excludedReleases;
+    /// How long all servers that may take the request are at their limits, if they are.
+    std::optional<duration> m_limitedFor;
     /// Attempts in which a server may have started the request.
     int m_runs = 0;
     sse_framer m_events;
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -480,6 +480,7 @@
     m_state.with([&](routing_state &routing) {
         routing.members.setListed(now, entries);
         routing.limits.setPeers(now, names);
+        routing.balancer.statements().requests().setPeers(now, names);
         routing.divideExtraRetries(m_state.settings(), entries.size());
     });
     writeEvent(event_line("members", "listed").add("instances", std::uint64_t {entries.size()}));
