Send nothing to backend servers that state that they are leaving or want a pause

What callers saw: a request to a server that leaves, or that rejects for some seconds, is rejected or broken off, and retried elsewhere; where the registration never tells, until the server is gone. Cause: two statements in answers were read nowhere: that the server is leaving, and with 503 for how long it wants nothing from this instance.

Change: server_statements owns both. A leaving server gets no request from then on, first attempts, retries and resumed streams alike, until it restarts; other instances learn of it by the reports, because each of their requests would have to be moved soon. If all servers of a service pause, callers are rejected at once with the time until the first pause ends.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -202,8 +202,8 @@
     std::optional<server_placement> choose(timestamp now, const request_profile &request);
     /// Takes back a choice for which begin() is not called.
     void cancel(const server_placement &placed);
-    /// Returns how long all servers that the last choose() refused because of their limits take no
-    /// further request, or nothing if it refused none.
+    /// Returns the time until one of the servers takes requests again that the last choose() passed
+    /// over because of their limits or pauses, or nothing if there was none.
     std::optional<duration> limitedFor() const { return m_limitedFor; }
     /// Adds the load of a request sent to @p placed. Returns a ticket to pass to the calls below.
     std::uint64_t begin(timestamp now, const server_placement &placed,
@@ -363,6 +363,8 @@
     bool mayTake(timestamp now, const server_state &state, const request_profile &request) const;
     std::optional<server_placement> chooseAmong(timestamp now, const request_profile &request,
                                                 bool includesUnreachable);
+    /// Applies the pauses of the servers of @p service to m_limitedFor.
+    void addPauses(timestamp now, std::string_view service);
     std::optional<server_placement> chooseAdmitted(timestamp now, const request_profile &request,
                                                    bool includesUnreachable);
     double staleWeightsCost(timestamp now, const server_state &state,
@@ -424,6 +426,7 @@
     server_statements m_statements;
     /// Servers that the choice in progress must not use because of their limits.
     std::vector<std::string> m_limitedServers;
+    /// See limitedFor().
     std::optional<duration> m_limitedFor;
 };
 
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -102,6 +102,8 @@
     admitted_totals serverRequests;
     admitted_totals serverDemandRates;
     admitted_totals serverLevels;
+    /// Servers that have stated that they are leaving.
+    std::vector<std::string> leavingServers;
     /// Boot epochs of the KV cache stores by address, 0 for a store that doesn't answer. Filled by
     /// the leader, which polls the stores; empty in reports of other instances.
     std::map<std::string, std::uint64_t, std::less<>> storeEpochs;
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -214,6 +214,7 @@
     readNumbers(fields, "stores", report.storeEpochs);
     readReleases(fields, report);
     readServerLimits(fields, report);
+    readNames(fields, "leaving_servers", report.leavingServers);
     readNumbers(fields, "server_requests", report.serverRequests);
     readNumbers(fields, "server_asked_rates", report.serverDemandRates);
     readNumbers(fields, "server_levels", report.serverLevels);
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -36,8 +36,9 @@
         return false;
     if (now < state.loadingUntil)
         return false;
-    if (std::find(m_limitedServers.begin(), m_limitedServers.end(), info.id)
-        != m_limitedServers.end())
+    if (!m_statements.isAvailable(now, info.id)
+        || std::find(m_limitedServers.begin(), m_limitedServers.end(), info.id)
+            != m_limitedServers.end())
         return false;
     return std::find(request.tried.begin(), request.tried.end(), info.id) == request.tried.end();
 }
@@ -234,7 +235,8 @@
     std::uint64_t bestScore = 0;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const registered_server &info = it->second.info;
-        if (info.service != request.service || info.isLeaving || info.zone != zone)
+        if (info.service != request.service || info.isLeaving || info.zone != zone
+            || m_statements.isLeaving(info.id))
             continue;
         const std::uint64_t score = hash64(info.id, prefixHash);
         if (best.empty() || score > bestScore) {
@@ -252,7 +254,23 @@
     std::optional<server_placement> best = chooseAdmitted(now, request, false);
     // If no server is reachable, wrong reachability data is more likely than the loss of all
     // servers.
-    return best ? best : chooseAdmitted(now, request, true);
+    if (!best)
+        best = chooseAdmitted(now, request, true);
+    if (!best)
+        addPauses(now, request.service);
+    return best;
+}
+
+void load_balancer::addPauses(timestamp now, std::string_view service)
+{
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        const registered_server &info = it->second.info;
+        const bool isUsable = info.service == service && !info.isLeaving && !it->second.isGone;
+        const std::optional<duration> left =
+            isUsable ? m_statements.pauseLeft(now, info.id) : std::nullopt;
+        if (left)
+            m_limitedFor = std::min(m_limitedFor.value_or(*left), *left);
+    }
 }
 
 std::optional<server_placement> load_balancer::chooseAdmitted(timestamp now,
--- a/libs/dispatch/src/server_statements.cpp
+++ b/libs/dispatch/src/server_statements.cpp
@@ -10,43 +10,94 @@
                  now)
 { }
 
-server_statements::change server_statements::setLimit(timestamp now, timestamp statedAt,
-                                                      std::string_view server,
-                                                      double requestsPerSecond)
+server_statements::changes server_statements::setLimit(timestamp now, timestamp statedAt,
+                                                       std::string_view server,
+                                                       double requestsPerSecond)
 {
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || statedAt <= found->second.statedAt)
-        return change::None;
+        return {};
     server_state &state = found->second;
     const double before = state.requestsPerSecond;
     if (requestsPerSecond == 0 && before == 0)
-        return change::None;
+        return {};
     state.statedAt = statedAt;
     if (requestsPerSecond == before)
-        return change::None;
+        return {};
     state.requestsPerSecond = requestsPerSecond;
     if (requestsPerSecond == 0) {
         m_requests.removeLimit(server);
-        return change::LimitEnded;
+        return {.hasLimitEnded = true};
     }
     const double extra = requestsPerSecond * toSeconds(m_options.extraTime);
     m_requests.setLimit(now, server,
                         {.rate = requestsPerSecond,
                          .burst = m_options.burst + extra,
                          .tolerance = m_options.tolerance + extra});
-    return change::LimitNamed;
+    return {.hasNewLimit = true};
 }
 
-server_statements::change server_statements::record(timestamp now, timestamp sentAt,
-                                                    std::string_view server,
-                                                    const server_statement &stated)
+server_statements::changes server_statements::record(timestamp now, timestamp sentAt,
+                                                     std::string_view server,
+                                                     const server_statement &stated)
 {
-    if (!stated.requestsPerSecond)
-        return setLimit(now, sentAt, server, 0);
-    if (*stated.requestsPerSecond > m_options.maxRequestsPerSecond)
-        return change::None;
-    return setLimit(now, sentAt, server,
-                    std::max(*stated.requestsPerSecond, m_options.minRequestsPerSecond));
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return {};
+    const double limit = stated.requestsPerSecond.value_or(0);
+    changes changed;
+    if (limit <= m_options.maxRequestsPerSecond)
+        changed = setLimit(
+            now, sentAt, server,
+            stated.requestsPerSecond ? std::max(limit, m_options.minRequestsPerSecond) : 0);
+    server_state &state = found->second;
+    changed.isNowLeaving = stated.isLeaving && !state.isLeaving;
+    state.isLeaving = state.isLeaving || stated.isLeaving;
+    if (stated.pause && *stated.pause <= m_options.maxPause) {
+        changed.isNowPaused = state.pausedUntil <= now;
+        state.pausedUntil = std::max(state.pausedUntil, now + *stated.pause);
+    }
+    return changed;
+}
+
+bool server_statements::isAvailable(timestamp now, std::string_view server) const
+{
+    const auto found = m_servers.find(server);
+    return found == m_servers.end()
+        || (!found->second.isLeaving && now >= found->second.pausedUntil);
+}
+
+bool server_statements::isLeaving(std::string_view server) const
+{
+    const auto found = m_servers.find(server);
+    return found != m_servers.end() && found->second.isLeaving;
+}
+
+std::optional<duration> server_statements::pauseLeft(timestamp now, std::string_view server) const
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end() || found->second.isLeaving || now >= found->second.pausedUntil)
+        return std::nullopt;
+    return found->second.pausedUntil - now;
+}
+
+std::vector<std::string> server_statements::leavingServers() const
+{
+    std::vector<std::string> names;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (it->second.isLeaving)
+            names.push_back(it->first);
+    }
+    return names;
+}
+
+void server_statements::applyLeaving(std::span<const std::string> servers)
+{
+    for (const std::string &server : servers) {
+        const auto found = m_servers.find(server);
+        if (found != m_servers.end())
+            found->second.isLeaving = true;
+    }
 }
 
 void server_statements::setServers(std::span<const registered_server> servers)
@@ -98,11 +149,15 @@
                  std::min(each.requestsPerSecond, m_options.maxRequestsPerSecond));
 }
 
-std::size_t server_statements::limitedCount() const
+server_statements::counts server_statements::count(timestamp now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_servers.begin(), m_servers.end(),
-                      [](const auto &each) { return each.second.requestsPerSecond > 0; }));
+    counts all;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        all.limited += it->second.requestsPerSecond > 0 ? 1 : 0;
+        all.leaving += it->second.isLeaving ? 1 : 0;
+        all.paused += now < it->second.pausedUntil ? 1 : 0;
+    }
+    return all;
 }
 
 } // namespace trefoil
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -36,6 +36,7 @@
         .serverRequests = {{"s1", 4}},
         .serverDemandRates = {{"s1", 2.5}},
         .serverLevels = {{"s1", -1}},
+        .leavingServers = {"s3"},
         .storeEpochs = {{"10.0.0.9:1", 77}}};
     const std::optional<peer_report> read = parsePeerReport(toText(report));
     ASSERT_TRUE(read);
@@ -59,6 +60,7 @@
     EXPECT_EQ(read->serverRequests, report.serverRequests);
     EXPECT_EQ(read->serverDemandRates, report.serverDemandRates);
     EXPECT_EQ(read->serverLevels, report.serverLevels);
+    EXPECT_EQ(read->leavingServers, report.leavingServers);
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
     EXPECT_EQ(read->crashes[0].ageMs, 40u);
     EXPECT_EQ(read->crashes[0].parts, report.crashes[0].parts);
--- a/libs/dispatch/tests/server_statements_test.cpp
+++ b/libs/dispatch/tests/server_statements_test.cpp
@@ -151,12 +151,11 @@
     server_statements statements({});
     statements.requests().setPeers(at(0), {});
     statements.setServers(oneServer);
-    EXPECT_EQ(statements.record(at(10.5), at(10), "s1", {.requestsPerSecond = 1}),
-              server_statements::change::LimitNamed);
+    EXPECT_TRUE(statements.record(at(10.5), at(10), "s1", {.requestsPerSecond = 1}).hasNewLimit);
     // The answer to an earlier request arrives late.
-    EXPECT_EQ(statements.record(at(11), at(9), "s1", {}), server_statements::change::None);
-    EXPECT_EQ(statements.limitedCount(), 1u);
-    EXPECT_EQ(statements.record(at(12), at(11), "s1", {}), server_statements::change::LimitEnded);
+    EXPECT_FALSE(statements.record(at(11), at(9), "s1", {}).hasLimitEnded);
+    EXPECT_EQ(statements.count(at(11)).limited, 1u);
+    EXPECT_TRUE(statements.record(at(12), at(11), "s1", {}).hasLimitEnded);
     for (int i = 0; i < 50; ++i)
         EXPECT_FALSE(statements.admit(at(12), "s1"));
 }
@@ -169,7 +168,7 @@
     statements.record(at(10.5), at(10), "s1", {.requestsPerSecond = 0.1});
     const std::array<registered_server, 1> restarted {{{.id = "s1", .startedAtMs = 2}}};
     statements.setServers(restarted);
-    EXPECT_EQ(statements.limitedCount(), 0u);
+    EXPECT_EQ(statements.count(at(11)).limited, 0u);
     for (int i = 0; i < 50; ++i)
         EXPECT_FALSE(statements.admit(at(11), "s1"));
 }
@@ -188,4 +187,45 @@
     EXPECT_LE(toSeconds(*wait), 4);
 }
 
+TEST(ServerStatements, LeavingServerIsAvailableAgainOnlyAfterItsRestart)
+{
+    server_statements statements({});
+    statements.setServers(oneServer);
+    EXPECT_TRUE(statements.isAvailable(at(10), "s1"));
+    EXPECT_TRUE(statements.record(at(10), at(9), "s1", {.isLeaving = true}).isNowLeaving);
+    statements.record(at(11), at(10.5), "s1", {});
+    statements.setServers(oneServer);
+    EXPECT_FALSE(statements.isAvailable(at(100), "s1"));
+    EXPECT_EQ(statements.leavingServers(), std::vector<std::string> {"s1"});
+    const std::array<registered_server, 1> restarted {{{.id = "s1", .startedAtMs = 2}}};
+    statements.setServers(restarted);
+    EXPECT_TRUE(statements.isAvailable(at(100), "s1"));
+}
+
+TEST(ServerStatements, PauseEndsInTimeAndIsNotShortened)
+{
+    server_statements statements({});
+    statements.setServers(oneServer);
+    EXPECT_TRUE(statements.record(at(10), at(9), "s1", {.pause = 3s}).isNowPaused);
+    EXPECT_FALSE(statements.record(at(11), at(9), "s1", {.pause = 500ms}).isNowPaused);
+    EXPECT_FALSE(statements.isAvailable(at(12.9), "s1"));
+    EXPECT_NEAR(toSeconds(*statements.pauseLeft(at(12), "s1")), 1, 1e-9);
+    EXPECT_TRUE(statements.isAvailable(at(13), "s1"));
+    // Repeated and far too long ones.
+    statements.record(at(14), at(14), "s1", {.pause = 2s});
+    statements.record(at(15), at(15), "s1", {.pause = 2s});
+    statements.record(at(15), at(15), "s1", {.pause = std::chrono::hours(30)});
+    EXPECT_FALSE(statements.isAvailable(at(16.9), "s1"));
+    EXPECT_TRUE(statements.isAvailable(at(17), "s1"));
+}
+
+TEST(ServerStatements, PauseOfALeavingServerIsNoReasonToComeBack)
+{
+    server_statements statements({});
+    statements.setServers(oneServer);
+    statements.record(at(10), at(9), "s1", {.isLeaving = true, .pause = 2s});
+    EXPECT_FALSE(statements.pauseLeft(at(11), "s1"));
+    EXPECT_FALSE(statements.isAvailable(at(13), "s1"));
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -144,6 +144,7 @@
         report.levels = routing.limits.takeLevels(now);
         server_statements &statements = routing.balancer.statements();
         report.serverLimits = statements.limits(now);
+        report.leavingServers = statements.leavingServers();
         report.serverRequests = statements.requests().totals();
         report.serverDemandRates = statements.requests().takeDemandRates(now);
         report.serverLevels = statements.requests().takeLevels(now);
@@ -322,6 +323,7 @@
     apply(routing.limits, report.admitted, report.demandRates, report.levels);
     server_statements &statements = routing.balancer.statements();
     statements.applyLimits(now, report.serverLimits);
+    statements.applyLeaving(report.leavingServers);
     apply(statements.requests(), report.serverRequests, report.serverDemandRates,
           report.serverLevels);
 }
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -267,7 +267,7 @@
         return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "no other backend server", std::nullopt};
     if (!best && m_limitedFor)
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
-                        "the backend servers are at their limits", withJitter(*m_limitedFor)};
+                        "the backend servers take no requests now", withJitter(*m_limitedFor)};
     // Capacity frees up once the expected wait has shrunk to the route's target latency.
     duration wait = minRetryAfter * 2;
     if (best)
@@ -394,24 +394,35 @@
                        .add("request", m_fields.requestId)
                        .add("server", server)
                        .add("field", fields.invalidField));
-        return;
     }
-    server_statements::change change = server_statements::change::None;
-    std::size_t limited = 0;
+    const timestamp now = boot_clock::now();
+    server_statements::changes changed;
+    server_statements::counts counts;
     m_state.with([&](routing_state &routing) {
-        change = routing.balancer.statements().record(boot_clock::now(), current.sentAt, server,
-                                                      fields.stated);
-        limited = routing.balancer.statements().limitedCount();
+        server_statements &statements = routing.balancer.statements();
+        changed = statements.record(now, current.sentAt, server, fields.stated);
+        counts = statements.count(now);
     });
-    if (change == server_statements::change::None)
+    if (changed == server_statements::changes {})
         return;
-    m_state.metrics().gaugeOf("trefoil_servers_limited").set(static_cast<double>(limited));
-    writeEvent(
-        event_line("servers",
-                   change == server_statements::change::LimitNamed ? "limit_named" : "limit_ended")
-            .add("request", m_fields.requestId)
-            .add("server", server)
-            .add("requests_per_second", fields.stated.requestsPerSecond.value_or(0)));
+    metric_registry &metrics = m_state.metrics();
+    metrics.gaugeOf("trefoil_servers_limited").set(static_cast<double>(counts.limited));
+    metrics.gaugeOf("trefoil_servers_leaving").set(static_cast<double>(counts.leaving));
+    metrics.gaugeOf("trefoil_servers_paused").set(static_cast<double>(counts.paused));
+    const std::array<std::pair<bool, const char *>, 4> events {
+        {{changed.hasNewLimit, "limit_named"},
+         {changed.hasLimitEnded, "limit_ended"},
+         {changed.isNowLeaving, "leaving_stated"},
+         {changed.isNowPaused, "pause_stated"}}};
+    for (const std::pair<bool, const char *> &each : events) {
+        if (each.first)
+            writeEvent(
+                event_line("servers", each.second)
+                    .add("request", m_fields.requestId)
+                    .add("server", server)
+                    .add("requests_per_second", fields.stated.requestsPerSecond.value_or(0))
+                    .add("pause_ms", toMilliseconds(fields.stated.pause.value_or(duration {}))));
+    }
 }
 
 void request_runner::countRun(attempt &current)
