Let a team use what its window still allows over three quarters of the window

Cause: what is left of the window was added to the rate within half a window. Measured: tests of team_limits and team_limits_fleet pass.

--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -20,9 +20,9 @@
 constexpr double calmTolerances = 4;
 /// Fraction of the burst above which a team that keeps to its rate is not refused.
 constexpr double minFreeLevel = 0.25;
-/// Windows in which what a limit still allows is added to the rate. Less than one, so that a team
+/// Windows in which what a limit still allows is added to the rate. The shorter, the more of its
 /// that always asks for more gets nearly all of its limit.
-constexpr double windowRefillTime = 0.5;
+constexpr double windowRefillTime = 0.75;
 /// How long the units of an instance that is no longer listed or heard are charged, without a
 /// window.
 constexpr duration unlistedTime = std::chrono::seconds(8);
