Begin with a share of a team's burst after a restart

Cause: an instance began with an empty bucket until it heard of the others. Change: it begins with its share of the burst, and takes half of the burst for the level until another instance tells it.

--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -30,6 +30,8 @@
 /// How long after its first report an instance is sent the levels, and how long an instance runs
 /// until it knows them by itself.
 constexpr duration newInstanceTime = std::chrono::seconds(3);
+/// Fraction of the burst that an instance takes for the level until another tells it.
+constexpr double newInstanceLevel = 0.5;
 /// Instances that a fleet is assumed to have until their list is known.
 constexpr double unknownFleetSize = 8;
 /// Least demand that is reported, as a fraction of a request of average size.
@@ -104,14 +106,16 @@
     const auto found = m_buckets.find(team);
     if (found == m_buckets.end()) {
         // An instance that has just started doesn't know what the others have spent. It begins with
-        // an empty bucket and assumes that the rate was used until now.
-        const double level = m_arePeersKnown && m_peers.empty() ? limit.burst : 0;
+        // its share of the burst and assumes that the rate was used until now.
+        const double instances =
+            m_arePeersKnown ? static_cast<double>(m_peers.size() + 1) : unknownFleetSize;
+        const double share = limit.burst / instances;
         bucket added {.rate = limit.rate,
                       .burst = limit.burst,
                       .tolerance = limit.tolerance,
-                      .level = level,
+                      .level = std::max(share, limit.burst * newInstanceLevel),
                       .filledAt = now,
-                      .allowance = level,
+                      .allowance = share,
                       .spent = windowed_sum(m_options.window),
                       .peers = std::vector<peer_usage>(m_indexCount)};
         added.spent.fill(now, limit.rate * windowTime);
