Don't take an answer without an id on a reused connection for this request's

What callers saw (reported for systems of this kind): 503 with the promise that an unsafe request has not run, while a server ran it: a faulty server wrote an earlier rejection once more, without its id, on a kept connection. Cause: an answer without a request id was accepted on any connection. Bytes that arrive before the connection is used again were noticed already, those that arrive while the request is written were not. Change: on a connection that has carried other requests, an answer without an id ends the attempt as broken. Ruled out by tests that pass before and after: an answer that ends inside its head becomes 502; a failure is never written into a stream that has begun (StoredFailureIsNotWrittenIntoAStreamThatHasBegun).

--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -313,6 +313,11 @@
     end = readHead(current);
     if (end != attempt_end::Delivered)
         return end;
+    // It may be an answer to an earlier request that the server has written once more.
+    if (current.isReused && current.fields.requestId.empty()) {
+        countRun(current);
+        return attempt_end::Broken;
+    }
     m_state.with([&](routing_state &routing) {
         if (current.fields.weights)
             routing.balancer.onWeightsObserved(boot_clock::now(), current.placed.server,
@@ -347,6 +352,7 @@
     if (!acquired)
         return attempt_end::NotRun;
     current.stream = std::move(acquired->stream);
+    current.isReused = acquired->isReused;
     if (m_response.connection().isClosedByRemote())
         return attempt_end::CallerLeft;
     const std::string_view lastEvent = m_events.lastEventId().empty()
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -79,6 +79,8 @@
         /// Whether the whole request was written. A server may answer and close before that.
         bool isRequestWritten = false;
         bool wasSent = false;
+        /// Whether the connection carried other requests before.
+        bool isReused = false;
         bool hasEvents = false;
         /// Whether the attempt was given up since it is expected to crash the server.
         bool isWithdrawn = false;
