Don't hand on levels that an instance knows only by guessing

Cause: a stopping instance is off the list and hears no reports, so its copy of a team's bucket is a guess; a restarted instance could adopt it (levels of 626,602, the full burst, while the window was used up). Change: an instance that doesn't hear half of the others reports no levels.

--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -493,10 +493,16 @@
 admitted_totals team_limits::takeLevels(timestamp now)
 {
     admitted_totals all;
-    const bool isKnown = m_hasAdoptedLevels || now - m_startedAt > newInstanceTime;
-    const bool isNeeded = std::any_of(m_peers.begin(), m_peers.end(), [now](const auto &each) {
-        return each.second.isHeard && now - each.second.firstHeardAt < newInstanceTime;
-    });
+    std::size_t silent = 0;
+    bool isNeeded = false;
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
+        const peer_state &peer = it->second;
+        silent += isSilent(now, peer) ? 1 : 0;
+        isNeeded = isNeeded || (peer.isHeard && now - peer.firstHeardAt < newInstanceTime);
+    }
+    // An instance that is leaving or cut off hears too little of the others.
+    const bool isKnown =
+        2 * silent <= m_peers.size() && (m_hasAdoptedLevels || now - m_startedAt > newInstanceTime);
     if (!isKnown || !isNeeded)
         return all;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
