Hold a large request against an instance's share while its team exceeds the limit

What callers saw: a team over its limit got a little more than its limit where few instances share it. Cause: after a large request, an instance's negative allowance was cut off at one average request, meant for teams below their limit.

--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -20,8 +20,8 @@
 constexpr double calmTolerances = 4;
 /// Fraction of the burst above which a team that keeps to its rate is not refused.
 constexpr double minFreeLevel = 0.25;
-/// Windows in which what a limit still allows is added to the rate. The shorter, the more of its
-/// that always asks for more gets nearly all of its limit.
+/// Windows in which what a limit still allows is added to the rate. The fewer, the more of its
+/// limit gets a team that always asks for more, and the less evenly.
 constexpr double windowRefillTime = 0.75;
 /// How long the units of an instance that is no longer listed or heard are charged, without a
 /// window.
@@ -226,8 +226,8 @@
                                  double level) const
 {
     const double share = shareOf(demand, teamBucket, demand.own);
-    // An instance that knows of all admissions needs no tolerance.
-    // Silent instances may be using the rest of the tolerance.
+    // An instance that knows of all admissions needs no tolerance, and silent ones may be using
+    // theirs.
     const double tolerance = teamBucket.tolerance * (1 - share) * demand.heard / demand.instances;
     const double shared = share * std::max(0.0, level + tolerance);
     if (!isCalm(now, demand, teamBucket) || level <= 0)
@@ -287,15 +287,20 @@
                                 double units)
 {
     double &allowance = teamBucket.allowance;
+    const bool isTeamCalm = isCalm(now, demand, teamBucket);
     // While much of the burst is left, a team that keeps to its rate may send it in any pattern.
-    const bool isFree = isCalm(now, demand, teamBucket)
-        && available(now, teamBucket) > teamBucket.burst * minFreeLevel;
+    const bool isFree = isTeamCalm && available(now, teamBucket) > teamBucket.burst * minFreeLevel;
     if (allowance <= 0 && !isFree)
         return false;
-    if (allowance >= teamBucket.size || isCalm(now, demand, teamBucket)) {
+    if (isTeamCalm) {
+        // One large request doesn't hold up the next ones for long.
         allowance = std::max(allowance - units, std::min(allowance, -teamBucket.size));
         return true;
     }
+    if (allowance >= teamBucket.size) {
+        allowance -= units;
+        return true;
+    }
     // Rounds to a whole request at random and independently of its size. If all instances of a
     // large fleet rounded up, they would together exceed the limit by many requests.
     const bool isTaken =
