Leave three fifths of a limit's tolerance to instances that end without a last report

What callers saw: QUOTA by 0.1% while all eight instances restart in turn beside a team at seven times its demand. Cause: what an instance admits after its last report is lost with it; half of the tolerance didn't cover eight of those in one window.

--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -40,15 +40,17 @@
 
 std::string nameWithoutKind(const std::string &name) { return name.substr(name.find('/') + 1); }
 
-/// Returns the limit of @p team. Half of what the platform tolerates beyond it is used for what
-/// instances don't know of each other; the rest covers instances that end without a last report.
+/// Fraction of what the platform tolerates beyond a limit that is used for what instances don't
+/// know of each other. The rest covers instances that end without a last report.
+constexpr double usableTolerance = 0.4;
+
 team_limit limitOf(const served_team &team, const platform_settings &settings)
 {
     const double inWindow = team.rate * toSeconds(settings.limitWindow) + team.burst;
     const double tokens = team.unit == limit_unit::Tokens ? settings.limitOverageTokens : 0;
     return {.rate = team.rate,
             .burst = team.burst,
-            .tolerance = (inWindow * settings.limitOverage + tokens) / 2};
+            .tolerance = (inWindow * settings.limitOverage + tokens) * usableTolerance};
 }
 
 } // namespace
