--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -64,7 +64,7 @@
     report_timeout reportTimeout;
     /// Window in which a team may use its rate times the window plus its burst, in any order; zero
     /// if a spent burst must be refilled at the rate. With a window, what the limit still allows in
-    /// it is added to the rate by and by.
+    /// it is added to the rate gradually.
     duration window {};
     /// Time constant of the demand average: a few report periods.
     duration demandTime = std::chrono::milliseconds(1500);
@@ -96,11 +96,12 @@
     duration period {};
 };
 
-/// Rate limits of teams across all instances. Each instance keeps a replica of each team's token
-/// bucket and takes from it what it admits, what the others are expected to admit, and the
-/// difference to that once they report. What an instance itself admits is bounded by its share of
-/// the rate and of the level, so that instances that learn late of each other's admissions exceed a
-/// limit by no more than its tolerance. Not thread-safe.
+/// Rate limits of teams across all instances; server_statements uses it for servers' limits. Each
+/// instance keeps a replica of each team's token bucket and takes from it what it admits, what the
+/// others are expected to admit, and the difference to that once they report. What an instance
+/// itself admits is bounded by its share of the rate and of the level, so that instances that learn
+/// late of each other's admissions exceed a limit by little more than its tolerance. Not
+/// thread-safe.
 ///
 /// Handles a team that sends several times its usual load, in fleets of any size, beside lost
 /// reports, cut links and restarts: admission stops at the limit, before the requests take a
