Compare the latest outcomes of a release with those of its predecessor

Found by reading: where the previous release fails 0.5% or more of its requests, the new one had to fail three times that share, both counted since the rollout began. A route that always fails 14% hid a release that fails 36% of its requests there; failures of the old release during a disturbance raised the bar long after it had ended; a release that turned bad after many good answers was found after 136 failures.

The latest 400 outcomes of each release and route are kept in groups of ten. A release is worse if the likelihood ratio between two shares and a common one exceeds the threshold over any span back from now, and its share is at least half again that of the previous release there.

--- a/libs/rollout/include/rollout/outcome_statistics.h
+++ b/libs/rollout/include/rollout/outcome_statistics.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -34,7 +35,9 @@
 
 /// Decides from request outcomes whether a version is worse than its predecessor, separately for
 /// each route. A sequential test (CUSUM of log-likelihood ratios) detects faults that exist from
-/// the start as well as faults that appear later. Not thread-safe.
+/// the start as well as faults that appear later. Where the predecessor also fails requests, the
+/// latest outcomes of both are compared by a likelihood ratio, over the span that speaks most
+/// against the new version. Not thread-safe.
 class outcome_statistics
 {
 public:
@@ -58,6 +61,8 @@
     struct tally
     {
         outcome_counts counts;
+        /// The latest outcomes in groups of consecutive requests, the newest last.
+        std::deque<outcome_counts> latest;
         /// Cumulative sums of the log-likelihood ratios, never below 0.
         double failureSum = 0;
         double slowSum = 0;
@@ -68,8 +73,15 @@
     static const std::array<outcome_test, 2> outcomeTests;
 
     static double shareOf(const outcome_counts &counts, const outcome_test &test);
-    double baselineShare(std::string_view version, std::string_view route,
-                         const outcome_test &test) const;
+    static void addLatest(tally &item, const outcome_counts &counts);
+    static outcome_counts latestOf(const tally &item);
+    /// Returns the latest outcomes of @p version on @p route, or on all routes if there are few.
+    outcome_counts baselineOf(std::string_view version, std::string_view route,
+                              const outcome_test &test) const;
+    /// Returns the largest log-likelihood ratio between different shares of hits and a common one,
+    /// over the latest outcomes of @p item back to any group.
+    static double evidenceAgainst(const tally &item, const outcome_counts &baseline,
+                                  const outcome_test &test);
     bool isWorse(const tally &item, std::string_view baseline, std::string_view route,
                  const outcome_test &test, double threshold) const;
 
--- a/libs/rollout/src/outcome_statistics.cpp
+++ b/libs/rollout/src/outcome_statistics.cpp
@@ -27,6 +27,11 @@
 
 /// Minimum number of requests to the previous version for its share to be compared.
 constexpr std::uint64_t minBaselineRequests = 50;
+/// Requests in a group of the latest outcomes, and the number of groups that are kept.
+constexpr std::uint64_t groupRequests = 10;
+constexpr std::size_t maxGroups = 40;
+/// Smallest ratio between the shares of a bad version and its predecessor.
+constexpr double minShareRatio = 1.5;
 
 /// Returns the log-likelihood ratio of one outcome between a bad and a good version.
 double logLikelihoodRatio(bool hit, const test_shares &shares)
@@ -44,6 +49,14 @@
     return std::max(0.0, sum + change);
 }
 
+/// Returns the log-likelihood of @p hits in @p requests at the share @p share.
+double logLikelihood(double hits, double requests, double share)
+{
+    const double misses = requests - hits;
+    return (hits > 0 ? hits * std::log(share) : 0)
+        + (misses > 0 ? misses * std::log(1 - share) : 0);
+}
+
 } // namespace
 
 outcome_counts &outcome_counts::operator+=(const outcome_counts &other)
@@ -91,21 +104,72 @@
 {
     tally &item = m_tallies[{std::string(version), std::string(route)}];
     item.counts += counts;
+    addLatest(item, counts);
     item.failureSum = updatedSum(item.failureSum, std::min(counts.failures, counts.requests),
                                  counts.requests, failureShares);
     item.slowSum =
         updatedSum(item.slowSum, std::min(counts.slow, counts.timed), counts.timed, slowShares);
 }
 
-double outcome_statistics::baselineShare(std::string_view version, std::string_view route,
-                                         const outcome_test &test) const
+void outcome_statistics::addLatest(tally &item, const outcome_counts &counts)
+{
+    const bool isFull = !item.latest.empty()
+        && std::max(item.latest.back().requests, item.latest.back().timed) >= groupRequests;
+    if (item.latest.empty() || isFull)
+        item.latest.emplace_back();
+    item.latest.back() += counts;
+    if (item.latest.size() > maxGroups)
+        item.latest.pop_front();
+}
+
+outcome_counts outcome_statistics::latestOf(const tally &item)
+{
+    outcome_counts sum;
+    for (const outcome_counts &each : item.latest)
+        sum += each;
+    return sum;
+}
+
+outcome_counts outcome_statistics::baselineOf(std::string_view version, std::string_view route,
+                                              const outcome_test &test) const
 {
     const auto found = m_tallies.find({std::string(version), std::string(route)});
-    const bool isKnown =
-        found != m_tallies.end() && found->second.counts.*test.requests >= minBaselineRequests;
-    // A route with little traffic is compared with all routes.
-    const outcome_counts counts = isKnown ? found->second.counts : total(version);
-    return counts.*test.requests >= minBaselineRequests ? shareOf(counts, test) : 0;
+    if (found != m_tallies.end()) {
+        const outcome_counts counts = latestOf(found->second);
+        if (counts.*test.requests >= minBaselineRequests)
+            return counts;
+    }
+    outcome_counts sum;
+    for (auto it = m_tallies.begin(); it != m_tallies.end(); ++it) {
+        if (it->first.first == version)
+            sum += latestOf(it->second);
+    }
+    return sum;
+}
+
+double outcome_statistics::evidenceAgainst(const tally &item, const outcome_counts &baseline,
+                                           const outcome_test &test)
+{
+    const double baselineRequests = static_cast<double>(baseline.*test.requests);
+    const double baselineHits =
+        static_cast<double>(std::min(baseline.*test.hits, baseline.*test.requests));
+    const double baselineShare = shareOf(baseline, test);
+    double largest = 0;
+    outcome_counts sum;
+    for (auto it = item.latest.rbegin(); it != item.latest.rend(); ++it) {
+        sum += *it;
+        const double requests = static_cast<double>(sum.*test.requests);
+        const double hits = static_cast<double>(std::min(sum.*test.hits, sum.*test.requests));
+        if (requests == 0 || hits <= minShareRatio * baselineShare * requests)
+            continue;
+        const double common = (hits + baselineHits) / (requests + baselineRequests);
+        largest =
+            std::max(largest,
+                     logLikelihood(hits, requests, hits / requests)
+                         + logLikelihood(baselineHits, baselineRequests, baselineShare)
+                         - logLikelihood(hits + baselineHits, requests + baselineRequests, common));
+    }
+    return largest;
 }
 
 bool outcome_statistics::isWorse(const tally &item, std::string_view baseline,
@@ -114,9 +178,10 @@
 {
     if (item.*test.sum < threshold)
         return false;
-    // If the previous version is about as bad on this route, the new version is not the cause.
-    const double baselineValue = baselineShare(baseline, route, test);
-    return baselineValue < test.shares.good || shareOf(item.counts, test) > 3 * baselineValue;
+    const outcome_counts before = baselineOf(baseline, route, test);
+    if (before.*test.requests < minBaselineRequests || shareOf(before, test) < test.shares.good)
+        return true;
+    return evidenceAgainst(item, before, test) >= threshold;
 }
 
 bool outcome_statistics::isBad(std::string_view candidate, std::string_view baseline,
