Tell all instances that a release was found to be bad

Cause, from the log: each instance judged the release by itself, and they judged differently. Five of eight rolled it back at 7.2 s on 7 failures of 13 requests. The other three, among them the leader, did not, moved all traffic at 16.9 s and reported the rollout as done. An instance that starts, and finds no status in the store, is in the same position: reports that came before it knew the request were counted as read. Also found by reading: a release that had been rolled back counted as the previous one in the next rollout.

Reports now carry the releases that were found to be bad. What one instance has found holds for all, until the operator requests the release again. Outcomes that other instances report are taken once the request is known.

--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -51,6 +51,15 @@
     outcome_counts counts;
 };
 
+/// A release that was found to be bad.
+struct bad_release_record
+{
+    std::string service;
+    std::string release;
+    /// Milliseconds since the first instance found it to be bad.
+    std::uint64_t ageMs = 0;
+};
+
 /// State that an instance sends to the others every few hundred milliseconds. Each report is
 /// complete, so a lost one is made up for by the next.
 struct peer_report
@@ -96,6 +105,7 @@
     /// Epoch of the instance's leader lease, 0 if it is not the leader.
     std::uint64_t leaderEpoch = 0;
     std::vector<release_outcomes> releases;
+    std::vector<bad_release_record> badReleases;
     /// Limits that servers have named, and the requests sent to such servers. See
     /// server_statements.
     std::vector<server_limit_record> serverLimits;
--- a/libs/dispatch/include/dispatch/release_shares.h
+++ b/libs/dispatch/include/dispatch/release_shares.h
@@ -24,6 +24,15 @@
     std::optional<rollout_stage> reported;
 };
 
+/// A release that was found to be bad.
+struct bad_release
+{
+    std::string service;
+    std::string release;
+    /// When the first instance found it to be bad.
+    timestamp foundAt;
+};
+
 /// Options of release_shares.
 struct release_share_options
 {
@@ -41,7 +50,9 @@
 
 /// Splits a service's requests between the old and the new release while traffic moves. Each
 /// instance advances the stages by its own clock, from when it first saw the rollout request, and
-/// rolls the release back when it has counted enough failures. Not thread-safe.
+/// rolls the release back when it has counted enough failures or another instance has. A release
+/// that was found to be bad gets no requests, also while a later one is rolled out, until the
+/// operator requests it again. Not thread-safe.
 class release_shares
 {
 public:
@@ -63,6 +74,9 @@
     /// Adds the outcomes that another instance has counted since its last report.
     void add(std::string_view service, std::string_view release, std::string_view route,
              const outcome_counts &counts);
+    /// Takes over that another instance has found a release to be bad. Returns whether that is
+    /// news.
+    bool addBadRelease(const bad_release &found);
     /// Evaluates the outcomes and advances the stages. Returns the services whose stage changed.
     std::vector<std::string> step(timestamp now);
 
@@ -80,6 +94,8 @@
     std::string baseline(std::string_view service) const;
     /// Returns why the requested release of @p service was found to be bad; empty if it was not.
     bad_version_verdict verdict(std::string_view service) const;
+    /// Returns the releases that were found to be bad, for the other instances.
+    std::vector<bad_release> badReleases() const;
     /// Returns the operator's requests for all services.
     std::vector<rollout_request> requests() const;
 
@@ -91,12 +107,17 @@
         rollout_stage stage = rollout_stage::Moving;
         outcome_statistics outcomes;
         bad_version_verdict verdict;
+        /// Releases that were found to be bad, with the time.
+        std::map<std::string, timestamp, std::less<>> badReleases;
+        /// When a bad release was last requested again.
+        timestamp requestedAgainAt;
         /// Last seen other release, which the new release is compared with.
         std::string baseline;
         /// Times of responses of releases that are not being tested, by route.
         std::map<std::string, response_baseline, std::less<>> times;
     };
 
+    static void rollBack(service_state &state, timestamp foundAt);
     double share(timestamp now, const service_state &state) const;
 
     release_share_options m_options;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -89,6 +89,19 @@
     return list;
 }
 
+Json::Value badReleasesToJson(const std::vector<bad_release_record> &releases)
+{
+    Json::Value list(Json::arrayValue);
+    for (const bad_release_record &each : releases) {
+        Json::Value entry(Json::arrayValue);
+        entry.append(each.service);
+        entry.append(each.release);
+        entry.append(Json::UInt64(each.ageMs));
+        list.append(entry);
+    }
+    return list;
+}
+
 Json::Value crashesToJson(const std::vector<crash_record> &crashes)
 {
     Json::Value list(Json::arrayValue);
@@ -191,6 +204,7 @@
         value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
     addNonEmpty(value, "stores", numbersToJson(report.storeEpochs));
     addNonEmpty(value, "releases", releasesToJson(report.releases));
+    addNonEmpty(value, "bad_releases", badReleasesToJson(report.badReleases));
     addNonEmpty(value, "server_limits", serverLimitsToJson(report.serverLimits));
     addNonEmpty(value, "server_requests", numbersToJson(report.serverRequests));
     addNonEmpty(value, "server_asked_rates", numbersToJson(report.serverDemandRates));
--- a/libs/dispatch/src/release_shares.cpp
+++ b/libs/dispatch/src/release_shares.cpp
@@ -14,16 +14,48 @@
         return;
     }
     service_state &state = m_services[std::string(service)];
-    const bool isKnown = state.request && state.request->release == request->release;
+    const bool hadRequest = state.request.has_value();
+    const bool isKnown = hadRequest && state.request->release == request->release;
     state.request = request;
     if (!isKnown) {
         state.seenAt = now;
         state.stage = rollout_stage::Moving;
-        state.outcomes.forget(request->release);
         state.verdict = {};
+        // Another instance may have found the release to be bad before this one saw the request.
+        const auto bad = state.badReleases.find(request->release);
+        if (bad != state.badReleases.end() && !hadRequest) {
+            state.stage = rollout_stage::RolledBack;
+        } else if (bad != state.badReleases.end()) {
+            state.badReleases.erase(bad);
+            state.requestedAgainAt = now;
+            state.outcomes.forget(request->release);
+        }
     }
-    if (request->reported && *request->reported != rollout_stage::Moving)
-        state.stage = *request->reported;
+    if (request->reported == rollout_stage::RolledBack)
+        rollBack(state, now);
+    else if (request->reported == rollout_stage::Done)
+        state.stage = rollout_stage::Done;
+}
+
+void release_shares::rollBack(service_state &state, timestamp foundAt)
+{
+    state.stage = rollout_stage::RolledBack;
+    state.badReleases.try_emplace(state.request->release, foundAt);
+}
+
+bool release_shares::addBadRelease(const bad_release &found)
+{
+    service_state &state = m_services[found.service];
+    if (state.badReleases.contains(found.release) || found.foundAt < state.requestedAgainAt)
+        return false;
+    const bool isRequested = state.request && state.request->release == found.release;
+    // The servers of the previous release end once a release is done.
+    if (isRequested && state.stage == rollout_stage::Done)
+        return false;
+    state.badReleases.emplace(found.release, found.foundAt);
+    if (isRequested)
+        state.stage = rollout_stage::RolledBack;
+    return true;
 }
 
 void release_shares::recordOutcome(std::string_view service, std::string_view release,
@@ -75,7 +107,7 @@
             continue;
         const std::string &release = state.request->release;
         if (state.outcomes.isBad(release, state.baseline, state.verdict)) {
-            state.stage = rollout_stage::RolledBack;
+            rollBack(state, now);
             changed.push_back(it->first);
         } else if (now - state.seenAt
                        >= fromSeconds(toSeconds(state.request->rampTime) * m_options.doneAt)
@@ -107,6 +139,8 @@
     const auto found = m_services.find(service);
     if (found == m_services.end() || !found->second.request)
         return true;
+    if (found->second.badReleases.contains(release))
+        return false;
     const bool isNew = release == found->second.request->release;
     return takesNewVersion(bits, share(now, found->second)) == isNew;
 }
@@ -143,6 +177,17 @@
     return found == m_services.end() ? bad_version_verdict {} : found->second.verdict;
 }
 
+std::vector<bad_release> release_shares::badReleases() const
+{
+    std::vector<bad_release> all;
+    for (auto service = m_services.begin(); service != m_services.end(); ++service) {
+        const auto &bad = service->second.badReleases;
+        for (auto it = bad.begin(); it != bad.end(); ++it)
+            all.push_back({.service = service->first, .release = it->first, .foundAt = it->second});
+    }
+    return all;
+}
+
 std::vector<rollout_request> release_shares::requests() const
 {
     std::vector<rollout_request> all;
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -127,6 +127,20 @@
     });
 }
 
+void readBadReleases(const value_fields &fields, peer_report &report)
+{
+    constexpr std::size_t ageField = 2;
+    forEach<value_list>(fields, "bad_releases", [&report](const value_list &items) {
+        const std::optional<std::string_view> service = as<std::string_view>(items.at(0));
+        const std::optional<std::string_view> release = as<std::string_view>(items.at(1));
+        const std::optional<std::uint64_t> age = as<std::uint64_t>(items.at(ageField));
+        if (service && release && age)
+            report.badReleases.push_back({.service = std::string(*service),
+                                          .release = std::string(*release),
+                                          .ageMs = *age});
+    });
+}
+
 void readCrashes(const value_fields &fields, peer_report &report)
 {
     constexpr std::size_t ageField = 2;
@@ -213,6 +227,7 @@
     readNumbers(fields, "named_age_ms", report.targetAgeMs);
     readNumbers(fields, "stores", report.storeEpochs);
     readReleases(fields, report);
+    readBadReleases(fields, report);
     readServerLimits(fields, report);
     readNames(fields, "leaving_servers", report.leavingServers);
     readNumbers(fields, "server_requests", report.serverRequests);
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -32,6 +32,7 @@
         .targetAgeMs = {{"m=4", 1500}},
         .leaderEpoch = 3,
         .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2, 4}}},
+        .badReleases = {{.service = "a", .release = "v2", .ageMs = 250}},
         .serverLimits = {{.server = "s1", .requestsPerSecond = 1.5, .ageMs = 9}},
         .serverRequests = {{"s1", 4}},
         .serverDemandRates = {{"s1", 2.5}},
@@ -74,6 +75,9 @@
     EXPECT_EQ(read->weights, report.weights);
     EXPECT_EQ(read->targetAgeMs, report.targetAgeMs);
     EXPECT_EQ(read->releases[0].counts, report.releases[0].counts);
+    ASSERT_EQ(read->badReleases.size(), 1U);
+    EXPECT_EQ(read->badReleases[0].release, "v2");
+    EXPECT_EQ(read->badReleases[0].ageMs, 250U);
 }
 
 TEST(PeerReport, RejectsMalformedText)
--- a/libs/dispatch/tests/release_shares_test.cpp
+++ b/libs/dispatch/tests/release_shares_test.cpp
@@ -156,6 +156,59 @@
     EXPECT_TRUE(shares.allows({}, service, "v1", 1));
 }
 
+// A release that had been rolled back counted as the previous one when the next was rolled out.
+TEST(ReleaseShares, BadReleaseGetsNoRequestsWhileTheNextOneIsRolledOut)
+{
+    rollout_simulation bad;
+    bad.serve(4, 400, 0);
+    ASSERT_EQ(bad.shares.stage(service), rollout_stage::RolledBack);
+    bad.shares.setRequest(bad.now, service,
+                          rollout_request {.service = service,
+                                           .release = "v3",
+                                           .rampTime = std::chrono::seconds(12)});
+    constexpr std::uint64_t midRange = std::uint64_t {1} << 63;
+    EXPECT_FALSE(bad.shares.allows(bad.now, service, "v2", midRange));
+    EXPECT_TRUE(bad.shares.allows(bad.now, service, "v1", midRange));
+}
+
+// An instance that had restarted, and didn't find the status in the store, tried the release again.
+TEST(ReleaseShares, BadReleaseFoundByAnotherInstanceGetsNoRequests)
+{
+    const timestamp start {};
+    const rollout_request request {
+        .service = service, .release = "v2", .rampTime = std::chrono::seconds(12)};
+    for (const bool isReportedFirst : {true, false}) {
+        release_shares shares({});
+        if (!isReportedFirst)
+            shares.setRequest(start, service, request);
+        EXPECT_TRUE(shares.addBadRelease({.service = service, .release = "v2", .foundAt = start}));
+        if (isReportedFirst)
+            shares.setRequest(start, service, request);
+        EXPECT_EQ(shares.stage(service), rollout_stage::RolledBack);
+        EXPECT_FALSE(shares.allows(start, service, "v2", 0));
+        EXPECT_FALSE(shares.addBadRelease({.service = service, .release = "v2", .foundAt = start}));
+        EXPECT_EQ(shares.badReleases().size(), 1U);
+    }
+}
+
+TEST(ReleaseShares, BadReleaseIsTriedAgainWhenRequestedAgain)
+{
+    rollout_simulation bad;
+    bad.serve(4, 400, 0);
+    const timestamp foundAt = bad.shares.badReleases().at(0).foundAt;
+    const rollout_request again {
+        .service = service, .release = "v2", .rampTime = std::chrono::seconds(12)};
+    rollout_request other = again;
+    other.release = "v3";
+    bad.shares.setRequest(bad.now, service, other);
+    bad.shares.setRequest(bad.now, service, again);
+    EXPECT_EQ(bad.shares.stage(service), rollout_stage::Moving);
+    // An instance that has not seen the request yet reports what it knew before.
+    EXPECT_FALSE(
+        bad.shares.addBadRelease({.service = service, .release = "v2", .foundAt = foundAt}));
+    EXPECT_TRUE(bad.shares.allows(bad.now, service, "v2", 0));
+}
+
 TEST(ReleaseShares, AllReleasesAreAllowedWithoutARequest)
 {
     release_shares shares({});
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -155,6 +155,10 @@
         addCrashes(now, routing, report);
         for (auto it = routing.localOutcomes.begin(); it != routing.localOutcomes.end(); ++it)
             report.releases.push_back(it->second);
+        for (const bad_release &each : routing.releases.badReleases())
+            report.badReleases.push_back({.service = each.service,
+                                          .release = each.release,
+                                          .ageMs = ageMs(now, each.foundAt)});
         for (const registered_server &server :
              routing.balancer.serversWithNewWeights(now - weightsReportTime)) {
             for (auto it = server.weights.begin(); it != server.weights.end(); ++it)
@@ -261,7 +265,7 @@
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
-        applyOutcomes(report, routing);
+        applyOutcomes(now, report, routing);
         return true;
     });
     if (isNew)
@@ -348,9 +352,24 @@
         routing.partCrashes.clear(now - std::chrono::milliseconds(each.ageMs), each.part);
 }
 
-void peer_exchange::applyOutcomes(const peer_report &report, routing_state &routing)
+void peer_exchange::applyOutcomes(timestamp now, const peer_report &report, routing_state &routing)
 {
+    for (const bad_release_record &each : report.badReleases) {
+        const bool isNews = routing.releases.addBadRelease(
+            {.service = each.service,
+             .release = each.release,
+             .foundAt = now - std::chrono::milliseconds(each.ageMs)});
+        if (isNews)
+            writeEvent(event_line("rollout", "bad_release_reported")
+                           .add("service", each.service)
+                           .add("release", each.release)
+                           .add("by", report.from)
+                           .add("age_ms", each.ageMs));
+    }
     for (const release_outcomes &each : report.releases) {
+        // The next report repeats the counts, so they are taken once the request is known here.
+        if (!routing.releases.request(each.service))
+            continue;
         outcome_counts &reported =
             m_reportedOutcomes[report.from + "/" + std::to_string(report.incarnation) + "/"
                                + each.service + "/" + each.release + "/" + each.route];
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -45,7 +45,7 @@
     void applyWeights(timestamp now, const peer_report &report, routing_state &routing);
     void applyLimits(timestamp now, const peer_report &report, routing_state &routing);
     void applyCrashes(timestamp now, const peer_report &report, routing_state &routing);
-    void applyOutcomes(const peer_report &report, routing_state &routing);
+    void applyOutcomes(timestamp now, const peer_report &report, routing_state &routing);
     /// Writes what was admitted and charged of the teams near their limits to the log.
     void logLimitAccounts(timestamp now);
     /// Returns the interval between reports, which is shorter for the leader and for an instance
