Don't move all traffic to a release that is on the way to being found bad

A suspect release keeps its small share. SuspectReleaseDoesNotGetAllTraffic fails without the change.

--- a/libs/dispatch/include/dispatch/release_shares.h
+++ b/libs/dispatch/include/dispatch/release_shares.h
@@ -107,6 +107,8 @@
         rollout_stage stage = rollout_stage::Moving;
         outcome_statistics outcomes;
         bad_version_verdict verdict;
+        /// Whether the release was on the way to being found bad at the last step.
+        bool isSuspect = false;
         /// Releases that were found to be bad, with the time.
         std::map<std::string, timestamp, std::less<>> badReleases;
         /// When a bad release was last requested again.
--- a/libs/dispatch/src/release_shares.cpp
+++ b/libs/dispatch/src/release_shares.cpp
@@ -106,13 +106,13 @@
         if (!state.request || state.stage != rollout_stage::Moving)
             continue;
         const std::string &release = state.request->release;
+        state.isSuspect = state.outcomes.isSuspect(release, state.baseline);
         if (state.outcomes.isBad(release, state.baseline, state.verdict)) {
             rollBack(state, now);
             changed.push_back(it->first);
         } else if (now - state.seenAt
                        >= fromSeconds(toSeconds(state.request->rampTime) * m_options.doneAt)
-                   && share(now, state) >= 1
-                   && !state.outcomes.isSuspect(release, state.baseline)) {
+                   && share(now, state) >= 1) {
             state.stage = rollout_stage::Done;
             changed.push_back(it->first);
         }
@@ -130,7 +130,8 @@
     const double rampSeconds = toSeconds(state.request->rampTime);
     const bool hasEvidence =
         state.outcomes.total(state.request->release).timed >= m_options.minTimedRequests;
-    return age >= rampSeconds * m_options.moveAt && hasEvidence ? 1 : m_options.canaryShare;
+    const bool takesAll = age >= rampSeconds * m_options.moveAt && hasEvidence && !state.isSuspect;
+    return takesAll ? 1 : m_options.canaryShare;
 }
 
 bool release_shares::allows(timestamp now, std::string_view service, std::string_view release,
--- a/libs/dispatch/tests/release_shares_test.cpp
+++ b/libs/dispatch/tests/release_shares_test.cpp
@@ -156,6 +156,20 @@
     EXPECT_TRUE(shares.allows({}, service, "v1", 1));
 }
 
+// All requests went to a release while it was on the way to being found bad.
+TEST(ReleaseShares, SuspectReleaseDoesNotGetAllTraffic)
+{
+    rollout_simulation suspect;
+    suspect.serve(10.2, 1020, 100);
+    for (int i = 0; i < 2; ++i)
+        suspect.shares.recordOutcome(service, "v2", "r", {.requests = 1, .failures = 1});
+    const timestamp moveTime = timestamp {} + std::chrono::milliseconds(10400);
+    suspect.shares.step(moveTime);
+    ASSERT_EQ(suspect.shares.stage(service), rollout_stage::Moving);
+    constexpr std::uint64_t midRange = std::uint64_t {1} << 63;
+    EXPECT_FALSE(suspect.shares.allows(moveTime, service, "v2", midRange));
+}
+
 // A release that had been rolled back counted as the previous one when the next was rolled out.
 TEST(ReleaseShares, BadReleaseGetsNoRequestsWhileTheNextOneIsRolledOut)
 {
