Follow a store that was restored from a copy

Cause: versions were the store's bare revisions, which go back at a restore and are given out again. object_mirror ignored everything until the counter had passed its old value; a watch from there was then answered normally, without what had changed below; instances compared bare revisions, so none fetched a copy from another.

The store's client, which alone knows the field Store-Era, puts the era above the revision (store_version), so versions only rise, also in reports, copies and the lease. It fails a watch across a restore with history-gone, a conditional write with conflict, and doesn't use answers of an earlier era. At a restore, object_mirror recognises the states that it has seen replaced; what was known stays in force, and removed objects stay removed, until their writers write again. Instances that start in between learn that from the others.

--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -75,6 +75,8 @@
     double delayMs = 0;
     /// Newest store revision that the instance has seen, by kind of object.
     std::map<std::string, std::uint64_t, std::less<>> revisions;
+    /// Number of states in a restored store that the instance knows to be outdated, by kind.
+    std::map<std::string, std::uint64_t, std::less<>> outdated;
     /// Load that the instance has put on each server.
     std::map<std::string, server_load, std::less<>> load;
     /// See team_limits::totals(), team_limits::takeLevels() and
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -1,6 +1,7 @@
 #include <dispatch/peer_report.h>
 
 #include <cmath>
+#include <type_traits>
 
 #include <core/json.h>
 #include <http/message.h>
@@ -19,6 +20,10 @@
 {
     Json::Value value(Json::objectValue);
     for (auto it = numbers.begin(); it != numbers.end(); ++it) {
+        if constexpr (std::is_integral_v<Number>) {
+            value[it->first] = Json::UInt64(it->second);
+            continue;
+        }
         const double number = static_cast<double>(it->second);
         const bool isWhole = std::trunc(number) == number && std::abs(number) < maxExactInteger;
         value[it->first] =
@@ -184,6 +189,7 @@
     if (report.delayMs > 0)
         value["delay_ms"] = Json::Int64(std::lround(report.delayMs));
     addNonEmpty(value, "revisions", numbersToJson(report.revisions));
+    addNonEmpty(value, "outdated", numbersToJson(report.outdated));
     addNonEmpty(value, "load", loadToJson(report.load));
     addNonEmpty(value, "admitted", numbersToJson(report.admitted));
     addNonEmpty(value, "asked_rates", numbersToJson(report.demandRates));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -212,6 +212,7 @@
     if (report.from.empty())
         return std::nullopt;
     readNumbers(fields, "revisions", report.revisions);
+    readNumbers(fields, "outdated", report.outdated);
     readLoad(fields, report);
     readNumbers(fields, "admitted", report.admitted);
     readNumbers(fields, "asked_rates", report.demandRates);
--- a/libs/platform/include/platform/object_store.h
+++ b/libs/platform/include/platform/object_store.h
@@ -13,7 +13,8 @@
 struct object
 {
     std::string name;
-    /// Set by each write to a number greater than all earlier ones in the store.
+    /// Set by each write to a number greater than all earlier ones in the store, also if the store
+    /// has been restored from a copy since; see store_version.
     std::uint64_t version = 0;
     std::string value;
     /// Reported status of the object if the store keeps it separate from the value; else "".
@@ -61,6 +62,10 @@
 
 /// The platform's object API. Implementations are thread-safe. Calls block, so they must not be
 /// made on the control thread. An object may hold up to a megabyte.
+///
+/// A store that is restored from a copy loses its last changes. An implementation for such a store
+/// makes versions rise across that, fails a watch from before it with history-gone, and a write
+/// that expects a version from before it with conflict.
 class object_store
 {
 public:
--- a/libs/platform/tests/object_mirror_test.cpp
+++ b/libs/platform/tests/object_mirror_test.cpp
@@ -1,6 +1,7 @@
 #include <platform/object_mirror.h>
 
 #include <gtest/gtest.h>
+#include <platform/store_version.h>
 
 namespace trefoil {
 
@@ -109,4 +110,99 @@
     EXPECT_FALSE(empty.applyCopy(now, {.objects = entries {entry("z", 1)}, .upToVersion = 3}));
 }
 
+// After a restore, everything was ignored until the store's revisions had passed their old value.
+TEST(ObjectMirror, RestoredStoreIsFollowedAndWhatWasKnownStaysInForce)
+{
+    object_mirror mirror;
+    const timestamp now {};
+    const auto at = [](std::uint64_t era, std::uint64_t revision) {
+        return store_version::of(era, revision);
+    };
+    const auto state = [&](const char *name, std::uint64_t version, const char *value) {
+        object item = entry(name, version);
+        item.value = value;
+        return item;
+    };
+    mirror.applySnapshot(now,
+                         entries {state("changed", at(1, 1), "old"), state("gone", at(1, 2), "v"),
+                                  state("same", at(1, 3), "v")},
+                         at(1, 3));
+    mirror.applyChanges(
+        now, entries {state("changed", at(1, 5), "new"), entry("gone", at(1, 6), true)}, at(1, 6));
+    // The copy is from between revisions 3 and 5; "written" was written after it was restored.
+    EXPECT_TRUE(mirror.applySnapshot(
+        now,
+        entries {state("changed", at(2, 1), "old"), state("gone", at(2, 2), "v"),
+                 state("same", at(2, 3), "v"), state("written", at(2, 5), "v")},
+        at(2, 5)));
+    EXPECT_EQ(mirror.upToVersion(), at(2, 5));
+    EXPECT_EQ(mirror.objects().at("changed").value, "new");
+    EXPECT_FALSE(mirror.objects().contains("gone"));
+    EXPECT_TRUE(mirror.objects().contains("same"));
+    EXPECT_TRUE(mirror.objects().contains("written"));
+    EXPECT_FALSE(mirror.isWritten("changed"));
+    EXPECT_EQ(mirror.outdatedCount(), 2U);
+
+    // Another snapshot does not bring the old states back, and a write takes effect.
+    mirror.applySnapshot(now,
+                         entries {state("changed", at(2, 1), "old"), state("gone", at(2, 2), "v"),
+                                  state("same", at(2, 3), "v")},
+                         at(2, 6));
+    EXPECT_EQ(mirror.objects().at("changed").value, "new");
+    EXPECT_FALSE(mirror.objects().contains("gone"));
+    EXPECT_TRUE(mirror.applyChanges(now, entries {state("changed", at(2, 7), "newer")}, at(2, 7)));
+    EXPECT_EQ(mirror.objects().at("changed").value, "newer");
+    EXPECT_TRUE(mirror.isWritten("changed"));
+
+    // An answer of the earlier era comes late.
+    EXPECT_FALSE(mirror.applySnapshot(now, entries {state("same", at(1, 9), "x")}, at(1, 9)));
+    EXPECT_FALSE(mirror.applyChanges(now, entries {state("same", at(1, 9), "x")}, at(1, 9)));
+}
+
+TEST(ObjectMirror, RewrittenObjectWithALowerRevisionThanBeforeTakesEffect)
+{
+    object_mirror mirror;
+    const timestamp now {};
+    mirror.applySnapshot(now, entries {entry("a", store_version::of(1, 1))},
+                         store_version::of(1, 1));
+    mirror.applyChanges(now, entries {entry("a", store_version::of(1, 9))},
+                        store_version::of(1, 9));
+    object rewritten = entry("a", store_version::of(2, 4));
+    rewritten.value = "rewritten";
+    EXPECT_TRUE(mirror.applySnapshot(now, entries {rewritten}, store_version::of(2, 4)));
+    EXPECT_EQ(mirror.objects().at("a").value, "rewritten");
+}
+
+TEST(ObjectMirror, ObjectThatARestoredStoreLacksIsKeptForTheRestoreTime)
+{
+    constexpr duration restoreTime = std::chrono::seconds(2);
+    object_mirror mirror(restoreTime);
+    const timestamp now {};
+    mirror.applySnapshot(now, entries {entry("a", store_version::of(1, 1))},
+                         store_version::of(1, 1));
+    mirror.applySnapshot(now, entries {}, store_version::of(2, 1));
+    EXPECT_TRUE(mirror.objects().contains("a"));
+    EXPECT_FALSE(mirror.isWritten("a"));
+    EXPECT_TRUE(mirror.removeExpired(now + restoreTime));
+    EXPECT_FALSE(mirror.objects().contains("a"));
+}
+
+TEST(ObjectMirror, InstanceThatStartsAfterARestoreLearnsWhatIsOutdatedFromAnother)
+{
+    object_mirror other;
+    const timestamp now {};
+    object known = entry("a", store_version::of(1, 5));
+    known.value = "new";
+    const object outdated = entry("a", store_version::of(2, 1));
+    other.applySnapshot(now, entries {entry("a", store_version::of(1, 1))},
+                        store_version::of(1, 1));
+    other.applyChanges(now, entries {known}, store_version::of(1, 5));
+    other.applySnapshot(now, entries {outdated}, store_version::of(2, 1));
+    object_mirror started;
+    started.applySnapshot(now, entries {outdated}, store_version::of(2, 2));
+    EXPECT_TRUE(started.adoptOutdated(other.copy()));
+    EXPECT_EQ(started.objects().at("a").value, "new");
+    EXPECT_FALSE(started.adoptOutdated(other.copy()));
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -126,6 +126,7 @@
                         .isLeaving = m_state.isLeaving(),
                         .periodMs = toSeconds(reportInterval(m_isLeader)) * 1000,
                         .revisions = m_watch.newestChanges(),
+                        .outdated = m_watch.outdatedCounts(),
                         .loading = leaderReport.loading,
                         .leaderEpoch = leaderReport.epoch,
                         .storeEpochs = leaderReport.storeEpochs};
@@ -269,7 +270,7 @@
         return true;
     });
     if (isNew)
-        m_watch.recordPeerChanges(now, peer, report.revisions);
+        m_watch.recordPeerChanges(now, peer, report.revisions, report.outdated);
 }
 
 void peer_exchange::applyServers(timestamp now, const peer_report &report, routing_state &routing)
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -7,6 +7,7 @@
 #include <adapter/documents.h>
 #include <core/json.h>
 #include <platform/codec.h>
+#include <platform/store_version.h>
 #include <telemetry/event_log.h>
 
 #include "http_util.h"
@@ -30,6 +31,8 @@
 constexpr int reducedFreshReaders = 3;
 /// Servers whose entries expired in an outage register again within 2 s of its end.
 constexpr duration serverReregistrationTime = std::chrono::milliseconds(1900);
+/// Time for all instances to notice that a restored store lacks their entries, and to write them.
+constexpr duration instanceRestoreTime = std::chrono::seconds(3);
 /// Time that a copy may be behind before it is fetched from another instance; normally the store's
 /// watch delivers changes sooner.
 constexpr duration maxTimeBehind = std::chrono::milliseconds(350);
@@ -59,19 +62,22 @@
 {
     const timestamp start = boot_clock::now();
     const duration urgent = fromSeconds(toSeconds(state.settings().contactTime) * silenceShare);
-    const auto kindOf = [](duration maxSilence, int freshReaders,
-                           duration reregistrationTime = {}) {
+    const auto kindOf = [](duration maxSilence, int freshReaders, duration reregistrationTime = {},
+                           duration restoreTime = {}) {
         return watched_kind {.pacer = watch_pacer({.maxSilence = maxSilence}),
+                             .mirror = object_mirror(restoreTime),
                              .freshReaders = freshReaders,
                              .reregistrationTime = reregistrationTime};
     };
     m_kinds = {
         {store_kinds::configuration, kindOf(urgent, maxFreshReaders)},
-        {store_kinds::servers, kindOf(urgent, maxFreshReaders, serverReregistrationTime)},
+        {store_kinds::servers,
+         kindOf(urgent, maxFreshReaders, serverReregistrationTime, serverReregistrationTime)},
         {store_kinds::weights, kindOf(std::max(urgent, maxWeightsSilence), reducedFreshReaders)},
         {store_kinds::rollouts, kindOf(urgent, reducedFreshReaders)},
         {store_kinds::instances,
-         kindOf(std::max(urgent, maxInstancesSilence), reducedFreshReaders)}};
+         kindOf(std::max(urgent, maxInstancesSilence), reducedFreshReaders, {},
+                instanceRestoreTime)}};
     for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
         it->second.answeredAt = start;
 }
@@ -133,16 +139,28 @@
     const timestamp outageEnd =
         m_state.with([](routing_state &routing) { return routing.storeOutage.outageEnd(); });
     bool hasChanged = false;
+    bool isRestored = false;
+    std::size_t outdated = 0;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &watched = m_kinds.find(kind)->second;
         object_mirror &mirror = watched.mirror;
+        isRestored = mirror.upToVersion() != 0
+            && store_version::era(mirror.upToVersion()) < store_version::era(answer.upToVersion);
         const timestamp reregistrationDeadline = outageEnd + watched.reregistrationTime;
         hasChanged = read.isSnapshot
             ? mirror.applySnapshot(now, answer.changed, answer.upToVersion, reregistrationDeadline)
             : mirror.applyChanges(now, answer.changed, answer.upToVersion, reregistrationDeadline);
         hasChanged = mirror.removeExpired(now) || hasChanged;
+        outdated = mirror.outdatedCount();
     }
+    if (isRestored)
+        writeEvent(event_line("store", "restored_kind_read")
+                       .add("kind", kind)
+                       .add("era", store_version::era(answer.upToVersion))
+                       .add("revision", store_version::revision(answer.upToVersion))
+                       .add("objects", std::uint64_t {answer.changed.size()})
+                       .add("outdated", std::uint64_t {outdated}));
     if (hasChanged)
         apply(kind);
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -192,6 +210,17 @@
                        .add("reason", reason));
 }
 
+std::map<std::string, std::uint64_t, std::less<>> store_watch::outdatedCounts()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::map<std::string, std::uint64_t, std::less<>> counts;
+    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
+        if (it->second.mirror.outdatedCount() > 0)
+            counts[it->first] = it->second.mirror.outdatedCount();
+    }
+    return counts;
+}
+
 std::map<std::string, std::uint64_t, std::less<>> store_watch::newestChanges()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -201,15 +230,24 @@
     return newest;
 }
 
-void store_watch::recordPeerChanges(timestamp now, const endpoint &peer,
-                                    const std::map<std::string, std::uint64_t, std::less<>> &newest)
+void store_watch::recordPeerChanges(
+    timestamp now, const endpoint &peer,
+    const std::map<std::string, std::uint64_t, std::less<>> &newest,
+    const std::map<std::string, std::uint64_t, std::less<>> &outdated)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (auto it = newest.begin(); it != newest.end(); ++it) {
         const auto watched = m_kinds.find(it->first);
         if (watched == m_kinds.end())
             continue;
-        if (it->second > watched->second.mirror.newestChange()) {
+        const auto count = outdated.find(it->first);
+        std::uint64_t &adopted = watched->second.adoptedOutdated;
+        const bool knowsMore = count != outdated.end()
+            && count->second
+                > std::max<std::uint64_t>(adopted, watched->second.mirror.outdatedCount());
+        if (knowsMore)
+            adopted = count->second;
+        if (knowsMore || it->second > watched->second.mirror.newestChange()) {
             if (!watched->second.behindSince)
                 watched->second.behindSince = now;
             watched->second.newerPeer = peer;
@@ -263,7 +301,7 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     const watched_kind &watched = m_kinds.find(store_kinds::instances)->second;
     return watched.isReachable && watched.mirror.upToVersion() > 0
-        && !watched.mirror.objects().contains(store_kinds::instances + name);
+        && !watched.mirror.isWritten(store_kinds::instances + name);
 }
 
 std::string store_watch::encodeCopy(const std::string &kind)
@@ -290,6 +328,8 @@
         list.append(entry);
     }
     copy["objects"] = list;
+    for (auto it = content.outdated.begin(); it != content.outdated.end(); ++it)
+        copy["outdated"][it->first] = Json::UInt64(it->second);
     return writeJson(copy);
 }
 
@@ -314,10 +354,19 @@
             content.missing[textOr(entry, "name")] =
                 now + std::chrono::milliseconds(entry["expires_in_ms"].asInt64());
     }
+    const Json::Value &outdated = (*copy)["outdated"];
+    if (outdated.isObject()) {
+        for (auto it = outdated.begin(); it != outdated.end(); ++it) {
+            if (it->isUInt64())
+                content.outdated[it.name()] = it->asUInt64();
+        }
+    }
     bool hasChanged = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        hasChanged = m_kinds.find(kind)->second.mirror.applyCopy(now, content);
+        object_mirror &mirror = m_kinds.find(kind)->second.mirror;
+        hasChanged = mirror.applyCopy(now, content);
+        hasChanged = mirror.adoptOutdated(content) || hasChanged;
     }
     writeEvent(event_line("store", "copy_fetched").add("kind", kind).add("changed", hasChanged));
     if (hasChanged)
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -28,10 +28,13 @@
     std::vector<child_spec> children();
     /// Returns the revision of the newest change in each copy, by kind.
     std::map<std::string, std::uint64_t, std::less<>> newestChanges();
-    /// Records the newest changes that another instance has seen. A copy that stays behind them is
-    /// fetched from it.
+    /// Returns the number of outdated states in a restored store that are known, by kind.
+    std::map<std::string, std::uint64_t, std::less<>> outdatedCounts();
+    /// Records the newest changes that another instance has seen, and its outdatedCounts(). A copy
+    /// that stays behind them is fetched from it.
     void recordPeerChanges(timestamp now, const endpoint &peer,
-                           const std::map<std::string, std::uint64_t, std::less<>> &newest);
+                           const std::map<std::string, std::uint64_t, std::less<>> &newest,
+                           const std::map<std::string, std::uint64_t, std::less<>> &outdated);
     /// Fetches the copies that have been behind for too long from other instances. May block.
     void fetchStaleCopies(timestamp now);
     /// Drops objects that expired during an outage and were not written again in time.
@@ -58,6 +61,8 @@
         std::optional<timestamp> behindSince;
         /// Address of that instance.
         endpoint newerPeer;
+        /// Largest number of outdated states for which another instance's copy was requested.
+        std::uint64_t adoptedOutdated = 0;
     };
 
     /// Position of this instance among all instances.
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -51,7 +51,8 @@
         out.flush();
         Poco::Net::HTTPResponse responseHead;
         std::istream &in = session.receiveResponse(responseHead);
-        http_response response {.status = responseHead.getStatus(), .body = {}};
+        http_response response {
+            .status = responseHead.getStatus(), .body = {}, .headers = responseHead};
         if (!readBody(in, maxResponseBytes, response.body))
             return failure(http_errors::broken, "the response is too long");
         const bool isTruncated = responseHead.hasContentLength()
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -10,6 +10,7 @@
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/NameValueCollection.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Timespan.h>
 #include <Poco/URI.h>
@@ -25,6 +26,7 @@
 {
     int status = 0;
     std::string body;
+    Poco::Net::NameValueCollection headers;
 };
 
 /// An HTTP request with its body held in memory.
--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -64,7 +64,7 @@
                        httpResponse.error().message);
     }
     returnSession(std::move(session));
-    response parsed {.status = httpResponse->status, .body = {}};
+    response parsed {.status = httpResponse->status, .body = {}, .headers = httpResponse->headers};
     if (httpResponse->body.empty())
         return parsed;
     result<Json::Value> value = parseJson(httpResponse->body, "the response to " + request.path);
--- a/trefoilrouter/src/json_http_client.h
+++ b/trefoilrouter/src/json_http_client.h
@@ -29,6 +29,7 @@
         int status = 0;
         /// Null if the response has no body.
         Json::Value body;
+        Poco::Net::NameValueCollection headers;
     };
 
     /// Sends @p request and returns the response; @p timeout limits each wait for data. Errors:
