Keep epochs rising and leaders apart when the store is restored

An earlier leader that read its own record took over at once, beside the present one, and the epochs given to servers went back.

Each era of the store has its own range of epochs, so a new one is above all that were given out in earlier eras, also those that nobody remembers. A record from before the restore, or with a lower epoch than a leader has reported, is taken over only after the lease duration, and its taker acts after the quiet time.

--- a/libs/dispatch/include/dispatch/leader_lease.h
+++ b/libs/dispatch/include/dispatch/leader_lease.h
@@ -67,7 +67,11 @@
 /// Lease of the leader, kept in one object of the store: a pure state machine. The leader stops
 /// acting before another instance can take over, whether or not its renewals reached the store. A
 /// successor waits until the record has stayed unchanged for longer than the lease duration, so the
-/// clocks of instances are never compared. Not thread-safe.
+/// clocks of instances are never compared.
+///
+/// A store that was restored from a copy may show the record of an earlier leader, or none. Epochs
+/// rise all the same, because each era of the store has its own range of them, and such a record is
+/// never taken over without waiting. Not thread-safe.
 ///
 /// Precondition of all methods: times do not decrease, and the clock advances while the machine is
 /// suspended.
@@ -76,6 +80,9 @@
 public:
     explicit leader_lease(const leader_lease_options &options) : m_options(options) { }
 
+    /// Records the newest known era of the store and the highest epoch that a leader reported; 0
+    /// for each that is not known. Call before next().
+    void observe(std::uint64_t storeEra, std::uint64_t reportedEpoch);
     /// Returns the next call to make. @p rank is the number of live instances ordered before this
     /// one. @p isLeaderAlive is set if the known leader, or any leader while none is known,
     /// reported recently; the record is not read then. @p mayLead is false for an instance that is
@@ -118,6 +125,11 @@
     bool m_isHeld = false;
     /// The record names this instance but dates from before a restart or an expired lease.
     bool m_isOwnEarlierRecord = false;
+    /// The record is from before the store was restored: it doesn't tell who led last.
+    bool m_isRestored = false;
+    /// Highest epoch that is known to have been used, and the lowest one of the store's era.
+    std::uint64_t m_highestEpoch = 0;
+    std::uint64_t m_eraEpoch = 0;
     /// The outcome of a write is unknown: the record must be read before the next write.
     bool m_mustRead = false;
     /// Time since which the record has been seen unchanged.
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -87,6 +87,8 @@
     /// Replaces the listed instances, including this one. A new instance counts as alive until its
     /// first report is overdue.
     void setListed(timestamp now, const std::vector<member_entry> &entries);
+    /// Returns the highest epoch that a leader has reported, 0 if none has.
+    std::uint64_t highestLeaderEpoch() const { return m_highestLeaderEpoch; }
     /// Records a report of @p name, which announces its next report after @p period. @p leaderEpoch
     /// is 0 unless @p name is the leader. Returns false if @p name isn't listed or the report is
     /// not newer than the last one.
@@ -150,6 +152,7 @@
                                                   std::vector<const member_state *> usable);
 
     member_table_options m_options;
+    std::uint64_t m_highestLeaderEpoch = 0;
     std::map<std::string, member_state, std::less<>> m_members;
     /// Time until which callers are sent to all instances.
     timestamp m_spreadUntil;
--- a/libs/dispatch/src/leader_lease.cpp
+++ b/libs/dispatch/src/leader_lease.cpp
@@ -1,5 +1,7 @@
 #include <dispatch/leader_lease.h>
 
+#include <algorithm>
+
 #include <core/json.h>
 
 namespace trefoil {
@@ -12,6 +14,8 @@
 constexpr duration retryInterval = std::chrono::milliseconds(100);
 /// Margin between the end of a lease and a takeover, for clocks with different rates.
 constexpr duration clockMargin = std::chrono::milliseconds(200);
+/// Bits for the epochs of one era of the store.
+constexpr unsigned eraEpochBits = 20;
 
 } // namespace
 
@@ -49,6 +53,12 @@
     return record;
 }
 
+void leader_lease::observe(std::uint64_t storeEra, std::uint64_t reportedEpoch)
+{
+    m_eraEpoch = std::max(m_eraEpoch, storeEra << eraEpochBits);
+    m_highestEpoch = std::max(m_highestEpoch, reportedEpoch);
+}
+
 store_call leader_lease::next(timestamp now, int rank, bool isLeaderAlive, bool mayLead)
 {
     if (isOwn()) {
@@ -72,9 +82,11 @@
     if (now - *m_noLeaderSince < m_options.firstReadDelay * rank)
         return store_call::None;
     // No wait if the lease was released or never held, or if the record names this instance.
-    const bool isFree = m_record.isReleased || m_record.holder.empty() || m_isOwnEarlierRecord;
+    const bool isFree =
+        !m_isRestored && (m_record.isReleased || m_record.holder.empty() || m_isOwnEarlierRecord);
     const duration leaseWait = isFree ? duration::zero() : m_options.leaseDuration + clockMargin;
-    const duration rankWait = m_isOwnEarlierRecord ? duration::zero() : m_options.rankDelay * rank;
+    const bool isNext = m_isOwnEarlierRecord && !m_isRestored;
+    const duration rankWait = isNext ? duration::zero() : m_options.rankDelay * rank;
     const bool isOver = m_isKnown && m_readAt - m_unchangedSince >= leaseWait
         && now - m_unchangedSince >= leaseWait + rankWait;
     if (isOver && now - m_readAt < readInterval)
@@ -88,13 +100,16 @@
     const leader_record seen = record.value_or(leader_record {});
     m_readAt = now;
     m_mustRead = false;
-    const bool isStillOwn = seen.holder == m_options.self && seen.epoch == m_record.epoch;
+    const bool isStillOwn =
+        seen.holder == m_options.self && seen.epoch == m_record.epoch && !m_record.isReleased;
     if (isOwn() && isStillOwn && now < m_heldUntil) {
         m_record = seen;
         m_revision = revision;
         return;
     }
     m_isOwnEarlierRecord = seen.holder == m_options.self;
+    m_highestEpoch = std::max(m_highestEpoch, m_record.epoch);
+    m_isRestored = seen.epoch < m_highestEpoch || (record && seen.epoch < m_eraEpoch);
     if (!m_isKnown || revision != m_revision)
         m_unchangedSince = now;
     m_isHeld = false;
@@ -112,7 +127,7 @@
     m_writing.isSettled = isOwn() && now >= m_settledFrom;
     if (!isOwn()) {
         m_writing.holder = m_options.self;
-        m_writing.epoch = m_record.epoch + 1;
+        m_writing.epoch = std::max({m_record.epoch, m_highestEpoch, m_eraEpoch}) + 1;
     }
     return m_writing;
 }
@@ -135,7 +150,7 @@
     m_heldUntil = m_writeStartedAt + m_options.leaseDuration;
     if (!isTakeover)
         return;
-    if (before.holder.empty() || (m_isOwnEarlierRecord && before.isSettled)) {
+    if (!m_isRestored && (before.holder.empty() || (m_isOwnEarlierRecord && before.isSettled))) {
         m_settledFrom = now;
         m_actsFrom = now;
         return;
@@ -143,11 +158,12 @@
     // An earlier record of this instance that isn't settled doesn't tell when the previous leader
     // last acted.
     timestamp previousLeaseEnd = now;
-    if (!m_isOwnEarlierRecord)
+    const bool isReleased = before.isReleased && !m_isRestored;
+    if (!m_isOwnEarlierRecord || m_isRestored)
         previousLeaseEnd =
-            before.isReleased ? m_unchangedSince : m_unchangedSince + m_options.leaseDuration;
+            isReleased ? m_unchangedSince : m_unchangedSince + m_options.leaseDuration;
     m_settledFrom = previousLeaseEnd + m_options.quietTime;
-    m_actsFrom = knowsOrders && !m_isOwnEarlierRecord ? now : m_settledFrom;
+    m_actsFrom = knowsOrders && !m_isOwnEarlierRecord && !m_isRestored ? now : m_settledFrom;
 }
 
 bool leader_lease::holds(timestamp now) const
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -36,6 +36,7 @@
     state.heardAt = now;
     state.isLeaving = isLeaving;
     state.leaderEpoch = leaderEpoch;
+    m_highestLeaderEpoch = std::max(m_highestLeaderEpoch, leaderEpoch);
     state.period = period;
     return true;
 }
--- a/libs/dispatch/tests/leader_lease_test.cpp
+++ b/libs/dispatch/tests/leader_lease_test.cpp
@@ -96,6 +96,81 @@
     }
 }
 
+// A store that was restored named an earlier leader, which then acted beside the present one and
+// gave servers a lower epoch.
+TEST(LeaderLease, TwoLeadersNeverActWithinTheQuietTimeWhenTheStoreIsRestored)
+{
+    constexpr int stepsLost = 80;
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        fake_store store;
+        std::vector<fake_store> copies;
+        std::uint64_t era = 1;
+        std::array<candidate, 3> all {candidate("a"), candidate("b"), candidate("c")};
+        int lastLeader = -1;
+        timestamp lastActedAt {};
+        std::uint64_t lastEpoch = 0;
+        std::uint64_t reportedEpoch = 0;
+        int acts = 0;
+        for (timestamp now {}; now < timestamp {} + std::chrono::seconds(60); now += stepTime) {
+            copies.push_back(store);
+            if (random() % 150 == 0) {
+                const std::size_t lost =
+                    std::min<std::size_t>(copies.size(), random() % stepsLost + 1);
+                store = copies[copies.size() - lost];
+                copies.clear();
+                ++era;
+                // The revisions of different eras are never equal.
+                store.revision = era << 40 | (store.revision & 0xffffffff);
+            }
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                candidate &each = all[i];
+                if (random() % 100 == 0)
+                    each.isDown = !each.isDown;
+                if (each.isDown)
+                    continue;
+                each.lease.observe(era, reportedEpoch);
+                stepCandidate(now, each, static_cast<int>(i), false, store, false,
+                              random() % 30 == 0);
+                if (each.lease.holds(now))
+                    reportedEpoch = std::max(reportedEpoch, each.lease.epoch());
+                if (!each.lease.mayAct(now))
+                    continue;
+                if (lastLeader >= 0 && lastLeader != static_cast<int>(i)) {
+                    EXPECT_GE(now - lastActedAt, std::chrono::milliseconds(3000))
+                        << "seed " << seed;
+                }
+                EXPECT_GE(each.lease.epoch(), lastEpoch) << "seed " << seed;
+                lastLeader = static_cast<int>(i);
+                lastActedAt = now;
+                lastEpoch = each.lease.epoch();
+                ++acts;
+            }
+        }
+        EXPECT_GT(acts, 100) << "seed " << seed;
+    }
+}
+
+TEST(LeaderLease, LeaderWhoseRecordIsGoneWaitsAndTakesAHigherEpoch)
+{
+    fake_store store;
+    candidate leader("a");
+    timestamp now {};
+    for (int i = 0; i < 4; ++i, now += stepTime)
+        stepCandidate(now, leader, 0, false, store, false, false);
+    ASSERT_TRUE(leader.lease.holds(now));
+    const std::uint64_t epoch = leader.lease.epoch();
+    store = {};
+    const timestamp end = now + std::chrono::seconds(6);
+    bool hasLed = false;
+    for (; now < end; now += stepTime) {
+        stepCandidate(now, leader, 0, false, store, false, false);
+        hasLed = hasLed || (leader.lease.holds(now) && leader.lease.epoch() > epoch);
+    }
+    EXPECT_TRUE(hasLed);
+    EXPECT_TRUE(leader.lease.mayAct(now));
+}
+
 TEST(LeaderLease, RestartedLeaderTakesOverItsOwnRecordWithoutWaiting)
 {
     fake_store store {.record = leader_record {.holder = "b", .epoch = 4, .isSettled = true},
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -158,6 +158,7 @@
         m_state.with([&](routing_state &routing) {
             rank = routing.members.rank(now);
             isListed = routing.members.isSelfListed();
+            m_lease.observe(m_store.era(), routing.members.highestLeaderEpoch());
             isLeaderAlive = m_lease.isKnown()
                 ? routing.members.isLeaderHeard(now, record.holder, record.epoch)
                 : routing.members.isAnyLeaderHeard(now);
