Write a rollout's stage again after the store was restored

Found by reading: the leader remembers which stages it has written. A store restored from a copy may have lost one, and it was never written again, so an instance that started later tried a release that had been rolled back.

The leader writes a stage again in a new era of the store if the store doesn't show it, and a failed write after 400 ms. Logs show the revision by which the store knows an object, without the era.

--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -4,6 +4,7 @@
 
 #include <adapter/documents.h>
 #include <adapter/server_calls.h>
+#include <platform/store_version.h>
 #include <telemetry/event_log.h>
 
 namespace trefoil {
@@ -19,6 +20,8 @@
 /// Longest time for which a server that was ordered to load gets no requests; it ends early when
 /// the server reports the new weights.
 constexpr duration maxLoadingTime = std::chrono::seconds(6);
+/// Time between writes of a rollout's stage that the store didn't acknowledge.
+constexpr duration stageWriteInterval = std::chrono::milliseconds(400);
 /// Silence after which an instance is removed from the list; it registers again if it is alive.
 constexpr duration deadMemberSilence = std::chrono::seconds(8);
 /// Time for one round of long polls of the KV cache stores, the minimum per poll (the platform
@@ -178,7 +181,7 @@
     if (hasChanged)
         writeEvent(event_line("duty", isLeader ? "lease_gained" : "lease_lost")
                        .add("epoch", m_lease.epoch())
-                       .add("revision", m_lease.revision())
+                       .add("revision", store_version::revision(m_lease.revision()))
                        .add("holder", m_lease.record().holder));
     m_wasLeader = isLeader;
     return hasChanged;
@@ -259,7 +262,7 @@
     if (!written)
         writeEvent(event_line("duty", "lease_write_failed")
                        .add("epoch", record.epoch)
-                       .add("revision", revision)
+                       .add("revision", store_version::revision(revision))
                        .add("reason", written.error().code));
 }
 
@@ -375,15 +378,17 @@
     }
     for (const rollout_request &rollout : rollouts) {
         const rollout_stage stage = stages[rollout.service];
-        const auto written = m_writtenStages.find(rollout.service + "/" + rollout.release);
-        const bool isWritten = written != m_writtenStages.end() && written->second == stage;
-        if (isWritten || (rollout.reported && *rollout.reported == stage))
+        if (rollout.reported && *rollout.reported == stage)
+            continue;
+        stage_write &last = m_stageWrites[rollout.service + "/" + rollout.release];
+        const std::uint64_t era = m_store.era();
+        const bool isSame = last.stage == stage && last.era == era && last.at != timestamp {};
+        if (isSame && (last.isDone || now - last.at < stageWriteInterval))
             continue;
         const std::string name = store_kinds::rollouts + rollout.service + "/status";
         const result<std::uint64_t> outcome =
             m_store.put(name, encodeRolloutStatus(stage, rollout.release), 0);
-        if (outcome)
-            m_writtenStages[rollout.service + "/" + rollout.release] = stage;
+        last = {.stage = stage, .isDone = outcome.has_value(), .at = now, .era = era};
         writeEvent(event_line("rollout", "status_written")
                        .add("service", rollout.service)
                        .add("stage", toString(stage))
--- a/trefoilrouter/src/edge/leader_runner.h
+++ b/trefoilrouter/src/edge/leader_runner.h
@@ -61,7 +61,16 @@
     /// this instance is not the leader.
     std::map<std::string, std::uint64_t, std::less<>> m_cacheStoreEpochs;
     bool m_wasLeader = false;
-    std::map<std::string, rollout_stage, std::less<>> m_writtenStages;
+    /// Last write of a rollout's stage to the store.
+    struct stage_write
+    {
+        rollout_stage stage = rollout_stage::Moving;
+        bool isDone = false;
+        timestamp at;
+        /// Era of the store: a restored one may have lost the write.
+        std::uint64_t era = 0;
+    };
+    std::map<std::string, stage_write, std::less<>> m_stageWrites;
     std::map<std::string, timestamp, std::less<>> m_silentSince;
 };
 
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -206,7 +206,7 @@
                        .add("dependency", "store")
                        .add("kind", kind)
                        .add("silent_ms", toMilliseconds(silence))
-                       .add("revision", revision)
+                       .add("revision", store_version::revision(revision))
                        .add("reason", reason));
 }
 
@@ -403,7 +403,7 @@
         writeEvent(event_line("configuration", "entry_dropped").add("reason", reason));
     if (!decoded) {
         writeEvent(event_line("configuration", "rejected")
-                       .add("revision", found->second.version)
+                       .add("revision", store_version::revision(found->second.version))
                        .add("reason", decoded.error().message));
         return;
     }
@@ -422,7 +422,7 @@
     });
     writeEvent(event_line("configuration", "in_force")
                    .add("version", tables->version)
-                   .add("revision", found->second.version)
+                   .add("revision", store_version::revision(found->second.version))
                    .add("routes", std::uint64_t {tables->routes.size()})
                    .add("teams", std::uint64_t {tables->teams.size()}));
     // Server entries of services that were unknown until now become usable.
@@ -452,7 +452,7 @@
             writeEvent(event_line("servers", "server_seen")
                            .add("server", id)
                            .add("condition", condition)
-                           .add("revision", it->second.version)
+                           .add("revision", store_version::revision(it->second.version))
                            .add("reason", server ? "" : server.error().message.c_str()));
         conditions[id] = std::move(condition);
         if (isServed)
@@ -485,7 +485,7 @@
         writeEvent(event_line("weights", "named")
                        .add("model", weights->model)
                        .add("version", weights->version)
-                       .add("revision", it->second.version));
+                       .add("revision", store_version::revision(it->second.version)));
     }
 }
 
@@ -507,7 +507,7 @@
                        .add("service", request->service)
                        .add("release", request->release)
                        .add("seconds", toSeconds(request->rampTime))
-                       .add("revision", it->second.version));
+                       .add("revision", store_version::revision(it->second.version)));
     }
 }
 
