Neither send nor charge a request whose caller has left

The only look at the caller came before the lock of the routing state was taken once more, for the response limits; on an instance with hundreds of waiting threads that wait has no bound.

A request is dropped before anything else if its caller has closed the connection, and looked at again just before it is written, with nothing in between that may wait. What was charged for a request that was never sent is given back.

RequestOfACallerThatHasLeftIsNeitherSentNorCharged fails without the change: the team is charged.

--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -72,6 +72,11 @@
 {
     m_tables = m_state.tables();
     m_fields = decodeCallerFields(m_request.head.headers);
+    // The request may have waited unread for longer than its caller did.
+    if (m_response.connection().isClosedByRemote()) {
+        endAbandoned();
+        return false;
+    }
     std::optional<refusal> refused = admit();
     if (!refused)
         refused = serve();
@@ -240,8 +245,7 @@
         if (end == attempt_end::Delivered)
             return std::nullopt;
         if (end == attempt_end::CallerLeft || end == attempt_end::CallerBroken) {
-            m_response.abort();
-            logEnd("caller left", 0);
+            endAbandoned();
             return std::nullopt;
         }
         rejections += end == attempt_end::NotRun ? 1 : 0;
@@ -353,8 +357,6 @@
         return attempt_end::NotRun;
     current.stream = std::move(acquired->stream);
     current.isReused = acquired->isReused;
-    if (m_response.connection().isClosedByRemote())
-        return attempt_end::CallerLeft;
     const std::string_view lastEvent = m_events.lastEventId().empty()
         ? std::string_view(m_fields.lastEventId)
         : m_events.lastEventId();
@@ -372,10 +374,15 @@
          .cacheSource = placed.cacheSource,
          .cacheSink = placed.cacheSink,
          .lastEventId = lastEvent});
+    const response_limits limits = responseLimits(placed);
+    // Nothing that may wait comes between this and the request.
+    if (m_response.connection().isClosedByRemote())
+        return attempt_end::CallerLeft;
     current.wasSent = true;
+    m_wasSent = true;
     current.sentAt = boot_clock::now();
     current.progressAt = current.sentAt;
-    current.timer.emplace(current.sentAt, responseLimits(placed));
+    current.timer.emplace(current.sentAt, limits);
     // A server may answer, and close, before it has read the body; its answer is then in the
     // buffer.
     const bool isWritten = current.stream->write(head + m_request.body, m_deadline);
@@ -678,11 +685,25 @@
     }
 }
 
-void request_runner::writeRefusal(const refusal &refused)
+void request_runner::refundLimit()
 {
-    if (m_limitCost > 0 && m_runs == 0)
+    if (m_limitCost > 0)
         m_state.with(
             [&](routing_state &routing) { routing.limits.refund(m_team->name, m_limitCost); });
+}
+
+void request_runner::endAbandoned()
+{
+    if (!m_wasSent)
+        refundLimit();
+    m_response.abort();
+    logEnd("caller left", 0);
+}
+
+void request_runner::writeRefusal(const refusal &refused)
+{
+    if (m_runs == 0)
+        refundLimit();
     const bool isSent = m_response.sendRefusal(refused.status, m_fields.requestId, refused.reason,
                                                refused.retryAfter);
     // A response that had begun was aborted.
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -144,6 +144,10 @@
     response_limits responseLimits(const server_placement &placed) const;
 
     void writeRefusal(const refusal &refused);
+    /// Ends a request whose caller has left.
+    void endAbandoned();
+    /// Gives back what the request was charged against its team's limit.
+    void refundLimit();
     bool writeAnswer();
     request_profile requestProfile() const;
     bool mayRepeat() const { return m_route->mayRepeat(); }
@@ -171,6 +175,8 @@
     std::vector<std::string> m_excludedReleases;
     /// How long all servers that may take the request are at their limits, if they are.
     std::optional<duration> m_limitedFor;
+    /// Whether any server was sent the request.
+    bool m_wasSent = false;
     /// Attempts in which a server may have started the request.
     int m_runs = 0;
     sse_framer m_events;
