Read the other objects of a list with one that can't be parsed

Reported for similar systems: an odd entry of another writer stopped a list. A port out of range and a whole number of 23 digits were rejected for their entry alone already; a test holds that.

If an answer is not valid JSON, its lists are split without parsing, to any depth, and the elements that can't be parsed are left out.

--- a/libs/core/include/core/json.h
+++ b/libs/core/include/core/json.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <core/error.h>
 #include <json/value.h>
@@ -12,6 +14,13 @@
 /// Thread-safe.
 result<Json::Value> parseJson(std::string_view text, std::string_view what);
 
+/// Parses @p text like parseJson(). If it is not valid, the elements of its arrays @p lists that
+/// can't be parsed (nested too deeply, numbers out of range) are left out and added to @p skipped.
+/// Error: "bad-json" if the rest is not valid. Thread-safe.
+result<Json::Value> parseJsonLists(std::string_view text, std::string_view what,
+                                   std::span<const std::string_view> lists,
+                                   std::vector<std::string> &skipped);
+
 /// Returns @p value as JSON on one line, with members sorted by name. Thread-safe.
 std::string writeJson(const Json::Value &value);
 
--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -1,5 +1,7 @@
 #include "json_http_client.h"
 
+#include <array>
+
 #include <platform/object_store.h>
 
 namespace trefoil {
@@ -67,7 +69,10 @@
     response parsed {.status = httpResponse->status, .body = {}, .headers = httpResponse->headers};
     if (httpResponse->body.empty())
         return parsed;
-    result<Json::Value> value = parseJson(httpResponse->body, "the response to " + request.path);
+    // Lists of objects and of changes: one that can't be read must not hide the others.
+    static constexpr std::array<std::string_view, 2> lists {"items", "events"};
+    result<Json::Value> value = parseJsonLists(
+        httpResponse->body, "the response to " + request.path, lists, parsed.skipped);
     if (!value)
         return failure(platform_errors::unavailable, value.error().message);
     parsed.body = std::move(*value);
--- a/trefoilrouter/src/json_http_client.h
+++ b/trefoilrouter/src/json_http_client.h
@@ -30,6 +30,8 @@
         /// Null if the response has no body.
         Json::Value body;
         Poco::Net::NameValueCollection headers;
+        /// Elements of the response's lists that are not valid JSON and were left out.
+        std::vector<std::string> skipped;
     };
 
     /// Sends @p request and returns the response; @p timeout limits each wait for data. Errors:
