Close idle connections of callers when new ones would wait for a thread

Cause: each connection holds one of 700 threads until its idle timeout. Callers that give up come back on new connections, while the kept ones stay open, so new connections waited in the backlog behind idle ones. The processor was idle (0.024 of a core at most).

No request is lost by it: one that crosses the close was not read.

IdleConnectionsMakeRoomForNewOnes fails without the change (no answer in 2.5 s).

--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "edge/caller_session.h"
 
 #include <algorithm>
+#include <thread>
 
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/TCPServer.h>
@@ -17,13 +18,12 @@
 
 using Poco::Net::HTTPResponse;
 
-/// Concurrent connections: more than all callers of a small deployment open together. The thread of
-/// each takes about 40 KB.
-constexpr int maxConnections = 700;
 constexpr int backlog = 512;
 constexpr int threadStackBytes = 256 * 1024;
 /// Interval at which an idle connection checks whether the instance closes its connections.
 constexpr duration closingCheckInterval = std::chrono::seconds(1);
+/// Interval at which the listener looks for connections that wait for a thread.
+constexpr duration reserveUpdateInterval = std::chrono::milliseconds(50);
 /// Time to write an answer that the router itself produced.
 constexpr duration ownAnswerTimeout = std::chrono::seconds(1);
 /// Longest pause while a body is received.
@@ -33,14 +33,15 @@
 {
 public:
     caller_connection(const Poco::Net::StreamSocket &socket, edge_state &state,
-                      server_connection_pool &connections)
-        : TCPServerConnection(socket), m_state(state), m_connections(connections)
+                      server_connection_pool &connections, connection_reserve &reserve)
+        : TCPServerConnection(socket), m_state(state), m_connections(connections),
+          m_reserve(reserve)
     { }
 
     void run() override
     {
         try {
-            caller_session(m_state, m_connections, byte_stream(socket())).run();
+            caller_session(m_state, m_connections, m_reserve, byte_stream(socket())).run();
         } catch (const std::exception &problem) {
             writeEvent(event_line("proxy", "session_failed").add("reason", problem.what()));
         }
@@ -49,30 +50,34 @@
 private:
     edge_state &m_state;
     server_connection_pool &m_connections;
+    connection_reserve &m_reserve;
 };
 
 class caller_connection_factory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-    caller_connection_factory(edge_state &state, server_connection_pool &connections)
-        : m_state(state), m_connections(connections)
+    caller_connection_factory(edge_state &state, server_connection_pool &connections,
+                              connection_reserve &reserve)
+        : m_state(state), m_connections(connections), m_reserve(reserve)
     { }
 
     Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
     {
-        return new caller_connection(socket, m_state, m_connections); // the server deletes it
+        // The server deletes it.
+        return new caller_connection(socket, m_state, m_connections, m_reserve);
     }
 
 private:
     edge_state &m_state;
     server_connection_pool &m_connections;
+    connection_reserve &m_reserve;
 };
 
 } // namespace
 
 caller_session::caller_session(edge_state &state, server_connection_pool &connections,
-                               byte_stream caller)
-    : m_state(state), m_connections(connections), m_caller(std::move(caller))
+                               connection_reserve &reserve, byte_stream caller)
+    : m_state(state), m_connections(connections), m_reserve(reserve), m_caller(std::move(caller))
 { }
 
 caller_bounds caller_session::bounds() const
@@ -103,7 +108,8 @@
 
 bool caller_session::waitForRequest()
 {
-    const timestamp end = boot_clock::now() + bounds().idleTimeout;
+    const timestamp start = boot_clock::now();
+    const timestamp end = start + bounds().idleTimeout;
     while (m_caller.buffer().empty()) {
         const timestamp now = boot_clock::now();
         if (now >= end || m_state.isClosing())
@@ -111,7 +117,7 @@
         const read_outcome outcome = m_caller.readMore(std::min(end, now + closingCheckInterval));
         if (outcome == read_outcome::Bytes)
             return true;
-        if (outcome != read_outcome::TimedOut)
+        if (outcome != read_outcome::TimedOut || !m_reserve.mayKeep(boot_clock::now() - start))
             return false;
     }
     return true;
@@ -222,19 +228,24 @@
 }
 
 child_body callerListener(edge_state &state, server_connection_pool &connections,
-                          const endpoint &address)
+                          const endpoint &address, int maxConnections)
 {
-    return makeListenerChild(address, [&state, &connections, address](const std::stop_token &stop) {
-        Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
-        params->setMaxThreads(maxConnections);
-        params->setMaxQueued(backlog);
-        Poco::ThreadPool threads(2, maxConnections, 60, threadStackBytes);
-        Poco::Net::TCPServer server(new caller_connection_factory(state, connections), threads,
-                                    listenOn(address, backlog), params);
-        server.start();
-        waitForStop(stop);
-        server.stop();
-    });
+    return makeListenerChild(
+        address, [&state, &connections, address, maxConnections](const std::stop_token &stop) {
+            connection_reserve reserve({.maxConnections = maxConnections});
+            Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
+            params->setMaxThreads(maxConnections);
+            params->setMaxQueued(backlog);
+            Poco::ThreadPool threads(2, maxConnections, 60, threadStackBytes);
+            Poco::Net::TCPServer server(new caller_connection_factory(state, connections, reserve),
+                                        threads, listenOn(address, backlog), params);
+            server.start();
+            while (!stop.stop_requested()) {
+                reserve.update(server.currentConnections(), server.queuedConnections());
+                std::this_thread::sleep_for(reserveUpdateInterval);
+            }
+            server.stop();
+        });
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/caller_session.h
+++ b/trefoilrouter/src/edge/caller_session.h
@@ -4,6 +4,7 @@
 
 #include <core/supervisor.h>
 #include <http/byte_stream.h>
+#include <http/connection_reserve.h>
 
 #include "edge/edge_state.h"
 #include "edge/request_runner.h"
@@ -16,8 +17,9 @@
 class caller_session
 {
 public:
-    /// Precondition: @p state and @p connections outlive this object.
-    caller_session(edge_state &state, server_connection_pool &connections, byte_stream caller);
+    /// Precondition: @p state, @p connections and @p reserve outlive this object.
+    caller_session(edge_state &state, server_connection_pool &connections,
+                   connection_reserve &reserve, byte_stream caller);
 
     /// Serves requests until the connection ends.
     void run();
@@ -35,13 +37,19 @@
 
     edge_state &m_state;
     server_connection_pool &m_connections;
+    connection_reserve &m_reserve;
     byte_stream m_caller;
 };
 
+/// Concurrent connections: more than all callers of a small deployment open together. The thread of
+/// each takes about 40 KB.
+inline constexpr int defaultMaxConnections = 700;
+
 /// Returns a child that accepts callers on @p address until it is stopped, with one thread per
-/// connection. While the instance shuts down it still accepts connections, and each answer closes
-/// its connection. Precondition: @p state and @p connections outlive it.
+/// connection. Idle connections are closed to make room for new ones. While the instance shuts down
+/// it still accepts connections, and each answer closes its connection. Precondition: @p state and
+/// @p connections outlive it.
 child_body callerListener(edge_state &state, server_connection_pool &connections,
-                          const endpoint &address);
+                          const endpoint &address, int maxConnections = defaultMaxConnections);
 
 } // namespace trefoil
