Refuse late requests of a stop by the length of its grace period

Reported for similar systems: requests that came late in the grace period of a stop were cut without an answer. Here requests are refused from 2.8 s after the signal on, which fits the usual 8 s; with a shorter grace period they were taken until after its end. The time is now 0.35 of the grace period.

--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -21,6 +21,9 @@
         / static_cast<double>(std::max(instances, minRetrySharers));
 }
 
+/// Part of the grace period of a stop in which requests are still taken.
+constexpr double serveShareOfGrace = 0.35;
+
 /// Time that a placed request may wait at its server during a burst before it starts.
 constexpr duration maxServerWait = std::chrono::milliseconds(1500);
 
@@ -53,7 +56,8 @@
 }
 
 edge_state::edge_state(const platform_settings &settings)
-    : m_settings(settings), m_incarnation(wallMilliseconds()), m_routing(settings)
+    : m_settings(settings), m_incarnation(wallMilliseconds()), m_routing(settings),
+      m_serveTimeAfterStop(fromSeconds(toSeconds(settings.stopGrace) * serveShareOfGrace))
 { }
 
 std::shared_ptr<const serving_tables> edge_state::tables() const
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -97,7 +97,7 @@
     /// Returns whether too little of the shutdown time is left to finish a new request.
     bool isTooLateToServe() const
     {
-        return m_isLeaving && boot_clock::now() - m_leavingSince.load() > maxServeTimeAfterStop;
+        return m_isLeaving && boot_clock::now() - m_leavingSince.load() > m_serveTimeAfterStop;
     }
     /// Returns whether idle connections must be closed.
     bool isClosing() const { return m_isClosing; }
@@ -136,9 +136,8 @@
     std::mutex m_mutex;
     routing_state m_routing;
     /// Requests that arrive later than this after the stop signal are refused: they may take longer
-    /// than what is left of the usual grace period of 8 s.
-    static constexpr duration maxServeTimeAfterStop = std::chrono::milliseconds(2800);
-
+    /// than what is left of the grace period.
+    duration m_serveTimeAfterStop;
     std::atomic<timestamp> m_leavingSince {timestamp {}};
     std::atomic<timestamp> m_lastRequestAt {timestamp {}};
     std::atomic<bool> m_isLeaving = false;
