Don't show an expired object again when the store is restored

An object that had expired after an outage, and was dropped at the end of its grace period, was not remembered as removed, so a copy from before brought it back until the store removed it. ObjectThatExpiredBeforeARestoreDoesNotComeBack fails without the change.

--- a/libs/platform/include/platform/store_version.h
+++ b/libs/platform/include/platform/store_version.h
@@ -9,7 +9,7 @@
 /// versions only rise, and those of different eras are never equal. All functions are thread-safe.
 namespace store_version {
 
-/// Bits of the revision: years of a million writes a second. The era has the rest.
+/// Bits of the revision: two years of a million writes a second. The era has the rest.
 inline constexpr unsigned revisionBits = 46;
 
 /// Returns the version of @p revision in @p era. Precondition: both fit their bits.
--- a/libs/platform/src/object_mirror.cpp
+++ b/libs/platform/src/object_mirror.cpp
@@ -260,6 +260,7 @@
             ++it;
             continue;
         }
+        recordSeen(now, {.name = it->first, .isRemoved = true});
         m_objects.erase(it->first);
         it = m_missing.erase(it);
         hasChanged = true;
--- a/libs/platform/tests/object_mirror_test.cpp
+++ b/libs/platform/tests/object_mirror_test.cpp
@@ -187,6 +187,25 @@
     EXPECT_FALSE(mirror.objects().contains("a"));
 }
 
+TEST(ObjectMirror, ObjectThatExpiredBeforeARestoreDoesNotComeBack)
+{
+    object_mirror mirror;
+    const timestamp now {};
+    const timestamp graceEnd = now + std::chrono::seconds(2);
+    const object gone = entry("a", store_version::of(1, 1));
+    mirror.applySnapshot(now, entries {gone, entry("b", store_version::of(1, 2))},
+                         store_version::of(1, 2));
+    mirror.applySnapshot(now, entries {entry("b", store_version::of(1, 2))},
+                         store_version::of(1, 3), graceEnd);
+    mirror.removeExpired(graceEnd);
+    object restored = gone;
+    restored.version = store_version::of(2, 1);
+    mirror.applySnapshot(graceEnd, entries {restored, entry("b", store_version::of(2, 2))},
+                         store_version::of(2, 2));
+    EXPECT_FALSE(mirror.objects().contains("a"));
+    EXPECT_TRUE(mirror.objects().contains("b"));
+}
+
 TEST(ObjectMirror, InstanceThatStartsAfterARestoreLearnsWhatIsOutdatedFromAnother)
 {
     object_mirror other;
