--- a/review/5/memory.cpp
+++ b/review/more/memory/memory.cpp
@@ -3,7 +3,7 @@
 #include <csignal>
 #include <thread>
 
-#include "../standins/standins.h"
+#include "../../standins/standins.h"
 
 using namespace review;
 
