--- a/review/3/false_end.cpp
+++ b/review/3/false_end.cpp
@@ -1,4 +1,4 @@
-#include "../standins/spoiled_streams.h"
+#include "../spoiled_streams.h"
 
 int main(int count, char **values)
 {
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,9 +7,9 @@
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -I/usr/include/jsoncpp)
 for name in standins spoiled_streams; do
-  g++ "${flags[@]}" -c "review/standins/$name.cpp" -o "$out/$name.o"
+  g++ "${flags[@]}" -c "review/$name.cpp" -o "$out/$name.o"
 done
-for source in review/[1-5]/*.cpp review/more/*/*.cpp; do
+for source in review/[1-5]/*.cpp; do
   [ -f "$source" ] || continue
   g++ "${flags[@]}" "$source" "$out/standins.o" "$out/spoiled_streams.o" -o "$out/$(basename "$source" .cpp)" -pthread -ljsoncpp &
 done
