Report a reset that a write met to later reads

Callers could get an answer without a length as complete although its server had reset the connection while the request was being written.

Cause: the kernel reports a reset once; byte_stream::write() consumed and dropped it, and the next read returned 0, an orderly end. Change: byte_stream remembers the reset. Measured: ByteStream.ResetSeenByAWriteIsNoOrderlyEnd got End (1) instead of Broken (2) on the code before; passes now.

--- a/libs/http/include/http/byte_stream.h
+++ b/libs/http/include/http/byte_stream.h
@@ -69,6 +69,8 @@
 
     Poco::Net::StreamSocket m_socket;
     std::string m_buffer;
+    /// Whether the remote side was seen to reset the connection.
+    bool m_wasReset = false;
 };
 
 } // namespace trefoil
--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -63,8 +63,11 @@
         return read_outcome::Bytes;
     }
     if (size == 0)
-        return read_outcome::End;
-    return errno == EAGAIN || errno == EINTR ? read_outcome::TimedOut : read_outcome::Broken;
+        return m_wasReset ? read_outcome::Broken : read_outcome::End;
+    if (errno == EAGAIN || errno == EINTR)
+        return read_outcome::TimedOut;
+    m_wasReset = true;
+    return read_outcome::Broken;
 }
 
 read_outcome byte_stream::readMore(timestamp deadline, const byte_stream *watched)
@@ -100,14 +103,19 @@
             bytes.remove_prefix(static_cast<std::size_t>(size));
             continue;
         }
-        if (errno != EAGAIN && errno != EINTR)
+        if (errno != EAGAIN && errno != EINTR) {
+            // The kernel reports a reset once; later reads would see an orderly end.
+            m_wasReset = m_wasReset || errno == ECONNRESET;
             return false;
+        }
         const short events = static_cast<short>(isReadEnded ? POLLOUT : POLLOUT | POLLIN);
         pollfd wait {.fd = m_socket.impl()->sockfd(), .events = events, .revents = 0};
         if (::poll(&wait, 1, millisecondsUntil(deadline)) <= 0 && boot_clock::now() >= deadline)
             return false;
-        if ((wait.revents & POLLIN) != 0)
-            isReadEnded = receive() != read_outcome::Bytes;
+        if ((wait.revents & POLLIN) != 0) {
+            const read_outcome outcome = receive();
+            isReadEnded = outcome == read_outcome::End || outcome == read_outcome::Broken;
+        }
     }
     return true;
 }
--- a/libs/http/tests/byte_stream_test.cpp
+++ b/libs/http/tests/byte_stream_test.cpp
@@ -50,6 +50,23 @@
     EXPECT_EQ(reset.local.readMore(fromNow(1000)), read_outcome::Broken);
 }
 
+// A reset that a write had met was taken for the orderly end of an answer without a length.
+TEST(ByteStream, ResetSeenByAWriteIsNoOrderlyEnd)
+{
+    connected_pair pair;
+    const std::string body(8u << 20, 'x');
+    std::jthread remoteThread([&pair] {
+        pair.remote.write("part of an answer", fromNow(1000));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        pair.remote.abort();
+    });
+    EXPECT_FALSE(pair.local.write(body, fromNow(5000)));
+    read_outcome outcome = read_outcome::Bytes;
+    while (outcome == read_outcome::Bytes)
+        outcome = pair.local.readMore(fromNow(1000));
+    EXPECT_EQ(outcome, read_outcome::Broken);
+}
+
 TEST(ByteStream, ReadEndsWhenTheWatchedConnectionCloses)
 {
     connected_pair server;
