Decide in one place whether the body of an answer is whole

Cause: the incomplete event belonged to the request, and each way out of an attempt had to discard it; the one for malformed chunks did not. Change: answer_body decodes the body of one attempt and decides whether it is whole; only the last id that was passed on outlives the attempt. Events of a chunk are passed on with the chunk's end, a stream whose last event has no id isn't resumed, an event stream with status 204 ends with its head. Lines may end with CR alone.

--- /dev/null
+++ b/libs/http/include/http/answer_body.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <http/chunked.h>
+#include <http/message.h>
+#include <http/sse_framer.h>
+
+namespace trefoil {
+
+/// Whether the body of an answer is whole.
+enum class body_state {
+    /// More bytes are expected.
+    Incomplete,
+    Whole,
+    /// The answer ended early, has malformed framing or is longer than allowed.
+    BrokenOff
+};
+
+/// Options of an answer_body.
+struct answer_body_options
+{
+    body_framing framing;
+    /// Whether the body is a stream of events, whose complete events are passed on as they arrive.
+    /// Any other body is passed on only as a whole.
+    bool isEventStream = false;
+    /// Limit on the bytes that are held: a whole plain body, or one event and one chunk of a
+    /// stream.
+    std::size_t maxHeldBytes = 0;
+};
+
+/// Body of one server's answer, decoded incrementally: the only place that decides whether an
+/// answer is whole. It belongs to one attempt at a server, so nothing of an incomplete answer is
+/// left for the next attempt. A stream is whole only if its framing has ended between two events,
+/// and a stream without framing only if it also had an event. Not thread-safe.
+class answer_body
+{
+public:
+    explicit answer_body(const answer_body_options &options);
+
+    /// Decodes @p input, erases the decoded bytes and returns the events that may be passed on.
+    /// They are events of complete chunks: until its end has arrived, a chunk may be cut and
+    /// followed by bytes that don't belong to it. After Whole, the rest of @p input is not part of
+    /// the answer. Returns "" for bodies that are no stream.
+    std::string feed(std::string &input);
+    /// Records that no further bytes will come. @p isOrderly tells that the server closed its side,
+    /// without a reset or a timeout.
+    void end(bool isOrderly);
+
+    body_state state() const { return m_state; }
+    /// Returns the bytes of a plain body that have arrived.
+    std::string &plainBody() { return m_plain; }
+    /// Returns the number of bytes held at present.
+    std::size_t heldBytes() const;
+
+private:
+    /// Appends the body's bytes in @p input to m_unverified and returns whether the framing ended.
+    bool decode(std::string &input);
+    void finish();
+
+    answer_body_options m_options;
+    body_state m_state = body_state::Incomplete;
+    chunked_decoder m_chunks;
+    std::uint64_t m_bodyBytes = 0;
+    /// Bytes of a chunk that has not ended.
+    std::string m_openChunk;
+    sse_framer m_events;
+    bool m_hasEvents = false;
+    std::string m_plain;
+};
+
+} // namespace trefoil
--- a/libs/http/include/http/chunked.h
+++ b/libs/http/include/http/chunked.h
@@ -17,14 +17,19 @@
     /// Decodes @p input, appends the data to @p body and erases the decoded bytes from @p input.
     /// After Done, the rest of @p input belongs to the next message.
     chunked_state feed(std::string &input, std::string &body);
+    /// Returns how many of the last bytes in the body belong to a chunk whose end has not arrived.
+    std::size_t openChunkBytes() const { return m_openChunkBytes; }
 
 private:
     enum class step { Size, Data, DataEnd, Trailer };
 
     chunked_state parseLine(std::string_view line);
+    /// Returns whether @p text, which holds no line end, can be the beginning of the next line.
+    bool mayBecomeLine(std::string_view text) const;
 
     step m_step = step::Size;
     std::uint64_t m_remaining = 0;
+    std::size_t m_openChunkBytes = 0;
     std::size_t m_trailerBytes = 0;
 };
 
--- a/libs/http/include/http/sse_framer.h
+++ b/libs/http/include/http/sse_framer.h
@@ -5,30 +5,26 @@
 
 namespace trefoil {
 
-/// Splits a byte stream of server-sent events after complete events, so that a stream that breaks
-/// inside an event can be resumed from another server after the last complete one. The events'
-/// bytes stay unchanged. Not thread-safe.
+/// Splits a byte stream of server-sent events after complete events. Lines end with LF, CR LF or
+/// CR. The events' bytes stay unchanged. Not thread-safe.
 class sse_framer
 {
 public:
     /// Appends @p bytes and returns all events that are complete now, concatenated.
     std::string feed(std::string_view bytes);
-    /// Returns and discards the bytes of an incomplete event.
-    std::string takeIncomplete();
-    /// Discards an incomplete event, when another server resumes the stream.
-    void discardIncomplete() { m_incomplete.clear(); }
     /// Returns the number of bytes of an incomplete event.
     std::size_t incompleteBytes() const { return m_incomplete.size(); }
-    /// Returns whether an event has begun and is not complete.
-    bool isInsideEvent() const;
-    /// Returns the id of the last complete event that had one, or "".
-    const std::string &lastEventId() const { return m_lastEventId; }
+    /// Returns whether an event, or a comment, has begun and is not complete.
+    bool isInsideEvent() const { return !m_incomplete.empty(); }
 
 private:
-    void updateLastEventId(std::string_view events);
-
     std::string m_incomplete;
-    std::string m_lastEventId;
+    bool m_isLineEmpty = true;
+    bool m_wasCarriageReturn = false;
+    /// Whether the last line ended with CR LF.
+    bool m_hasCrLf = false;
+    /// Whether the event ends here if the next byte is no LF, and with that byte if it is one.
+    bool m_isEndPending = false;
 };
 
 /// Returns the number of events that end in @p events. Thread-safe.
@@ -38,4 +34,22 @@
 /// keep a connection open, are no progress of a stream. Thread-safe.
 bool containsData(std::string_view events);
 
+/// How far a stream has been passed on to its caller, over all servers that wrote a part of it. Not
+/// thread-safe.
+class stream_progress
+{
+public:
+    /// Records complete events that were passed on.
+    void record(std::string_view events);
+    /// Returns the id of the last event that had one, or "".
+    const std::string &lastEventId() const { return m_lastEventId; }
+    /// Returns whether another server can go on without a gap and without repeating an event: no
+    /// event was passed on, or the last one had an id.
+    bool canContinue() const { return m_canContinue; }
+
+private:
+    std::string m_lastEventId;
+    bool m_canContinue = true;
+};
+
 } // namespace trefoil
--- /dev/null
+++ b/libs/http/src/answer_body.cpp
@@ -0,0 +1,77 @@
+#include <http/answer_body.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoil {
+
+answer_body::answer_body(const answer_body_options &options) : m_options(options)
+{
+    const bool isEmpty = options.framing.end == body_end::None
+        || (options.framing.end == body_end::Length && options.framing.length == 0);
+    if (isEmpty)
+        m_state = body_state::Whole;
+}
+
+std::size_t answer_body::heldBytes() const
+{
+    return m_plain.size() + m_openChunk.size() + m_events.incompleteBytes();
+}
+
+bool answer_body::decode(std::string &input)
+{
+    if (m_options.framing.end == body_end::Chunked) {
+        const chunked_state state = m_chunks.feed(input, m_openChunk);
+        if (state == chunked_state::Malformed)
+            m_state = body_state::BrokenOff;
+        return state == chunked_state::Done;
+    }
+    std::size_t size = input.size();
+    if (m_options.framing.end == body_end::Length)
+        size = std::min<std::uint64_t>(size, m_options.framing.length - m_bodyBytes);
+    m_openChunk.append(input, 0, size);
+    input.erase(0, size);
+    m_bodyBytes += size;
+    return m_options.framing.end == body_end::Length && m_bodyBytes == m_options.framing.length;
+}
+
+std::string answer_body::feed(std::string &input)
+{
+    if (m_state != body_state::Incomplete)
+        return {};
+    const bool hasFramingEnded = decode(input);
+    const std::size_t ended = m_openChunk.size() - m_chunks.openChunkBytes();
+    std::string events;
+    if (m_options.isEventStream) {
+        events = m_events.feed(std::string_view(m_openChunk).substr(0, ended));
+        m_hasEvents = m_hasEvents || containsData(events);
+    } else {
+        m_plain.append(m_openChunk, 0, ended);
+    }
+    m_openChunk.erase(0, ended);
+    if (m_state == body_state::Incomplete && heldBytes() > m_options.maxHeldBytes)
+        m_state = body_state::BrokenOff;
+    if (m_state == body_state::Incomplete && hasFramingEnded)
+        finish();
+    return events;
+}
+
+void answer_body::end(bool isOrderly)
+{
+    if (m_state != body_state::Incomplete)
+        return;
+    const bool endsWithConnection = m_options.framing.end == body_end::Close;
+    const bool lacksEvents = m_options.isEventStream && !m_hasEvents;
+    if (isOrderly && endsWithConnection && !lacksEvents)
+        finish();
+    else
+        m_state = body_state::BrokenOff;
+}
+
+void answer_body::finish()
+{
+    const bool isCut = m_options.framing.end == body_end::Close && m_events.isInsideEvent();
+    m_state = isCut ? body_state::BrokenOff : body_state::Whole;
+}
+
+} // namespace trefoil
--- a/libs/http/src/chunked.cpp
+++ b/libs/http/src/chunked.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 
 namespace trefoil {
@@ -28,13 +29,14 @@
             body.append(input, consumed, size);
             consumed += size;
             m_remaining -= size;
+            m_openChunkBytes += size;
             if (m_remaining > 0)
                 break;
             m_step = step::DataEnd;
         }
         const std::size_t end = input.find("\r\n", consumed);
         if (end == std::string::npos) {
-            if (input.size() - consumed > maxSizeLineBytes + maxTrailerBytes)
+            if (!mayBecomeLine(std::string_view(input).substr(consumed)))
                 state = chunked_state::Malformed;
             break;
         }
@@ -45,12 +47,26 @@
     return state;
 }
 
+bool chunked_decoder::mayBecomeLine(std::string_view text) const
+{
+    if (text.ends_with('\r'))
+        text.remove_suffix(1);
+    if (m_step == step::DataEnd)
+        return text.empty();
+    if (m_step == step::Trailer)
+        return m_trailerBytes + text.size() <= maxTrailerBytes;
+    const bool beginsWithSize =
+        text.empty() || std::isxdigit(static_cast<unsigned char>(text.front())) != 0;
+    return beginsWithSize && text.size() <= maxSizeLineBytes;
+}
+
 chunked_state chunked_decoder::parseLine(std::string_view line)
 {
     if (line.find_first_of("\r\n") != std::string_view::npos)
         return chunked_state::Malformed;
     if (m_step == step::DataEnd) {
         m_step = step::Size;
+        m_openChunkBytes = line.empty() ? 0 : m_openChunkBytes;
         return line.empty() ? chunked_state::More : chunked_state::Malformed;
     }
     if (m_step == step::Trailer) {
--- a/libs/http/src/sse_framer.cpp
+++ b/libs/http/src/sse_framer.cpp
@@ -1,92 +1,115 @@
 #include <http/sse_framer.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace trefoil {
 
 namespace {
 
-/// Returns the end of the last complete event in @p text, or 0 if there is none.
-std::size_t endOfLastCompleteEvent(std::string_view text)
+/// Removes the next line from @p rest and returns it without its end.
+std::string_view takeLine(std::string_view &rest)
 {
-    const std::size_t lineFeeds = text.rfind("\n\n");
-    const std::size_t crlfs = text.rfind("\r\n\r\n");
-    constexpr std::size_t lineFeedsSize = 2;
-    constexpr std::size_t crlfsSize = 4;
-    const std::size_t lineFeedsEnd =
-        lineFeeds == std::string_view::npos ? 0 : lineFeeds + lineFeedsSize;
-    const std::size_t crlfsEnd = crlfs == std::string_view::npos ? 0 : crlfs + crlfsSize;
-    return std::max(lineFeedsEnd, crlfsEnd);
+    const std::size_t end = rest.find_first_of("\r\n");
+    const std::string_view line = rest.substr(0, end);
+    if (end == std::string_view::npos) {
+        rest = {};
+        return line;
+    }
+    rest.remove_prefix(rest.substr(end).starts_with("\r\n") ? end + 2 : end + 1);
+    return line;
+}
+
+/// Returns the name of the field that @p line holds; "" for a comment.
+std::string_view fieldName(std::string_view line) { return line.substr(0, line.find(':')); }
+
+std::string_view fieldValue(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return {};
+    line.remove_prefix(colon + 1);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return line;
 }
 
 } // namespace
 
 std::string sse_framer::feed(std::string_view bytes)
 {
-    // Only the new bytes, and the line end that they may complete, can end an event.
-    constexpr std::size_t longestEnd = 4;
-    const std::size_t searchFrom =
-        m_incomplete.size() - std::min(m_incomplete.size(), longestEnd - 1);
+    const std::size_t start = m_incomplete.size();
     m_incomplete.append(bytes);
-    const std::size_t found =
-        endOfLastCompleteEvent(std::string_view(m_incomplete).substr(searchFrom));
-    const std::size_t end = found == 0 ? 0 : searchFrom + found;
+    std::size_t end = 0;
+    for (std::size_t i = start; i < m_incomplete.size(); ++i) {
+        const char c = m_incomplete[i];
+        if (c == '\n' && m_wasCarriageReturn) {
+            if (std::exchange(m_isEndPending, false) || end == i)
+                end = i + 1;
+            m_wasCarriageReturn = false;
+            m_hasCrLf = true;
+            continue;
+        }
+        if (std::exchange(m_isEndPending, false))
+            end = i;
+        const bool isLineEnd = c == '\r' || c == '\n';
+        m_hasCrLf = m_hasCrLf && !m_wasCarriageReturn && c != '\n';
+        if (isLineEnd && m_isLineEmpty) {
+            // Where lines end with CR LF, a CR is only half of the line that ends the event.
+            m_isEndPending = c == '\r' && m_hasCrLf;
+            end = m_isEndPending ? end : i + 1;
+        }
+        m_isLineEmpty = isLineEnd;
+        m_wasCarriageReturn = c == '\r';
+    }
     std::string events = m_incomplete.substr(0, end);
     m_incomplete.erase(0, end);
-    updateLastEventId(events);
     return events;
 }
 
-std::string sse_framer::takeIncomplete() { return std::exchange(m_incomplete, {}); }
-
-bool sse_framer::isInsideEvent() const
-{
-    return m_incomplete.find_first_not_of("\r\n") != std::string::npos;
-}
-
 int countEvents(std::string_view events)
 {
     int count = 0;
     bool hasLines = false;
-    bool isLineEmpty = true;
-    for (const char c : events) {
-        if (c == '\r')
-            continue;
-        if (c != '\n') {
+    while (!events.empty()) {
+        if (!takeLine(events).empty()) {
             hasLines = true;
-            isLineEmpty = false;
-            continue;
-        }
-        if (isLineEmpty && std::exchange(hasLines, false))
+        } else if (hasLines) {
+            hasLines = false;
             ++count;
-        isLineEmpty = true;
+        }
     }
     return count;
 }
 
 bool containsData(std::string_view events)
 {
-    constexpr std::string_view fieldName = "data";
-    return events.starts_with(fieldName) || events.find("\ndata") != std::string_view::npos;
+    while (!events.empty()) {
+        if (fieldName(takeLine(events)) == "data")
+            return true;
+    }
+    return false;
 }
 
-void sse_framer::updateLastEventId(std::string_view events)
+void stream_progress::record(std::string_view events)
 {
-    constexpr std::string_view fieldName = "id:";
+    std::string_view id = m_lastEventId;
+    bool hasData = false;
+    bool hasId = false;
     while (!events.empty()) {
-        const std::size_t end = events.find('\n');
-        std::string_view line = events.substr(0, end);
-        events = end == std::string_view::npos ? std::string_view {} : events.substr(end + 1);
-        if (!line.starts_with(fieldName))
-            continue;
-        line.remove_prefix(fieldName.size());
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        m_lastEventId = std::string(line);
+        const std::string_view line = takeLine(events);
+        if (line.empty()) {
+            if (hasData)
+                m_canContinue = hasId;
+            hasData = false;
+            hasId = false;
+        } else if (fieldName(line) == "data") {
+            hasData = true;
+        } else if (fieldName(line) == "id") {
+            id = fieldValue(line);
+            hasId = !id.empty();
+        }
     }
+    m_lastEventId = std::string(id);
 }
 
 } // namespace trefoil
--- a/libs/http/tests/sse_framer_test.cpp
+++ b/libs/http/tests/sse_framer_test.cpp
@@ -8,20 +8,69 @@
 {
     sse_framer framer;
     EXPECT_EQ(framer.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-    EXPECT_EQ(framer.lastEventId(), "1");
+    EXPECT_TRUE(framer.isInsideEvent());
     EXPECT_EQ(framer.feed("ta: b\n\n"), "id: 2\ndata: b\n\n");
-    EXPECT_EQ(framer.lastEventId(), "2");
+    EXPECT_FALSE(framer.isInsideEvent());
 }
 
-TEST(SseFramer, DiscardsAnIncompleteEventBeforeAnotherServerResumes)
+TEST(SseFramer, EndsLinesWithEachLineEndOfTheFormatSplitAnywhere)
+{
+    const std::string text = "id: 1\r\ndata: a\r\n\r\nid: 2\rdata: b\r\rid: 3\ndata: c\n\n\n"
+                             "id: 4\r\ndata: d\n\r\n";
+    for (std::size_t split = 0; split <= text.size(); ++split) {
+        sse_framer framer;
+        const std::string first = framer.feed(std::string_view(text).substr(0, split));
+        EXPECT_EQ(first + framer.feed(std::string_view(text).substr(split)), text) << split;
+        EXPECT_FALSE(framer.isInsideEvent()) << split;
+    }
+    EXPECT_EQ(countEvents(text), 4);
+    EXPECT_TRUE(containsData("id: 1\rdata: a\r\r"));
+    EXPECT_FALSE(containsData(": data: a\n\n"));
+}
+
+TEST(SseFramer, CarriageReturnAloneEndsAnEventAtOnce)
+{
+    sse_framer framer;
+    EXPECT_EQ(framer.feed("data: a\r\r"), "data: a\r\r");
+    EXPECT_EQ(framer.feed("\ndata: b\r\r"), "\ndata: b\r\r");
+    EXPECT_FALSE(framer.isInsideEvent());
+}
+
+// An event whose last line end was cut in half was joined with the next one.
+TEST(SseFramer, HalfOfTheLastLineEndDoesNotEndAnEvent)
 {
     sse_framer framer;
-    framer.feed("id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: cut");
-    EXPECT_EQ(framer.lastEventId(), "7");
-    framer.discardIncomplete();
-    EXPECT_EQ(framer.feed("id: 8\r\ndata: b\r\n\r\n"), "id: 8\r\ndata: b\r\n\r\n");
-    EXPECT_EQ(framer.lastEventId(), "8");
-    EXPECT_EQ(framer.takeIncomplete(), "");
+    EXPECT_EQ(framer.feed("data: a\r\n\r"), "");
+    EXPECT_TRUE(framer.isInsideEvent());
+    EXPECT_EQ(framer.feed("\n"), "data: a\r\n\r\n");
+    EXPECT_EQ(framer.feed("data: b\r\n\r"), "");
+    EXPECT_EQ(framer.feed("data: c"), "data: b\r\n\r");
+}
+
+TEST(StreamProgress, AnotherServerGoesOnAfterTheLastEventWithData)
+{
+    stream_progress progress;
+    EXPECT_TRUE(progress.canContinue());
+    progress.record("id: 7\r\ndata: a\r\n\r\n");
+    EXPECT_EQ(progress.lastEventId(), "7");
+    progress.record(": ping\n\n");
+    EXPECT_EQ(progress.lastEventId(), "7");
+    EXPECT_TRUE(progress.canContinue());
+    progress.record("id: 8\rdata: b\r\r");
+    EXPECT_EQ(progress.lastEventId(), "8");
+    EXPECT_TRUE(progress.canContinue());
+}
+
+// A server that went on after an earlier id would have written the last event once more.
+TEST(StreamProgress, EventWithoutIdCantBeContinuedAfter)
+{
+    stream_progress progress;
+    progress.record("id: 7\ndata: a\n\ndata: b\n\n");
+    EXPECT_FALSE(progress.canContinue());
+    progress.record("id: 8\ndata: c\n\n");
+    EXPECT_TRUE(progress.canContinue());
+    progress.record("id:\ndata: d\n\n");
+    EXPECT_FALSE(progress.canContinue());
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -296,6 +296,8 @@
     m_triedServers.push_back(last.placed.server);
     if (end != attempt_end::NotRun && (!mayRepeat() || m_runs >= m_route->maxAttempts))
         return false;
+    if (!m_progress.canContinue())
+        return false;
     if (!last.wasSent)
         return true;
     return m_state.with([this](routing_state &routing) {
@@ -341,7 +343,7 @@
         return attempt_end::Broken;
     const bool isEventStream =
         current.head.headers.value("Content-Type").starts_with("text/event-stream");
-    if (isSuccess && isEventStream)
+    if (isSuccess && isEventStream && current.framing.end != body_end::None)
         return forwardStream(current);
     return forwardBuffered(current);
 }
@@ -357,9 +359,9 @@
         return attempt_end::NotRun;
     current.stream = std::move(acquired->stream);
     current.isReused = acquired->isReused;
-    const std::string_view lastEvent = m_events.lastEventId().empty()
+    const std::string_view lastEvent = m_progress.lastEventId().empty()
         ? std::string_view(m_fields.lastEventId)
-        : m_events.lastEventId();
+        : m_progress.lastEventId();
     constexpr int priorityStep = 3;
     constexpr int lastPriority = 9;
     const int teamPriority = m_team == nullptr ? 0 : m_team->priority;
@@ -525,50 +527,42 @@
         if (current.fields.requestId.empty() || current.fields.requestId == m_fields.requestId)
             return attempt_end::Delivered;
         // A late answer to an earlier request on this connection precedes the one to this request.
-        std::string dropped;
+        answer_body dropped({.framing = current.framing, .maxHeldBytes = maxBufferedBytes});
         const attempt_end skipped = readBody(current, dropped);
         if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
             countRun(current);
             return skipped == attempt_end::Delivered ? attempt_end::Broken : skipped;
         }
-        current.chunks = {};
     }
 }
 
-request_runner::attempt_end request_runner::readBody(attempt &current, std::string &body)
+request_runner::attempt_end request_runner::awaitBody(attempt &current, answer_body &body)
+{
+    if (body.state() == body_state::Whole)
+        return attempt_end::Delivered;
+    if (body.state() == body_state::BrokenOff)
+        return attempt_end::Broken;
+    const read_outcome outcome = waitForBytes(current);
+    if (outcome == read_outcome::Bytes)
+        return attempt_end::Delivered;
+    body.end(outcome == read_outcome::End);
+    return body.state() == body_state::Whole ? attempt_end::Delivered : attemptEndOf(outcome);
+}
+
+request_runner::attempt_end request_runner::readBody(attempt &current, answer_body &body)
 {
-    std::string &buffer = current.stream->buffer();
     while (true) {
-        if (current.framing.end == body_end::None)
-            return attempt_end::Delivered;
-        if (current.framing.end == body_end::Chunked) {
-            const chunked_state state = current.chunks.feed(buffer, body);
-            if (state != chunked_state::More)
-                return state == chunked_state::Done ? attempt_end::Delivered : attempt_end::Broken;
-        } else {
-            const std::uint64_t wanted = current.framing.end == body_end::Length
-                ? current.framing.length - body.size()
-                : buffer.size();
-            const std::size_t size = std::min<std::uint64_t>(wanted, buffer.size());
-            body.append(buffer, 0, size);
-            buffer.erase(0, size);
-            if (current.framing.end == body_end::Length && body.size() == current.framing.length)
-                return attempt_end::Delivered;
-        }
-        if (body.size() > maxBufferedBytes)
-            return attempt_end::Broken;
-        const read_outcome outcome = waitForBytes(current);
-        if (outcome == read_outcome::End && current.framing.end == body_end::Close)
-            return attempt_end::Delivered;
-        if (outcome != read_outcome::Bytes)
-            return attemptEndOf(outcome);
+        body.feed(current.stream->buffer());
+        const attempt_end end = awaitBody(current, body);
+        if (end != attempt_end::Delivered || body.state() == body_state::Whole)
+            return end;
         current.progressAt = boot_clock::now();
     }
 }
 
 request_runner::attempt_end request_runner::handleRejection(attempt &current)
 {
-    std::string body;
+    answer_body body({.framing = current.framing, .maxHeldBytes = maxBufferedBytes});
     if (readBody(current, body) == attempt_end::Delivered)
         returnConnection(current);
     const timestamp now = boot_clock::now();
@@ -602,7 +596,7 @@
 
 request_runner::attempt_end request_runner::forwardBuffered(attempt &current)
 {
-    std::string body;
+    answer_body body({.framing = current.framing, .maxHeldBytes = maxBufferedBytes});
     const attempt_end end = readBody(current, body);
     if (end != attempt_end::Delivered)
         return end;
@@ -612,7 +606,7 @@
     returnConnection(current);
     if (m_response.currentState() != caller_response::state::NothingSent)
         return attempt_end::Broken;
-    m_answer = {current.head, std::move(body)};
+    m_answer = {current.head, std::move(body.plainBody())};
     if (current.head.status >= firstServerFailure && mayRepeat())
         return attempt_end::Failed;
     return writeAnswer() ? attempt_end::Delivered : attempt_end::CallerBroken;
@@ -629,59 +623,28 @@
 
 request_runner::attempt_end request_runner::forwardStream(attempt &current)
 {
-    std::string &buffer = current.stream->buffer();
-    // The end of the connection also ends the answer if it has no length.
-    bool hasConnectionEnded = false;
+    answer_body body(
+        {.framing = current.framing, .isEventStream = true, .maxHeldBytes = maxEventBytes});
     while (true) {
-        std::string decoded;
-        bool isComplete = false;
-        if (current.framing.end == body_end::Chunked) {
-            const chunked_state state = current.chunks.feed(buffer, decoded);
-            if (state == chunked_state::Malformed)
-                return attempt_end::Broken;
-            isComplete = state == chunked_state::Done;
-        } else {
-            std::size_t size = buffer.size();
-            if (current.framing.end == body_end::Length)
-                size = std::min<std::uint64_t>(size, current.framing.length - current.bodyBytes);
-            decoded = buffer.substr(0, size);
-            buffer.erase(0, size);
-            current.bodyBytes += size;
-            isComplete = current.framing.end == body_end::Length
-                && current.bodyBytes == current.framing.length;
-        }
-        isComplete = isComplete || hasConnectionEnded;
-        std::string events = m_events.feed(decoded);
-        if (isComplete)
-            events += m_events.takeIncomplete();
+        const std::string events = body.feed(current.stream->buffer());
         if (containsData(events))
             current.progressAt = boot_clock::now();
-        if (m_events.incompleteBytes() > maxEventBytes) {
-            m_events.discardIncomplete();
-            return attempt_end::Broken;
-        }
         recordEvents(current, events);
-        if ((!events.empty() || isComplete)
-            && !m_response.sendEvents(current.head, events, isComplete, m_deadline))
+        const bool isWhole = body.state() == body_state::Whole;
+        if ((!events.empty() || isWhole)
+            && !m_response.sendEvents(current.head, events, isWhole, m_deadline))
             return attempt_end::CallerBroken;
-        if (isComplete) {
+        m_progress.record(events);
+        if (isWhole) {
             current.timer->onComplete();
             m_status = current.head.status;
             returnConnection(current);
             logEnd("answered", m_status);
             return attempt_end::Delivered;
         }
-        const read_outcome outcome = waitForBytes(current);
-        const bool isOrderlyEnd =
-            outcome == read_outcome::End && current.framing.end == body_end::Close;
-        // Without a length, only an end between events shows that the answer is whole.
-        const bool isBrokenOff = isOrderlyEnd && (!current.hasEvents || m_events.isInsideEvent());
-        if (isOrderlyEnd && !isBrokenOff) {
-            hasConnectionEnded = true;
-        } else if (outcome != read_outcome::Bytes) {
-            m_events.discardIncomplete();
-            return attemptEndOf(outcome);
-        }
+        const attempt_end end = awaitBody(current, body);
+        if (end != attempt_end::Delivered)
+            return end;
     }
 }
 
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -8,8 +8,8 @@
 #include <adapter/headers.h>
 #include <core/digest.h>
 #include <dispatch/silence_policy.h>
+#include <http/answer_body.h>
 #include <http/byte_stream.h>
-#include <http/chunked.h>
 #include <http/message.h>
 #include <http/sse_framer.h>
 #include <rollout/response_timing.h>
@@ -74,8 +74,6 @@
         response_head head;
         server_answer_fields fields;
         body_framing framing;
-        chunked_decoder chunks;
-        std::uint64_t bodyBytes = 0;
         /// Whether the whole request was written. A server may answer and close before that.
         bool isRequestWritten = false;
         bool wasSent = false;
@@ -121,7 +119,11 @@
     attempt_end send(attempt &current);
     attempt_end readHead(attempt &current);
     attempt_end handleRejection(attempt &current);
-    attempt_end readBody(attempt &current, std::string &body);
+    /// Reads until @p body is whole.
+    attempt_end readBody(attempt &current, answer_body &body);
+    /// Waits for more of @p body, unless it is whole. Returns Delivered if there may be more to
+    /// decode.
+    attempt_end awaitBody(attempt &current, answer_body &body);
     attempt_end forwardBuffered(attempt &current);
     attempt_end forwardStream(attempt &current);
     /// Records what the server stated about itself in the head of its answer.
@@ -179,7 +181,8 @@
     bool m_wasSent = false;
     /// Attempts in which a server may have started the request.
     int m_runs = 0;
-    sse_framer m_events;
+    /// How far the caller has received a stream.
+    stream_progress m_progress;
     /// Complete answer of a server. An error is forwarded only if no other server answers the
     /// request.
     std::optional<std::pair<response_head, std::string>> m_answer;
