Break off a stream whose framing ends inside an event

Cause: the proper end of chunks or of a length was taken for the end of the stream; only streams without framing were asked whether an event is open. Change: answer_body asks for all framings.

--- a/libs/http/src/answer_body.cpp
+++ b/libs/http/src/answer_body.cpp
@@ -70,8 +70,7 @@
 
 void answer_body::finish()
 {
-    const bool isCut = m_options.framing.end == body_end::Close && m_events.isInsideEvent();
-    m_state = isCut ? body_state::BrokenOff : body_state::Whole;
+    m_state = m_events.isInsideEvent() ? body_state::BrokenOff : body_state::Whole;
 }
 
 } // namespace trefoil
--- a/libs/http/tests/answer_body_test.cpp
+++ b/libs/http/tests/answer_body_test.cpp
@@ -176,6 +176,22 @@
     }
 }
 
+// A chunked stream, or one with a length, that ended inside an event was passed on as complete.
+TEST(AnswerBody, StreamWhoseFramingEndsInsideAnEventIsBrokenOff)
+{
+    for (const body_end end : framings) {
+        for (const char *rest : {"id: 2\nda", "id: 2\ndata: b\n", "\n: com", "data"}) {
+            const std::string bytes = encoded(end, {events[0], rest});
+            const attempt_result got = attempt({.framing = framingOf(end, bytes.size()),
+                                                .isEventStream = true,
+                                                .maxHeldBytes = maxHeldBytes},
+                                               bytes, bytes.size(), cut::OrderlyEnd);
+            EXPECT_EQ(got.state, body_state::BrokenOff) << rest;
+            EXPECT_EQ(got.passedOn, events[0] + (*rest == '\n' ? "\n" : ""));
+        }
+    }
+}
+
 TEST(AnswerBody, StreamWithoutEventsIsWholeOnlyIfItsFramingSaysSo)
 {
     const auto stateOf = [](body_end end, const std::string &bytes) {
