Query servers whose last call failed on threads of their own

Change: weights_plan keeps the polls of servers whose last call failed apart; they have three threads.

--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -86,6 +86,9 @@
         /// Servers whose order state must be read, because a load may be complete or the number of
         /// accepted orders is unknown.
         std::vector<registered_server> serversToPoll;
+        /// Those whose last call failed. They may take the whole timeout again, so the others must
+        /// not wait for them.
+        std::vector<registered_server> failingServersToPoll;
     };
 
     /// Input of the plan.
@@ -133,9 +136,12 @@
         timestamp notBefore;
         bool isPolling = false;
         bool wasPolled = false;
+        /// Whether the last call to the server brought no answer.
+        bool hasFailed = false;
     };
 
     progress &progressOf(const registered_server &server);
+    static void poll(const registered_server &server, progress &state, actions &due);
 
     weights_plan_options m_options;
     std::map<std::string, progress, std::less<>> m_progress;
--- a/libs/dispatch/src/weights_plan.cpp
+++ b/libs/dispatch/src/weights_plan.cpp
@@ -41,6 +41,12 @@
     return state;
 }
 
+void weights_plan::poll(const registered_server &server, progress &state, actions &due)
+{
+    state.isPolling = true;
+    (state.hasFailed ? due.failingServersToPoll : due.serversToPoll).push_back(server);
+}
+
 weights_plan::actions weights_plan::next(timestamp now, std::uint64_t epoch, const inputs &input)
 {
     actions due;
@@ -64,8 +70,7 @@
                 loadingCount[server.service] += 1;
                 if (state.current == stage::Loading && !state.isPolling
                     && now >= std::max(state.notBefore, state.since + m_options.pollDelay)) {
-                    state.isPolling = true;
-                    due.serversToPoll.push_back(server);
+                    poll(server, state, due);
                 }
                 continue;
             }
@@ -75,9 +80,8 @@
             continue;
         // Polled in advance, so that the first order for new weights can be sent immediately.
         if (!state.isOrderCountKnown && !state.isPolling && (model || !state.wasPolled)) {
-            state.isPolling = true;
             state.wasPolled = true;
-            due.serversToPoll.push_back(server);
+            poll(server, state, due);
         }
         const auto blocked = input.blockedUntil.find(server.id);
         if (!model || !state.isOrderCountKnown
@@ -126,6 +130,7 @@
         return;
     progress &state = found->second;
     state.isPolling = false;
+    state.hasFailed = answer == order_answer::Unknown;
     if (answer == order_answer::Accepted) {
         state.current = stage::Loading;
         state.since = now;
@@ -147,6 +152,7 @@
     progress &known = found->second;
     known.isPolling = false;
     known.notBefore = now + m_options.pollInterval;
+    known.hasFailed = state == nullptr;
     if (state == nullptr) {
         // The server may have crashed and its load of weights been lost.
         known.current = stage::Idle;
--- a/libs/dispatch/tests/weights_plan_test.cpp
+++ b/libs/dispatch/tests/weights_plan_test.cpp
@@ -49,11 +49,22 @@
                                                          .blockedUntil = blocked,
                                                          .unreachable = unreachable});
             for (const registered_server &each : due.serversToPoll) {
+                if (mute.contains(each.id)) {
+                    ++muteServersAmongSound;
+                    plan.onState(now, each.id, nullptr);
+                    continue;
+                }
                 const order_state state {.acceptedOrders = orders[each.id],
                                          .isBusy = loads.contains(each.id),
                                          .weights = find(each.id).weights};
                 plan.onState(now, each.id, &state);
             }
+            for (const registered_server &each : due.failingServersToPoll) {
+                const order_state state {.acceptedOrders = orders[each.id],
+                                         .isBusy = loads.contains(each.id),
+                                         .weights = find(each.id).weights};
+                plan.onState(now, each.id, mute.contains(each.id) ? nullptr : &state);
+            }
             for (const weights_order &each : due.orders)
                 plan.onAnswer(now, each.server, answer(now, each));
             maxLoads = std::max(maxLoads, loads.size());
@@ -87,6 +98,9 @@
     std::map<std::string, std::uint64_t> orders;
     std::map<std::string, std::pair<timestamp, std::uint64_t>> loads;
     std::set<std::string> ordersToLose;
+    /// Servers that don't answer calls, and how often these were among the calls to the others.
+    std::set<std::string, std::less<>> mute;
+    int muteServersAmongSound = 0;
     std::map<std::string, timestamp, std::less<>> blocked;
     std::set<std::string, std::less<>> unreachable;
     std::uint64_t targetVersion = 1;
@@ -133,6 +147,26 @@
     EXPECT_TRUE(pool.allRun(2));
 }
 
+// Each call to a server that sends bytes without end takes its whole timeout. All calls took turns
+// on the same threads, and the sound servers kept their old weights.
+TEST(WeightsPlan, ServersWhoseCallsFailDoNotHoldUpTheOthers)
+{
+    simulated_pool pool(20);
+    pool.mute = {"s0", "s1", "s2"};
+    weights_plan plan({});
+    timestamp now {};
+    pool.run(now, now + std::chrono::seconds(2), plan);
+    pool.targetVersion = 2;
+    pool.run(now, now + std::chrono::seconds(10), plan);
+    EXPECT_EQ(pool.muteServersAmongSound, 3);
+    EXPECT_EQ(pool.sentOrders, 17);
+    for (const registered_server &server : pool.servers)
+        EXPECT_EQ(server.weights.at(model), pool.mute.contains(server.id) ? 1u : 2u);
+    pool.mute.clear();
+    pool.run(now, now + std::chrono::seconds(5), plan);
+    EXPECT_TRUE(pool.allRun(2));
+}
+
 // A quarter of the pool is unreachable when the target weights change. Orders and polls to
 // unreachable servers each blocked a thread until their timeout and counted as concurrent loads.
 TEST(WeightsPlan, UnreachableServersGetNoOrdersUntilReachable)
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -18,6 +18,8 @@
 /// Threads that send load orders and state queries to servers: as many as the servers of a small
 /// pool that load at once.
 constexpr int orderThreads = 6;
+/// Threads that query servers whose last call failed.
+constexpr int failingThreads = 3;
 /// Threads that probe suspect servers. They are separate from the order threads: a probe of a
 /// server that drops packets takes its whole timeout, and orders waited behind such probes for
 /// seconds.
@@ -52,7 +54,7 @@
 edge_instance::edge_instance(const platform_settings &settings)
     : m_settings(settings), m_state(settings),
       m_store(settings.store, settings.storeCallsPerSecond, &m_state.readBudget()), m_watch(m_state, m_store),
-      m_leader(m_state, m_store, m_orderQueue),
+      m_leader(m_state, m_store, m_orderQueue, m_failingQueue),
       m_exchange(m_state, m_watch, [this] { return m_leader.report(); })
 { }
 
@@ -66,6 +68,8 @@
     all.push_back(m_exchange.child());
     for (child_spec &worker : m_orderQueue.makeWorkers("orders", orderThreads))
         all.push_back(std::move(worker));
+    for (child_spec &worker : m_failingQueue.makeWorkers("failing-calls", failingThreads))
+        all.push_back(std::move(worker));
     for (child_spec &worker : m_probeQueue.makeWorkers("probes", probeThreads))
         all.push_back(std::move(worker));
     for (child_spec &each : m_leader.children(m_exchange))
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -46,6 +46,7 @@
     store_client m_store;
     server_connection_pool m_connections;
     work_queue m_orderQueue;
+    work_queue m_failingQueue;
     work_queue m_probeQueue;
     /// Mean time for which a thread waits for the processor after its sleep ends.
     duration m_meanSchedulingDelay {};
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -63,8 +63,9 @@
 
 } // namespace
 
-leader_runner::leader_runner(edge_state &state, store_client &store, work_queue &queue)
-    : m_state(state), m_store(store), m_queue(queue),
+leader_runner::leader_runner(edge_state &state, store_client &store, work_queue &queue,
+                             work_queue &failingQueue)
+    : m_state(state), m_store(store), m_queue(queue), m_failingQueue(failingQueue),
       m_lease({.self = state.settings().name,
                .quietTime = state.settings().leaderQuietTime + quietMargin}),
       m_plan({})
@@ -308,6 +309,8 @@
     }
     for (const registered_server &server : planned.serversToPoll)
         m_queue.post([this, server] { queryServer(server); });
+    for (const registered_server &server : planned.failingServersToPoll)
+        m_failingQueue.post([this, server] { queryServer(server); });
 }
 
 void leader_runner::deliverOrder(const weights_order &order)
--- a/trefoilrouter/src/edge/leader_runner.h
+++ b/trefoilrouter/src/edge/leader_runner.h
@@ -21,7 +21,8 @@
 {
 public:
     /// Precondition: the arguments outlive this object.
-    leader_runner(edge_state &state, store_client &store, work_queue &queue);
+    leader_runner(edge_state &state, store_client &store, work_queue &queue,
+                  work_queue &failingQueue);
 
     /// Returns the children that run the leader's tasks. @p exchange reports orders to the other
     /// instances at once.
@@ -52,6 +53,8 @@
     edge_state &m_state;
     store_client &m_store;
     work_queue &m_queue;
+    /// Calls to servers whose last call failed, which may each take the whole timeout.
+    work_queue &m_failingQueue;
     std::mutex m_mutex;
     leader_lease m_lease;
     weights_plan m_plan;
