Bound requests for pages in size and time

Cause: the listeners for discovery, readiness and copies read heads of up to 800 KB in each of 64 threads, and waited 20 s for each read, without an end as a whole. Change: page_listener reads one head of at most 16 KB within two seconds. Measured: PageListener.RequestsAreBoundedInSizeAndTime passes. It was not run on the listeners before; their limits are read in the code.

--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <functional>
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <adapter/documents.h>
 #include <adapter/server_calls.h>
 #include <telemetry/event_log.h>
@@ -17,57 +15,12 @@
 namespace {
 
 using Poco::Net::HTTPResponse;
-using Poco::Net::HTTPServerRequest;
-using Poco::Net::HTTPServerResponse;
 
 /// Lifetime of a discovery answer. Some callers keep it for three times as long.
 constexpr duration discoveryLifetime = std::chrono::seconds(3);
 /// Lifetime while an instance is missing, since the answer will change soon.
 constexpr duration degradedDiscoveryLifetime = std::chrono::seconds(1);
 
-/// Response to a GET request.
-struct page
-{
-    int status = HTTPResponse::HTTP_OK;
-    const char *type = "text/plain";
-    std::string body;
-};
-
-class page_handler : public Poco::Net::HTTPRequestHandler
-{
-public:
-    explicit page_handler(std::function<page(const Poco::URI &)> makePage)
-        : m_makePage(std::move(makePage))
-    { }
-
-    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
-    {
-        const page answer = m_makePage(Poco::URI(request.getURI()));
-        response.setStatus(static_cast<HTTPServerResponse::HTTPStatus>(answer.status));
-        response.setContentType(answer.type);
-        response.sendBuffer(answer.body.data(), answer.body.size());
-    }
-
-private:
-    std::function<page(const Poco::URI &)> m_makePage;
-};
-
-class page_factory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit page_factory(std::function<page(const Poco::URI &)> makePage)
-        : m_makePage(std::move(makePage))
-    { }
-
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
-    {
-        return new page_handler(m_makePage); // the server deletes it
-    }
-
-private:
-    std::function<page(const Poco::URI &)> m_makePage;
-};
-
 page discoveryPage(edge_state &state, const std::string &zone)
 {
     const timestamp now = boot_clock::now();
@@ -93,9 +46,9 @@
 
 } // namespace
 
-Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> discoveryFactory(edge_state &state)
+std::function<page(const Poco::URI &)> discoveryPages(edge_state &state)
 {
-    return new page_factory([&state](const Poco::URI &uri) -> page {
+    return [&state](const Poco::URI &uri) -> page {
         if (uri.getPath() == router_paths::readiness) {
             const bool isReady = state.isReady();
             return {.status =
@@ -105,13 +58,12 @@
         if (uri.getPath() == router_paths::discovery)
             return discoveryPage(state, queryValue(uri, "zone"));
         return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = "no such page\n"};
-    });
+    };
 }
 
-Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> peerFactory(edge_state &state,
-                                                                  store_watch &watch)
+std::function<page(const Poco::URI &)> peerPages(edge_state &state, store_watch &watch)
 {
-    return new page_factory([&state, &watch](const Poco::URI &uri) -> page {
+    return [&state, &watch](const Poco::URI &uri) -> page {
         if (uri.getPath() == "/copy")
             return {.type = "application/json", .body = watch.encodeCopy(queryValue(uri, "kind"))};
         if (uri.getPath() == "/metrics") {
@@ -121,7 +73,7 @@
             return {.body = state.metrics().write()};
         }
         return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = "no such page\n"};
-    });
+    };
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_handlers.h
+++ b/trefoilrouter/src/edge/edge_handlers.h
@@ -1,20 +1,19 @@
 #pragma once
 
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/SharedPtr.h>
+#include <functional>
 
 #include "edge/edge_state.h"
+#include "edge/page_listener.h"
 #include "edge/store_watch.h"
 
 namespace trefoil {
 
-/// Returns the factory of handlers for the platform's readiness check and for callers' discovery
-/// requests. Precondition: @p state outlives it.
-Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> discoveryFactory(edge_state &state);
+/// Returns the pages for the platform's readiness check and for callers' discovery requests.
+/// Precondition: @p state outlives them. Thread-safe.
+std::function<page(const Poco::URI &)> discoveryPages(edge_state &state);
 
-/// Returns the factory of handlers that serve copies of the store's objects to other instances, and
-/// metrics to operators. Precondition: @p state and @p watch outlive it.
-Poco::SharedPtr<Poco::Net::HTTPRequestHandlerFactory> peerFactory(edge_state &state,
-                                                                  store_watch &watch);
+/// Returns the pages with copies of the store's objects for other instances, and with metrics for
+/// operators. Precondition: @p state and @p watch outlive them. Thread-safe.
+std::function<page(const Poco::URI &)> peerPages(edge_state &state, store_watch &watch);
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -53,8 +53,8 @@
 
 edge_instance::edge_instance(const platform_settings &settings)
     : m_settings(settings), m_state(settings),
-      m_store(settings.store, settings.storeCallsPerSecond, &m_state.readBudget()), m_watch(m_state, m_store),
-      m_leader(m_state, m_store, m_orderQueue, m_failingQueue),
+      m_store(settings.store, settings.storeCallsPerSecond, &m_state.readBudget()),
+      m_watch(m_state, m_store), m_leader(m_state, m_store, m_orderQueue, m_failingQueue),
       m_exchange(m_state, m_watch, [this] { return m_leader.report(); })
 { }
 
@@ -75,22 +75,19 @@
     for (child_spec &each : m_leader.children(m_exchange))
         all.push_back(std::move(each));
     all.push_back({.name = "peer-listener",
-                   .body = makeHttpListener({.address = m_settings.peers,
+                   .body = makePageListener({.address = m_settings.peers,
                                              .threads = peerThreads,
-                                             .keepAlive = false,
-                                             .factory = peerFactory(m_state, m_watch)})});
+                                             .makePage = peerPages(m_state, m_watch)})});
     all.push_back(
         {.name = "callers", .body = callerListener(m_state, m_connections, m_settings.callers)});
     all.push_back({.name = "entry",
-                   .body = makeHttpListener({.address = m_settings.discovery,
+                   .body = makePageListener({.address = m_settings.discovery,
                                              .threads = discoveryThreads,
-                                             .keepAlive = false,
-                                             .factory = discoveryFactory(m_state)})});
+                                             .makePage = discoveryPages(m_state)})});
     all.push_back({.name = "readiness",
-                   .body = makeHttpListener({.address = m_settings.readiness,
+                   .body = makePageListener({.address = m_settings.readiness,
                                              .threads = peerThreads,
-                                             .keepAlive = false,
-                                             .factory = discoveryFactory(m_state)})});
+                                             .makePage = discoveryPages(m_state)})});
     return all;
 }
 
--- a/trefoilrouter/tests/caller_session_test.cpp
+++ b/trefoilrouter/tests/caller_session_test.cpp
@@ -1,4 +1,5 @@
 #include "edge/caller_session.h"
+#include "edge/page_listener.h"
 
 #include <thread>
 
@@ -60,6 +61,38 @@
     EXPECT_TRUE(isAnswered(late, 2500ms));
 }
 
+// A body that trickles in had no limit on its time as a whole, and a page's request none at all.
+TEST(PageListener, RequestsAreBoundedInSizeAndTime)
+{
+    const endpoint address = unusedAddress();
+    const child_body listener =
+        makePageListener({.address = address, .threads = 4, .makePage = [](const Poco::URI &uri) {
+                              return page {.body = uri.getPath() + "\n"};
+                          }});
+    const std::jthread thread(
+        [&listener](const std::stop_token &stop) { static_cast<void>(listener(stop)); });
+    std::this_thread::sleep_for(200ms);
+    const auto answerTo = [&address](const std::string &text, const std::string &repeated) {
+        byte_stream stream = *byte_stream::connect(address, 1s);
+        stream.write(text, boot_clock::now() + 1s);
+        const timestamp end = boot_clock::now() + 4s;
+        read_outcome outcome = read_outcome::TimedOut;
+        while (boot_clock::now() < end && outcome == read_outcome::TimedOut) {
+            if (!repeated.empty() && !stream.write(repeated, end))
+                break;
+            outcome = stream.readMore(boot_clock::now() + 50ms);
+        }
+        EXPECT_LT(boot_clock::now(), end) << text;
+        return stream.buffer();
+    };
+    EXPECT_TRUE(
+        answerTo("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", "").starts_with("HTTP/1.1 200 "));
+    EXPECT_TRUE(answerTo("no HTTP\r\n\r\n", "").starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(
+        answerTo("GET / HTTP/1.1\r\nX: ", std::string(8192, 'x')).starts_with("HTTP/1.1 431 "));
+    EXPECT_EQ(answerTo("GET / HTTP/1.1\r\nX: ", "x"), "");
+}
+
 // A request that came late in a short grace period was passed on, and cut at its end.
 TEST(CallerSession, RequestLateInTheGracePeriodIsRefusedAtOnce)
 {
