Share one bound of memory among answers and callers' requests

Cause: each answer could hold 16 MB and each caller's body its configured limit, whatever the others held: twelve bodies of 4 MB were over the memory limit. The body of a rejection was read until the request's deadline. Change: answers and bodies hold shares of edge_state::readBudget(), a quarter of the memory limit. A caller whose body doesn't fit gets 503 with Retry-After; a server whose answer doesn't fit has lost it. Bodies that are not passed on are read for 200 ms and 64 KB. A body has 30 s in all. Measured: CallerSession.LongBodiesOfManyCallersAreBoundedTogether failed (no caller refused, 59 MB held of 16) until waiting readers looked every 200 ms whether others need what they hold; daemon_tests pass.

--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -28,6 +28,12 @@
 constexpr duration ownAnswerTimeout = std::chrono::seconds(1);
 /// Longest pause while a body is received.
 constexpr duration maxBodyPause = std::chrono::seconds(3);
+/// Time for a whole body: the longest takes a few seconds on the slowest links.
+constexpr duration maxBodyTime = std::chrono::seconds(30);
+/// Interval at which a waiting reader checks whether others need what it holds.
+constexpr duration heldBytesCheckInterval = std::chrono::milliseconds(200);
+/// Retry-After time of a request that would exceed what is held for all requests.
+constexpr duration heldBytesRetryAfter = std::chrono::milliseconds(500);
 
 class caller_connection : public Poco::Net::TCPServerConnection
 {
@@ -89,7 +95,8 @@
 void caller_session::run()
 {
     while (true) {
-        const std::optional<caller_request> request = readRequest();
+        byte_budget::share held(m_state.readBudget());
+        const std::optional<caller_request> request = readRequest(held);
         if (!request)
             return;
         m_state.recordRequest();
@@ -150,7 +157,7 @@
 }
 
 bool caller_session::readBody(const caller_bounds &bounds, const body_framing &framing,
-                              caller_request &request)
+                              caller_request &request, byte_budget::share &held)
 {
     std::string &buffer = m_caller.buffer();
     chunked_decoder chunks;
@@ -158,11 +165,18 @@
         reject(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "the body is too large");
         return false;
     }
+    if (framing.end == body_end::Length)
+        request.body.reserve(framing.length);
+    timestamp progressAt = boot_clock::now();
+    const timestamp deadline = progressAt + maxBodyTime;
     while (framing.end != body_end::None) {
-        if (framing.end == body_end::Length && buffer.size() >= framing.length) {
-            request.body = buffer.substr(0, framing.length);
-            buffer.erase(0, framing.length);
-            return true;
+        if (framing.end == body_end::Length) {
+            const std::size_t size =
+                std::min<std::uint64_t>(framing.length - request.body.size(), buffer.size());
+            request.body.append(buffer, 0, size);
+            buffer.erase(0, size);
+            if (request.body.size() == framing.length)
+                return true;
         }
         if (framing.end == body_end::Chunked) {
             const chunked_state state = chunks.feed(buffer, request.body);
@@ -177,7 +191,18 @@
                 return false;
             }
         }
-        const read_outcome outcome = m_caller.readMore(boot_clock::now() + maxBodyPause);
+        if (!held.hold(request.body.size() + buffer.size())) {
+            reject(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "too many bytes of requests are held",
+                   heldBytesRetryAfter);
+            return false;
+        }
+        const timestamp now = boot_clock::now();
+        const timestamp end = std::min(deadline, progressAt + maxBodyPause);
+        const read_outcome outcome = m_caller.readMore(std::min(end, now + heldBytesCheckInterval));
+        if (outcome == read_outcome::Bytes)
+            progressAt = now;
+        else if (outcome == read_outcome::TimedOut && now < end)
+            continue;
         if (outcome == read_outcome::TimedOut)
             reject(HTTPResponse::HTTP_REQUEST_TIMEOUT, "the body came too slowly");
         if (outcome != read_outcome::Bytes)
@@ -186,7 +211,7 @@
     return true;
 }
 
-std::optional<caller_request> caller_session::readRequest()
+std::optional<caller_request> caller_session::readRequest(byte_budget::share &held)
 {
     if (!waitForRequest())
         return std::nullopt;
@@ -214,15 +239,17 @@
         if (m_caller.buffer().empty())
             m_caller.write("HTTP/1.1 100 Continue\r\n\r\n", boot_clock::now() + ownAnswerTimeout);
     }
-    if (!readBody(bounds, *framing, request))
+    if (!readBody(bounds, *framing, request, held))
         return std::nullopt;
+    held.keep();
     return request;
 }
 
-void caller_session::reject(int status, std::string_view message)
+void caller_session::reject(int status, std::string_view message,
+                            std::optional<duration> retryAfter)
 {
     writeEvent(event_line("proxy", "malformed").add("status", status).add("reason", message));
-    m_caller.write(encodeLocalAnswer(status, "", message, std::nullopt, true),
+    m_caller.write(encodeLocalAnswer(status, "", message, retryAfter, true),
                    boot_clock::now() + ownAnswerTimeout);
     m_caller.close();
 }
--- a/trefoilrouter/src/edge/caller_session.h
+++ b/trefoilrouter/src/edge/caller_session.h
@@ -25,14 +25,15 @@
     void run();
 
 private:
-    /// Reads the next request. Returns nothing when the connection ends; a malformed request was
-    /// answered with an error first.
-    std::optional<caller_request> readRequest();
+    /// Reads the next request, whose bytes @p held counts. Returns nothing when the connection
+    /// ends; a malformed request was answered with an error first.
+    std::optional<caller_request> readRequest(byte_budget::share &held);
     bool waitForRequest();
     bool readHead(const caller_bounds &bounds, std::string &head);
-    bool readBody(const caller_bounds &bounds, const body_framing &framing,
-                  caller_request &request);
-    void reject(int status, std::string_view message);
+    bool readBody(const caller_bounds &bounds, const body_framing &framing, caller_request &request,
+                  byte_budget::share &held);
+    void reject(int status, std::string_view message,
+                std::optional<duration> retryAfter = std::nullopt);
     caller_bounds bounds() const;
 
     edge_state &m_state;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -32,8 +32,12 @@
 constexpr std::size_t maxHeadBytes = 64 * 1024;
 /// Limit on one event of a stream.
 constexpr std::size_t maxEventBytes = 1u << 20;
-/// Limit on an answer that is buffered.
-constexpr std::size_t maxBufferedBytes = 16u << 20;
+/// Limits on the body of an answer that is not passed on, after which its connection is closed
+/// instead.
+constexpr std::size_t maxUnusedBytes = 64 * 1024;
+constexpr duration maxUnusedTime = std::chrono::milliseconds(200);
+/// A longer body is not copied to be written together with its head.
+constexpr std::size_t maxCopiedBytes = 64 * 1024;
 /// Fraction of the remaining time that the expected wait may take. Beyond it a request is refused
 /// at once, because it would probably time out in the queue.
 constexpr double maxWaitFraction = 0.8;
@@ -313,6 +317,7 @@
         return routing.balancer.begin(now, current.placed, requestProfile());
     });
     logPlaced(current);
+    m_held.emplace(m_state.readBudget());
     attempt_end end = send(current);
     if (end != attempt_end::Delivered)
         return end;
@@ -387,7 +392,10 @@
     current.timer.emplace(current.sentAt, limits);
     // A server may answer, and close, before it has read the body; its answer is then in the
     // buffer.
-    const bool isWritten = current.stream->write(head + m_request.body, m_deadline);
+    const bool isWritten = m_request.body.size() <= maxCopiedBytes
+        ? current.stream->write(head + m_request.body, m_deadline)
+        : current.stream->write(head, m_deadline)
+            && current.stream->write(m_request.body, m_deadline);
     if (!isWritten && current.stream->buffer().empty()) {
         countRun(current);
         return attempt_end::Broken;
@@ -466,8 +474,10 @@
     while (true) {
         const timestamp now = boot_clock::now();
         // A server that never stops sending must not hold the request past its deadline.
-        if (now >= m_deadline)
+        if (now >= m_deadline || now >= current.readUntil)
             return read_outcome::TimedOut;
+        if (m_held->wasRevoked())
+            return read_outcome::Broken;
         const bool mayGiveUpUnreachable = isOver(limits.abandonUnreachableAfter, now);
         const bool isUnreachable = m_state.with([&](routing_state &routing) {
             if (isOver(limits.suspectAfter, now))
@@ -481,11 +491,12 @@
         recordSpeed(now, current);
         if (isUnreachable || isOver(limits.abandonAfter, now))
             return read_outcome::Broken;
-        timestamp next = std::min(m_deadline, now + silenceCheckInterval);
+        const timestamp end = std::min(m_deadline, current.readUntil);
+        timestamp next = std::min(end, now + silenceCheckInterval);
         if (limits.abandonAfter != duration::max())
             next = std::min(next, current.progressAt + limits.abandonAfter);
         const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
-        if (outcome != read_outcome::TimedOut || next >= m_deadline)
+        if (outcome != read_outcome::TimedOut || next >= end)
             return outcome;
     }
 }
@@ -527,7 +538,7 @@
         if (current.fields.requestId.empty() || current.fields.requestId == m_fields.requestId)
             return attempt_end::Delivered;
         // A late answer to an earlier request on this connection precedes the one to this request.
-        answer_body dropped({.framing = current.framing, .maxHeldBytes = maxBufferedBytes});
+        answer_body dropped({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
         const attempt_end skipped = readBody(current, dropped);
         if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
             countRun(current);
@@ -540,7 +551,10 @@
 {
     if (body.state() == body_state::Whole)
         return attempt_end::Delivered;
-    if (body.state() == body_state::BrokenOff)
+    const std::size_t storedBytes = m_answer ? m_answer->second.size() : 0;
+    const bool isHeld =
+        m_held->hold(storedBytes + body.heldBytes() + current.stream->buffer().size());
+    if (body.state() == body_state::BrokenOff || !isHeld)
         return attempt_end::Broken;
     const read_outcome outcome = waitForBytes(current);
     if (outcome == read_outcome::Bytes)
@@ -562,7 +576,8 @@
 
 request_runner::attempt_end request_runner::handleRejection(attempt &current)
 {
-    answer_body body({.framing = current.framing, .maxHeldBytes = maxBufferedBytes});
+    answer_body body({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
+    current.readUntil = boot_clock::now() + maxUnusedTime;
     if (readBody(current, body) == attempt_end::Delivered)
         returnConnection(current);
     const timestamp now = boot_clock::now();
@@ -596,7 +611,8 @@
 
 request_runner::attempt_end request_runner::forwardBuffered(attempt &current)
 {
-    answer_body body({.framing = current.framing, .maxHeldBytes = maxBufferedBytes});
+    answer_body body(
+        {.framing = current.framing, .maxHeldBytes = m_state.readBudget().maxMessageBytes()});
     const attempt_end end = readBody(current, body);
     if (end != attempt_end::Delivered)
         return end;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -89,6 +89,8 @@
         std::optional<response_timer> timer;
         /// Whether it was recorded that the response is slow or on time.
         bool isSpeedRecorded = false;
+        /// End of the time in which the rest of an answer is read that is not passed on.
+        timestamp readUntil = timestamp::max();
         /// When the request was sent, the last complete event or the last part of a buffered body
         /// arrived.
         timestamp progressAt;
@@ -161,6 +163,8 @@
     edge_state &m_state;
     server_connection_pool &m_connections;
     const caller_request &m_request;
+    /// What is held of the answer of the last attempt, and of m_answer.
+    std::optional<byte_budget::share> m_held;
     caller_response m_response;
 
     std::shared_ptr<const serving_tables> m_tables;
--- a/trefoilrouter/tests/caller_session_test.cpp
+++ b/trefoilrouter/tests/caller_session_test.cpp
@@ -61,6 +61,44 @@
     EXPECT_TRUE(isAnswered(late, 2500ms));
 }
 
+// Many callers that each send a long body took an instance over its memory limit.
+TEST(CallerSession, LongBodiesOfManyCallersAreBoundedTogether)
+{
+    constexpr std::size_t bodyBytes = 3u << 20;
+    const endpoint address = unusedAddress();
+    platform_settings settings = makeSettings();
+    settings.memoryBytes = 64u << 20;
+    edge_state state(settings);
+    server_connection_pool connections;
+    const child_body listener = callerListener(state, connections, address, 40);
+    const std::jthread thread(
+        [&listener](const std::stop_token &stop) { static_cast<void>(listener(stop)); });
+    std::this_thread::sleep_for(200ms);
+    const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\n"
+                             "Content-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n";
+    std::vector<byte_stream> callers;
+    constexpr int callerCount = 20;
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(*byte_stream::connect(address, 1s));
+        // Without its last byte the body is never complete.
+        callers.back().write(head + std::string(bodyBytes - 1, 'x'), boot_clock::now() + 1s);
+    }
+    std::this_thread::sleep_for(500ms);
+    EXPECT_LE(state.readBudget().heldBytes(), settings.memoryBytes / 4);
+    int refused = 0;
+    for (byte_stream &caller : callers) {
+        caller.readMore(boot_clock::now() + 100ms);
+        refused += caller.buffer().starts_with("HTTP/1.1 503 ") ? 1 : 0;
+        EXPECT_TRUE(caller.buffer().empty()
+                    || caller.buffer().find("Retry-After: ") != std::string::npos);
+    }
+    EXPECT_GE(refused, callerCount - 6);
+    // A usual request is read all the same.
+    byte_stream usual = *byte_stream::connect(address, 1s);
+    EXPECT_TRUE(isAnswered(usual, 1s));
+}
+
 // A body that trickles in had no limit on its time as a whole, and a page's request none at all.
 TEST(PageListener, RequestsAreBoundedInSizeAndTime)
 {
