Name the shared cache salt by the isolated teams

Cause: the salt of teams that are not isolated did not depend on which teams are. Change: it names the set of isolated teams, so that under each salt only teams outside its set have ever stored anything.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -30,8 +30,8 @@
     std::string_view service;
     /// Empty for a service without a model.
     std::string_view model;
-    /// Team whose KV cache must not be shared with other teams, or empty.
-    std::string_view isolatedTeam;
+    /// Group of teams that share KV cache, see serving_tables::assignCacheGroups().
+    std::string_view cacheGroup;
     /// Parts in prompt order. The last one is unique to the request and never cached for others.
     std::span<const prompt_part> prompt;
     double outputTokens = 0;
@@ -430,9 +430,8 @@
     std::optional<duration> m_limitedFor;
 };
 
-/// Returns the salt under which engines share KV cache of @p model at version @p weights. It
-/// includes @p isolatedTeam if that is not empty. Thread-safe.
-std::string cacheSaltOf(std::string_view model, std::uint64_t weights,
-                        std::string_view isolatedTeam);
+/// Returns the salt under which engines share KV cache of @p model at version @p weights among the
+/// teams of @p cacheGroup. Thread-safe.
+std::string cacheSaltOf(std::string_view model, std::uint64_t weights, std::string_view cacheGroup);
 
 } // namespace trefoil
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -109,6 +109,8 @@
     double defaultTokens = 1;
     /// Whether the team shares no KV cache with other teams.
     bool isIsolated = false;
+    /// Part of the cache salt that all teams with the same group share.
+    std::string cacheGroup;
     /// Units per second; 0 for no limit.
     double rate = 0;
     /// Units that may be admitted at once.
@@ -134,6 +136,14 @@
     /// Name of the team by API key.
     std::unordered_map<std::string, std::string> teamOfKey;
     caller_bounds bounds;
+    /// Cache group of requests without a team; see assignCacheGroups().
+    std::string sharedCacheGroup;
+
+    /// Determines which teams may use each other's KV cache: an isolated team is alone in its
+    /// group, and all other requests are in one group that is named by the isolated teams. What a
+    /// team stored before it was isolated is therefore not found by the others afterwards, on
+    /// instances that know no earlier configuration too. Call when the teams are complete.
+    void assignCacheGroups();
 
     /// Returns the route of @p host (a port is ignored) with the longest prefix of @p path, or
     /// nullptr. Thread-safe.
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -47,13 +47,11 @@
 
 } // namespace
 
-std::string cacheSaltOf(std::string_view model, std::uint64_t weights,
-                        std::string_view isolatedTeam)
+std::string cacheSaltOf(std::string_view model, std::uint64_t weights, std::string_view cacheGroup)
 {
     std::string name(model);
     name += "@" + std::to_string(weights);
-    if (!isolatedTeam.empty())
-        name.append("/").append(isolatedTeam);
+    name.append(cacheGroup);
     return name;
 }
 
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -122,7 +122,7 @@
                                    const prompt_affinity &affinity, server_placement &placed) const
 {
     placed.weights = weightsOf(state, request.model);
-    placed.cacheSalt = cacheSaltOf(request.model, placed.weights, request.isolatedTeam);
+    placed.cacheSalt = cacheSaltOf(request.model, placed.weights, request.cacheGroup);
     double copiedTokens = 0;
     bool isHeld = true;
     bool isStored = true;
--- a/libs/dispatch/src/serving_tables.cpp
+++ b/libs/dispatch/src/serving_tables.cpp
@@ -1,5 +1,6 @@
 #include <dispatch/serving_tables.h>
 
+#include <core/digest.h>
 #include <http/message.h>
 
 namespace trefoil {
@@ -25,6 +26,18 @@
     return found == teams.end() ? nullptr : &found->second;
 }
 
+void serving_tables::assignCacheGroups()
+{
+    digest128 isolatedTeams;
+    for (auto it = teams.begin(); it != teams.end(); ++it) {
+        if (it->second.isIsolated)
+            isolatedTeams = digestOf(it->first, isolatedTeams);
+    }
+    sharedCacheGroup = isolatedTeams == digest128 {} ? "" : "+" + toHex(isolatedTeams);
+    for (auto it = teams.begin(); it != teams.end(); ++it)
+        it->second.cacheGroup = it->second.isIsolated ? "/" + it->first : sharedCacheGroup;
+}
+
 const served_service *serving_tables::findService(std::string_view name) const
 {
     const auto found = services.find(name);
--- a/libs/dispatch/tests/load_balancer_test.cpp
+++ b/libs/dispatch/tests/load_balancer_test.cpp
@@ -233,11 +233,11 @@
     EXPECT_EQ(*balancer.choose(now, again)->cacheSource, first.address);
 }
 
-TEST(LoadBalancer, CacheSaltDiffersByWeightsAndIsolatedTeam)
+TEST(LoadBalancer, CacheSaltDiffersByWeightsAndCacheGroup)
 {
     EXPECT_NE(cacheSaltOf("m", 1, ""), cacheSaltOf("m", 2, ""));
-    EXPECT_NE(cacheSaltOf("m", 1, ""), cacheSaltOf("m", 1, "reef"));
-    EXPECT_NE(cacheSaltOf("m", 1, "reef"), cacheSaltOf("m", 1, "cove"));
+    EXPECT_NE(cacheSaltOf("m", 1, ""), cacheSaltOf("m", 1, "/reef"));
+    EXPECT_NE(cacheSaltOf("m", 1, "/reef"), cacheSaltOf("m", 1, "/cove"));
     load_balancer balancer = makeBalancer(makeServers("llm", 1, true));
     timestamp now {};
     const server_placement before = *balancer.choose(now, sharedPromptRequest());
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -195,8 +195,7 @@
     const bool isModel = service != nullptr && service->engine.has_value();
     return {.service = m_service,
             .model = isModel ? std::string_view(m_fields.model) : std::string_view {},
-            .isolatedTeam = m_team != nullptr && m_team->isIsolated ? std::string_view(m_team->name)
-                                                                    : std::string_view {},
+            .cacheGroup = m_team != nullptr ? m_team->cacheGroup : m_tables->sharedCacheGroup,
             .prompt = m_fields.prompt,
             .outputTokens = m_fields.outputTokens,
             .tried = m_triedServers,
