Repeat refused requests in reports

Cause: a crash was reported for three seconds by the instance that saw it; an instance that started later knew nothing of the request and sent it again. Change: reports carry the refused requests with the ages of their crashes, the 32 newest.

--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -26,6 +26,14 @@
     std::vector<std::uint64_t> parts;
 };
 
+/// A request that is not sent to servers, since it crashes them.
+struct refused_request_record
+{
+    digest128 request;
+    /// Milliseconds since each of the crashes that speak against the request.
+    std::map<std::string, std::uint64_t, std::less<>> crashAgesMs;
+};
+
 /// A prompt part to which no requests are sent, since it crashes servers.
 struct blocked_part_record
 {
@@ -88,6 +96,7 @@
     /// See load_balancer::takePrefillRates().
     std::map<std::string, double, std::less<>> prefillRates;
     std::vector<crash_record> crashes;
+    std::vector<refused_request_record> refusedRequests;
     std::vector<blocked_part_record> blockedParts;
     std::vector<cleared_part_record> clearedParts;
     /// Servers that load weights on the order of the instance.
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -122,6 +122,18 @@
     return list;
 }
 
+Json::Value refusedRequestsToJson(const std::vector<refused_request_record> &requests)
+{
+    Json::Value list(Json::arrayValue);
+    for (const refused_request_record &each : requests) {
+        Json::Value entry(Json::objectValue);
+        entry["request"] = toHex(each.request);
+        entry["crashes"] = numbersToJson(each.crashAgesMs);
+        list.append(entry);
+    }
+    return list;
+}
+
 Json::Value blockedPartsToJson(const std::vector<blocked_part_record> &parts)
 {
     Json::Value list(Json::arrayValue);
@@ -197,6 +209,7 @@
     addNonEmpty(value, "placed", placedToJson(report.placed));
     addNonEmpty(value, "prefill_rates", numbersToJson(report.prefillRates));
     addNonEmpty(value, "crashes", crashesToJson(report.crashes));
+    addNonEmpty(value, "refused_requests", refusedRequestsToJson(report.refusedRequests));
     addNonEmpty(value, "blocked_parts", blockedPartsToJson(report.blockedParts));
     addNonEmpty(value, "cleared_parts", clearedPartsToJson(report.clearedParts));
     addNonEmpty(value, "loading", namesToJson(report.loading));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -163,6 +163,17 @@
     });
 }
 
+void readRefusedRequests(const value_fields &fields, peer_report &report)
+{
+    forEach<value_fields>(fields, "refused_requests", [&report](const value_fields &refused) {
+        refused_request_record each;
+        if (!fromHex(textField(refused, "request"), each.request))
+            return;
+        readNumbers(refused, "crashes", each.crashAgesMs);
+        report.refusedRequests.push_back(std::move(each));
+    });
+}
+
 void readSuspectedParts(const value_fields &fields, peer_report &report)
 {
     forEach<value_fields>(fields, "blocked_parts", [&report](const value_fields &blocked) {
@@ -220,6 +231,7 @@
     readPlaced(fields, report);
     readNumbers(fields, "prefill_rates", report.prefillRates);
     readCrashes(fields, report);
+    readRefusedRequests(fields, report);
     readSuspectedParts(fields, report);
     readNames(fields, "loading", report.loading);
     readNames(fields, "gone", report.gone);
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -25,6 +25,7 @@
                      .event = "s1",
                      .ageMs = 40,
                      .parts = {7, ~std::uint64_t {0}}}},
+        .refusedRequests = {{.request = {.high = 7, .low = 8}, .crashAgesMs = {{"s2@5", 70}}}},
         .blockedParts = {{.part = ~std::uint64_t {0}, .crashAgesMs = {{"s1", 40}}}},
         .clearedParts = {{.part = 7, .ageMs = 12}},
         .loading = {"s2"},
@@ -65,6 +66,9 @@
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
     EXPECT_EQ(read->crashes[0].ageMs, 40u);
     EXPECT_EQ(read->crashes[0].parts, report.crashes[0].parts);
+    ASSERT_EQ(read->refusedRequests.size(), 1u);
+    EXPECT_EQ(read->refusedRequests[0].request, report.refusedRequests[0].request);
+    EXPECT_EQ(read->refusedRequests[0].crashAgesMs, report.refusedRequests[0].crashAgesMs);
     ASSERT_EQ(read->blockedParts.size(), 1u);
     EXPECT_EQ(read->blockedParts[0].part, report.blockedParts[0].part);
     EXPECT_EQ(read->blockedParts[0].crashAgesMs, report.blockedParts[0].crashAgesMs);
@@ -86,7 +90,8 @@
         EXPECT_FALSE(parsePeerReport(text)) << text;
     EXPECT_TRUE(parsePeerReport(
         "{\"from\":\"a\",\"load\":{\"s\":[1]},\"placed\":[[1]],\"releases\":[3],\"crashes\":[[1]],"
-        "\"blocked_parts\":[3],\"cleared_parts\":[[1]]}"));
+        "\"refused_requests\":[3,{\"request\":\"x\"}],\"blocked_parts\":[3],\"cleared_parts\":[[1]]"
+        "}"));
 }
 
 TEST(PeerReport, WeightsKeyRoundTrips)
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -25,6 +25,8 @@
 constexpr duration weightsReportTime = std::chrono::seconds(3);
 /// How long a crash and a cleared prompt part are reported: many reports carry them.
 constexpr duration crashReportTime = std::chrono::seconds(3);
+/// Limit on the refused requests in a report.
+constexpr std::size_t maxRefusedRequests = 32;
 /// How long a server gets no requests after a report that another instance has it load weights.
 constexpr duration loadingReportLifetime = std::chrono::milliseconds(1500);
 /// Interval between log lines about the teams near their limits.
@@ -49,6 +51,12 @@
         report.crashes.push_back(each.second);
         report.crashes.back().ageMs = ageMs(now, each.first);
     }
+    for (const refused_request &each : routing.crashes.refusedRequests(now, maxRefusedRequests)) {
+        refused_request_record refused {.request = each.request, .crashAgesMs = {}};
+        for (auto it = each.crashes.begin(); it != each.crashes.end(); ++it)
+            refused.crashAgesMs[it->first] = ageMs(now, it->second);
+        report.refusedRequests.push_back(std::move(refused));
+    }
     for (const blocked_part &each : routing.partCrashes.blockedParts()) {
         blocked_part_record blocked {.part = each.part, .crashAgesMs = {}};
         for (auto it = each.crashes.begin(); it != each.crashes.end(); ++it)
@@ -343,6 +351,12 @@
                                            .request = crash.request.low,
                                            .parts = crash.parts});
     }
+    for (const refused_request_record &each : report.refusedRequests) {
+        refused_request refused {.request = each.request, .crashes = {}};
+        for (auto it = each.crashAgesMs.begin(); it != each.crashAgesMs.end(); ++it)
+            refused.crashes[it->first] = now - std::chrono::milliseconds(it->second);
+        routing.crashes.adopt(now, refused);
+    }
     for (const blocked_part_record &each : report.blockedParts) {
         blocked_part blocked {.part = each.part, .crashes = {}};
         for (auto it = each.crashAgesMs.begin(); it != each.crashAgesMs.end(); ++it)
