Close connections after refusals that may leave a body unread

Cause: http_connection kept its connection after a 503 to a PUT; a server that refuses without reading the body takes the rest of it for the next request. A Host of the caller's was sent beside the one of the address. Change: connections are not kept after 413, 429 and 5xx to a request with a body; a Host of the caller's replaces that of the address.

--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/exchange.cpp
@@ -22,7 +22,11 @@
 std::string encodeRequest(const endpoint &address, const http_request &request)
 {
     std::string text = request.method + " " + request.path + " HTTP/1.1\r\n";
-    appendField(text, "Host", toString(address));
+    const bool hasHost =
+        std::any_of(request.headers.begin(), request.headers.end(),
+                    [](const auto &header) { return equalsIgnoringCase(header.first, "Host"); });
+    if (!hasHost)
+        appendField(text, "Host", toString(address));
     appendField(text, "Connection", "Keep-Alive");
     if (!request.body.empty() || request.method != "GET") {
         appendField(text, "Content-Type", request.contentType);
@@ -33,6 +37,16 @@
     return text + "\r\n" + request.body;
 }
 
+/// Returns whether a server may have answered with @p status without reading the request's body: it
+/// would take what is left of the body for the next request.
+bool mayLeaveBodyUnread(int status)
+{
+    constexpr int contentTooLarge = 413;
+    constexpr int tooManyRequests = 429;
+    constexpr int firstServerError = 500;
+    return status == contentTooLarge || status == tooManyRequests || status >= firstServerError;
+}
+
 const char *reasonOf(read_outcome outcome)
 {
     return outcome == read_outcome::TimedOut ? "the response did not arrive in time"
@@ -58,7 +72,9 @@
     result<http_response> response = !isWritten && m_stream->buffer().empty()
         ? failure(http_errors::broken, "the request could not be written")
         : read(request.method, deadline, limits);
-    if (!response || !isWritten)
+    const bool isBodyUnread =
+        response && !request.body.empty() && mayLeaveBodyUnread(response->status);
+    if (!response || !isWritten || isBodyUnread)
         m_stream.reset();
     return response;
 }
--- a/libs/http/tests/exchange_test.cpp
+++ b/libs/http/tests/exchange_test.cpp
@@ -22,9 +22,10 @@
 public:
     using responder = std::function<void(byte_stream &stream, int request)>;
 
-    explicit single_server(responder respond)
+    /// With @p received, which must outlive this object, it keeps the last request there.
+    explicit single_server(responder respond, std::string *received = nullptr)
         : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0)), m_respond(std::move(respond)),
-          m_thread([this] { serve(); })
+          m_received(received), m_thread([this] { serve(); })
     { }
 
     endpoint address() const { return {.host = "127.0.0.1", .port = m_socket.address().port()}; }
@@ -40,6 +41,8 @@
                 if (stream.readMore(fromNow(2s)) != read_outcome::Bytes)
                     return;
             }
+            if (m_received != nullptr)
+                *m_received = stream.buffer();
             stream.buffer().clear();
             m_respond(stream, request);
         }
@@ -47,6 +50,7 @@
 
     Poco::Net::ServerSocket m_socket;
     responder m_respond;
+    std::string *m_received;
     std::jthread m_thread;
 };
 
@@ -108,6 +112,35 @@
     }
 }
 
+// What a server had left unread of a body was taken for the beginning of the next request.
+TEST(Exchange, ConnectionIsNotKeptAfterARefusalThatMayLeaveTheBodyUnread)
+{
+    single_server server([](byte_stream &stream, int request) {
+        stream.write(request == 0 ? "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+                                  : "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                     fromNow(1s));
+    });
+    http_connection connection(server.address());
+    ASSERT_TRUE(connection.send({.method = "PUT", .path = "/", .body = "x"}, {}));
+    EXPECT_TRUE(connection.isReusable());
+    ASSERT_TRUE(connection.send({.method = "PUT", .path = "/", .body = "x"}, {}));
+    EXPECT_FALSE(connection.isReusable());
+}
+
+TEST(Exchange, HostOfTheCallerGoesBeforeTheAddress)
+{
+    std::string received;
+    single_server server(
+        [&received](byte_stream &stream, int) {
+            stream.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", fromNow(1s));
+        },
+        &received);
+    ASSERT_TRUE(sendHttpRequestOnNewConnection(
+        server.address(), {.path = "/", .headers = {{"host", "shop.example"}}}, {}));
+    EXPECT_NE(received.find("host: shop.example"), std::string::npos);
+    EXPECT_EQ(received.find("Host: "), std::string::npos);
+}
+
 // A chunked response that was cut was taken for a whole one.
 TEST(Exchange, CutResponseIsNoResponse)
 {
