Charge what instances that start together admitted before their first reports

Cause: the first report of another instance is charged only as far as it was expected, because its total may be of long ago; after a restart of all, each first report is of the last moments. Change: reports carry the sender's uptime; the total of an instance that started together with this one, or later, is charged in full.

--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -75,6 +75,9 @@
     std::string from;
     /// Start time of the process in milliseconds since 1970.
     std::uint64_t incarnation = 0;
+    /// Milliseconds since the process started, by a clock that is never set. 0 in reports of older
+    /// builds.
+    std::uint64_t uptimeMs = 0;
     std::uint64_t sequence = 0;
     bool isLeaving = false;
     /// Time until the next report in milliseconds.
--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -94,6 +94,8 @@
     const admitted_totals &demandRates;
     /// Announced time until the next report, zero if it is unknown.
     duration period {};
+    /// Time since the peer's process started, if it is known.
+    std::optional<duration> uptime;
 };
 
 /// Rate limits of teams across all instances; server_statements uses it for servers' limits. Each
@@ -260,7 +262,8 @@
     void refill(timestamp now, bucket &teamBucket);
     void chargePeers(timestamp now, bucket &teamBucket, const team_demand &demand, double elapsed);
     /// Charges the total that an instance reported instead of what was expected of it.
-    void reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total);
+    /// @p isNew: all of the total was spent since this instance started.
+    void reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total, bool isNew);
     void spend(timestamp now, bucket &teamBucket, double units);
     team_demand demandOf(timestamp now, const bucket &teamBucket) const;
     /// Returns the share of a limit that falls to an instance with @p demandRate: in proportion to
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -194,6 +194,7 @@
     Json::Value value(Json::objectValue);
     value["from"] = report.from;
     value["incarnation"] = Json::UInt64(report.incarnation);
+    value["uptime_ms"] = Json::UInt64(report.uptimeMs);
     value["sequence"] = Json::UInt64(report.sequence);
     if (report.isLeaving)
         value["leaving"] = true;
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -214,6 +214,7 @@
     const value_fields &fields = *found;
     peer_report report {.from = textField(fields, "from"),
                         .incarnation = integerField(fields, "incarnation"),
+                        .uptimeMs = integerField(fields, "uptime_ms"),
                         .sequence = integerField(fields, "sequence"),
                         .isLeaving = as<bool>(fields["leaving"]).value_or(false),
                         .periodMs = as<double>(fields["period_ms"]).value_or(0),
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -30,6 +30,8 @@
 /// How long after its first report an instance is sent the levels, and how long an instance runs
 /// until it knows them by itself.
 constexpr duration newInstanceTime = std::chrono::seconds(3);
+/// Instances that start within this time of each other were started together.
+constexpr duration sameStartTime = std::chrono::seconds(1);
 /// Fraction of the burst that an instance takes for the level until another tells it.
 constexpr double newInstanceLevel = 0.5;
 /// Instances that a fleet is assumed to have until their list is known.
@@ -383,12 +385,13 @@
         addPeer(now, name, true);
 }
 
-void team_limits::reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total)
+void team_limits::reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total,
+                            bool isNew)
 {
     const double admitted = total - usage.total;
     const double expected = std::exchange(usage.expected, 0);
     // The totals of an instance that is heard for the first time may be of long ago.
-    const double charged = usage.isKnown ? admitted : std::min(admitted, expected);
+    const double charged = usage.isKnown || isNew ? admitted : std::min(admitted, expected);
     usage.isKnown = true;
     usage.total = total;
     teamBucket.account.notCharged += admitted - charged;
@@ -404,6 +407,7 @@
         <= std::pair(state.incarnation, state.sequence))
         return;
     const bool isRestarted = state.isHeard && state.incarnation != report.incarnation;
+    const bool isNew = report.uptime && *report.uptime <= now - m_startedAt + sameStartTime;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
         bucket &teamBucket = it->second;
         peer_usage &usage = teamBucket.peers[state.index];
@@ -419,7 +423,7 @@
             continue;
         // Charges what was expected of the instance until now.
         refill(now, teamBucket);
-        reconcile(now, teamBucket, usage, total);
+        reconcile(now, teamBucket, usage, total, isNew);
         usage.demandRate = demandRate;
     }
     if (!state.isHeard || isRestarted)
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -9,6 +9,7 @@
     peer_report report {
         .from = "edge-1",
         .incarnation = 1771762944016,
+        .uptimeMs = 7300,
         .sequence = 9,
         .isLeaving = true,
         .revisions = {{"config/", 77}},
@@ -43,6 +44,7 @@
     const std::optional<peer_report> read = parsePeerReport(toText(report));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->incarnation, report.incarnation);
+    EXPECT_EQ(read->uptimeMs, report.uptimeMs);
     EXPECT_TRUE(read->isLeaving);
     EXPECT_EQ(read->revisions, report.revisions);
     EXPECT_EQ(read->load.at("s1").memoryTokens, 4000);
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -97,6 +97,30 @@
         applyLimit(restarted);
     }
 
+    /// Kills all instances. They are back after @p downTime, know nothing of before, and learn of
+    /// each other a little later.
+    void restartAll(double downTime)
+    {
+        std::vector<double> starts;
+        for (std::size_t i = 0; i < m_members.size(); ++i)
+            starts.push_back(m_now + downTime + 0.2 * uniform());
+        m_upAt = starts;
+        m_reports = {};
+        const double listedAt = m_now + downTime + 0.5;
+        for (std::size_t i = 0; i < m_members.size(); ++i) {
+            member &restarted = m_members[i];
+            restarted.incarnation += 1;
+            restarted.startedAt = starts[i];
+            const double now = std::exchange(m_now, starts[i]);
+            restarted.limits = newLimits();
+            applyLimit(restarted);
+            m_now = now;
+        }
+        runUntil(listedAt);
+        for (member &each : m_members)
+            listPeers(each);
+    }
+
     /// Returns the most units that were admitted in any window.
     double maxInWindow() const
     {
@@ -143,6 +167,7 @@
         admitted_totals demandRates;
         admitted_totals levels;
         duration period {};
+        duration uptime {};
         bool operator<(const report &other) const { return arrivesAt > other.arrivesAt; }
     };
 
@@ -154,6 +179,7 @@
             sum += each.first >= from && each.first < to ? each.second : 0;
         return sum;
     }
+    bool isUp(std::size_t index) const { return m_upAt.empty() || m_now >= m_upAt[index]; }
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     team_limits newLimits()
     {
@@ -189,6 +215,8 @@
             const duration period = reportInterval(sender);
             if (at(m_now) - sender.reportedAt < period)
                 continue;
+            if (!isUp(i))
+                continue;
             sender.reportedAt = at(m_now);
             sender.sequence += 1;
             report sent {.from = i,
@@ -197,7 +225,8 @@
                          .senderStartedAt = sender.startedAt,
                          .admitted = sender.limits.totals(),
                          .demandRates = sender.limits.takeDemandRates(at(m_now)),
-                         .period = period};
+                         .period = period,
+                         .uptime = fromSeconds(m_now - sender.startedAt)};
             sent.levels = sender.limits.takeLevels(at(m_now));
             for (std::size_t to = 0; to < m_members.size(); ++to) {
                 const double transit = 0.001 + m_options.maxTransit * uniform();
@@ -214,6 +243,8 @@
         while (!m_reports.empty() && m_reports.top().arrivesAt <= at(m_now)) {
             const report arrived = m_reports.top();
             m_reports.pop();
+            if (!isUp(arrived.to))
+                continue;
             member &receiver = m_members[arrived.to];
             receiver.limits.applyReport(at(m_now),
                                         {.peer = m_members[arrived.from].name,
@@ -221,7 +252,8 @@
                                          .sequence = arrived.sequence,
                                          .admitted = arrived.admitted,
                                          .demandRates = arrived.demandRates,
-                                         .period = arrived.period});
+                                         .period = arrived.period,
+                                         .uptime = arrived.uptime});
             if (arrived.senderStartedAt < receiver.startedAt)
                 receiver.limits.adoptLevels(at(m_now), arrived.levels);
         }
@@ -236,6 +268,8 @@
             const double units = std::round(requestUnits * sizes(m_random));
             member &receiver = m_members[static_cast<std::size_t>(
                 uniform() * static_cast<double>(m_options.active(m_now)))];
+            if (!isUp(static_cast<std::size_t>(&receiver - m_members.data())))
+                continue;
             receiver.requestedAt = m_now;
             m_offered.emplace_back(m_now, units);
             if (!receiver.limits.admit(at(m_now), "team", units))
@@ -249,6 +283,8 @@
     double m_nextRequest = -10;
     std::vector<member> m_members;
     std::set<std::size_t> m_listed;
+    /// When each instance is back from the last restart of all.
+    std::vector<double> m_upAt;
     std::priority_queue<report> m_reports;
     std::deque<std::pair<double, double>> m_admitted;
     std::deque<std::pair<double, double>> m_offered;
@@ -349,6 +385,23 @@
     }
 }
 
+// Instances that were started together did not charge what the others had admitted before their
+// first reports.
+TEST(TeamLimitsFleet, RestartsOfAllInstancesStayInTheLimitOfTheWindow)
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        for (const double firstKill : {3.5, 5.0, 6.0}) {
+            simulated_fleet fleet({.load = jumpAt(3, 7.5), .active = always(8), .seed = seed});
+            for (const double killedAt : {firstKill, firstKill + 3.5}) {
+                fleet.runUntil(killedAt);
+                fleet.restartAll(1);
+            }
+            fleet.runUntil(20);
+            EXPECT_LE(fleet.maxInWindow(), allowedInWindow) << seed << " " << firstKill;
+        }
+    }
+}
+
 TEST(TeamLimitsFleet, CutOffInstancesStayInTheLimitOfTheWindow)
 {
     for (const unsigned seed : seeds) {
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -70,6 +70,8 @@
     const platform_settings &settings() const { return m_settings; }
     /// Returns the start of the process in milliseconds since 1970.
     std::uint64_t incarnation() const { return m_incarnation; }
+    /// Returns when the process started, by a clock that is never set.
+    timestamp startedAt() const { return m_startedAt; }
 
     /// Returns the active configuration, or nullptr before the first one was published.
     std::shared_ptr<const serving_tables> tables() const;
@@ -133,6 +135,7 @@
 private:
     platform_settings m_settings;
     std::uint64_t m_incarnation;
+    timestamp m_startedAt = boot_clock::now();
     mutable std::mutex m_tablesMutex;
     std::shared_ptr<const serving_tables> m_tables;
     timestamp m_publishedAt;
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -130,6 +130,7 @@
     const timestamp now = boot_clock::now();
     peer_report report {.from = m_state.settings().name,
                         .incarnation = m_state.incarnation(),
+                        .uptimeMs = ageMs(now, m_state.startedAt()),
                         .sequence = ++m_sequence,
                         .isLeaving = m_state.isLeaving(),
                         .periodMs = toSeconds(reportInterval(m_isLeader)) * 1000,
@@ -319,6 +320,9 @@
 void peer_exchange::applyLimits(timestamp now, const peer_report &report, routing_state &routing)
 {
     const bool isSenderOlder = report.incarnation < m_state.incarnation();
+    std::optional<duration> uptime;
+    if (report.uptimeMs > 0)
+        uptime = std::chrono::milliseconds(report.uptimeMs);
     const auto apply = [&](team_limits &limits, const admitted_totals &admitted,
                            const admitted_totals &demandRates, const admitted_totals &levels) {
         limits.applyReport(now,
@@ -328,7 +332,8 @@
                             .isLeaving = report.isLeaving,
                             .admitted = admitted,
                             .demandRates = demandRates,
-                            .period = fromSeconds(report.periodMs / 1000)});
+                            .period = fromSeconds(report.periodMs / 1000),
+                            .uptime = uptime});
         // An instance that just started adopts the levels of one that started earlier.
         if (isSenderOlder)
             limits.adoptLevels(now, levels);
