Don't take a reset while a probe connects for a sign of life

Cause: after a broken connection the client probes whether the server's process has exited. A connection that is reset while it is established was taken for a live server; the kernel does that while a process exits. Change: only a response proves that the process is alive.

--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -41,9 +41,9 @@
 constexpr std::size_t maxStateBytes = 4 << 20;
 
 /// Probes the server at @p address and returns whether its process has exited. A refused connection
-/// proves the exit, a response proves that the process is alive. An accepted connection proves
-/// neither: the kernel closes the sockets of an exiting process one by one, often the request's
-/// connection before the listener. A server that keeps resetting connections until the timeout
+/// proves the exit, a response proves that the process is alive. A connection that is accepted, or
+/// reset while it is established, proves neither: the kernel closes the sockets of an exiting
+/// process one by one, often the request's connection before the listener. A server that keeps resetting connections until the timeout
 /// counts as alive, since it may be at its connection limit.
 bool hasProcessExited(const endpoint &address)
 {
@@ -51,7 +51,7 @@
     for (timestamp now = boot_clock::now(); now < deadline; now = boot_clock::now()) {
         const result<http_response> response = sendHttpRequestOnNewConnection(
             address, {.method = "OPTIONS", .path = "*"}, {.total = deadline - now});
-        if (response || response.error().code == http_errors::unreachable)
+        if (response)
             return false;
         if (response.error().code == http_errors::refused)
             return true;
