Log why an answer was given up, and show the bytes that are held

A plain response of the product's own path may take ten times the time to its first byte, since the page on settings allows a pause of that length between two reads. Measured: daemon_tests pass.

--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -70,6 +70,9 @@
             state.metrics()
                 .gaugeOf("trefoil_log_lines_dropped")
                 .set(static_cast<std::int64_t>(droppedEvents()));
+            state.metrics()
+                .gaugeOf("trefoil_held_bytes")
+                .set(static_cast<double>(state.readBudget().heldBytes()));
             return {.body = state.metrics().write()};
         }
         return {.status = HTTPResponse::HTTP_NOT_FOUND, .body = "no such page\n"};
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -68,6 +68,17 @@
                    .add("ms", toMilliseconds(boot_clock::now() - current.sentAt)));
 }
 
+void request_runner::logBrokenOff(const attempt &current, const answer_body &body,
+                                  const char *reason) const
+{
+    writeEvent(event_line("proxy", "answer_broken_off")
+                   .add("request", m_fields.requestId)
+                   .add("server", current.placed.server)
+                   .add("reason", reason)
+                   .add("held_bytes", std::uint64_t {body.heldBytes()})
+                   .add("last_event", m_progress.lastEventId()));
+}
+
 void request_runner::logEnd(std::string_view outcome, int status) const
 {
     const duration taken = boot_clock::now() - m_request.receivedAt;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -553,13 +553,19 @@
     const std::size_t storedBytes = m_answer ? m_answer->second.size() : 0;
     const bool isHeld =
         m_held->hold(storedBytes + body.heldBytes() + current.stream->buffer().size());
-    if (body.state() == body_state::BrokenOff || !isHeld)
+    if (body.state() == body_state::BrokenOff || !isHeld) {
+        logBrokenOff(current, body, isHeld ? "malformed_or_too_long" : "memory");
         return attempt_end::Broken;
+    }
     const read_outcome outcome = waitForBytes(current);
     if (outcome == read_outcome::Bytes)
         return attempt_end::Delivered;
     body.end(outcome == read_outcome::End);
-    return body.state() == body_state::Whole ? attempt_end::Delivered : attemptEndOf(outcome);
+    if (body.state() == body_state::Whole)
+        return attempt_end::Delivered;
+    if (outcome == read_outcome::End)
+        logBrokenOff(current, body, "ended");
+    return attemptEndOf(outcome);
 }
 
 request_runner::attempt_end request_runner::readBody(attempt &current, answer_body &body)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -158,6 +158,7 @@
     void logUnplaced(timestamp now, const std::optional<server_placement> &best) const;
     void logPlaced(const attempt &current) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
+    void logBrokenOff(const attempt &current, const answer_body &body, const char *reason) const;
     void logEnd(std::string_view outcome, int status) const;
 
     edge_state &m_state;
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -12,6 +12,8 @@
 
 /// Maximum size of a backend server's response that is not streamed.
 constexpr std::size_t maxResponseBytes = 16 << 20;
+/// Time for such a response as a whole, as a multiple of the time to its first byte.
+constexpr int wholeResponseTimeouts = 10;
 
 /// Returns the value of X-Prefix-Blocks: the digests of the prompt's blocks, by which the engine
 /// identifies them in its cache events.
@@ -169,7 +171,8 @@
 proxy::attempt_result proxy::relayResponse(backend_exchange &exchange)
 {
     std::string body;
-    const timestamp deadline = boot_clock::now() + m_request.targetPool->responseTimeout;
+    const timestamp deadline =
+        boot_clock::now() + m_request.targetPool->responseTimeout * wholeResponseTimeouts;
     while (true) {
         const result<std::string> more = exchange.read();
         if (!more) {
