--- a/libs/http/tests/exchange_test.cpp
+++ b/libs/http/tests/exchange_test.cpp
@@ -131,7 +131,7 @@
 {
     std::string received;
     single_server server(
-        [&received](byte_stream &stream, int) {
+        [](byte_stream &stream, int) {
             stream.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", fromNow(1s));
         },
         &received);
