--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -43,8 +43,9 @@
 /// Probes the server at @p address and returns whether its process has exited. A refused connection
 /// proves the exit, a response proves that the process is alive. A connection that is accepted, or
 /// reset while it is established, proves neither: the kernel closes the sockets of an exiting
-/// process one by one, often the request's connection before the listener. A server that keeps resetting connections until the timeout
-/// counts as alive, since it may be at its connection limit.
+/// process one by one, often the request's connection before the listener. A server that keeps
+/// resetting connections until the timeout counts as alive, since it may be at its connection
+/// limit.
 bool hasProcessExited(const endpoint &address)
 {
     const timestamp deadline = boot_clock::now() + probeTimeout;
