Name and split the parts that read responses

Change: takeHead() and response_head_reader read heads for all; response_body, http_connection.h, stream_progress.h; request_attempt.cpp holds one attempt at a server, request_runner.cpp what comes before and after; the tests of answers have a file of their own beside a shared fixture. CacheSaltDiffersByWeightsAndCacheGroup compares the salts of two isolated teams, of one that shares and of none again, by way of assignCacheGroups().

--- a/libs/dispatch/tests/load_balancer_test.cpp
+++ b/libs/dispatch/tests/load_balancer_test.cpp
@@ -236,8 +236,17 @@
 TEST(LoadBalancer, CacheSaltDiffersByWeightsAndCacheGroup)
 {
     EXPECT_NE(cacheSaltOf("m", 1, ""), cacheSaltOf("m", 2, ""));
-    EXPECT_NE(cacheSaltOf("m", 1, ""), cacheSaltOf("m", 1, "/reef"));
-    EXPECT_NE(cacheSaltOf("m", 1, "/reef"), cacheSaltOf("m", 1, "/cove"));
+    serving_tables tables;
+    for (const char *name : {"reef", "cove", "dune"})
+        tables.teams[name] = {.name = name, .isIsolated = std::string_view(name) != "dune"};
+    tables.assignCacheGroups();
+    const auto saltOf = [&tables](const char *team) {
+        return cacheSaltOf("m", 1, tables.teams[team].cacheGroup);
+    };
+    EXPECT_EQ(saltOf("dune"), cacheSaltOf("m", 1, tables.sharedCacheGroup));
+    EXPECT_NE(saltOf("dune"), saltOf("reef"));
+    EXPECT_NE(saltOf("reef"), saltOf("cove"));
+    EXPECT_NE(cacheSaltOf("m", 1, ""), saltOf("reef"));
     load_balancer balancer = makeBalancer(makeServers("llm", 1, true));
     timestamp now {};
     const server_placement before = *balancer.choose(now, sharedPromptRequest());
--- a/libs/http/include/http/byte_budget.h
+++ b/libs/http/include/http/byte_budget.h
@@ -5,6 +5,8 @@
 #include <mutex>
 #include <set>
 
+#include <core/clock.h>
+
 namespace trefoil {
 
 /// Options of a byte_budget.
@@ -22,6 +24,9 @@
 class byte_budget
 {
 public:
+    /// Interval at which a waiting reader should check wasRevoked().
+    static constexpr duration checkInterval = std::chrono::milliseconds(200);
+
     /// The part of one reader. Not thread-safe, except for wasRevoked().
     class share
     {
--- a/libs/http/include/http/message.h
+++ b/libs/http/include/http/message.h
@@ -72,6 +72,14 @@
     std::uint64_t length = 0;
 };
 
+/// Whether the head of a message has arrived.
+enum class head_state { Incomplete, Complete, TooLong };
+
+/// Moves the head of a message, without the empty line at its end, from the front of @p buffer to
+/// @p head. Leaves both unchanged unless it returns Complete. TooLong: the head has more than
+/// @p maxBytes. Thread-safe.
+head_state takeHead(std::string &buffer, std::size_t maxBytes, std::string &head);
+
 /// Parses the head of a request without its final empty line. Strict: bare line feeds, folded
 /// lines, spaces before a colon, control characters, a missing or repeated Host and
 /// contradictory framing are errors, because two lenient parsers that disagree, here and at a
--- a/libs/http/include/http/answer_body.h
+++ b/libs/http/include/http/response_body.h
@@ -19,8 +19,8 @@
     BrokenOff
 };
 
-/// Options of an answer_body.
-struct answer_body_options
+/// Options of an response_body.
+struct response_body_options
 {
     body_framing framing;
     /// Whether the body is a stream of events, whose complete events are passed on as they arrive.
@@ -35,10 +35,10 @@
 /// answer is whole. It belongs to one attempt at a server, so nothing of an incomplete answer is
 /// left for the next attempt. A stream is whole only if its framing has ended between two events,
 /// and a stream without framing only if it also had an event. Not thread-safe.
-class answer_body
+class response_body
 {
 public:
-    explicit answer_body(const answer_body_options &options);
+    explicit response_body(const response_body_options &options);
 
     /// Decodes @p input, erases the decoded bytes and returns the events that may be passed on.
     /// They are events of complete chunks: until its end has arrived, a chunk may be cut and
@@ -60,7 +60,7 @@
     bool decode(std::string &input);
     void finish();
 
-    answer_body_options m_options;
+    response_body_options m_options;
     body_state m_state = body_state::Incomplete;
     chunked_decoder m_chunks;
     std::uint64_t m_bodyBytes = 0;
--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/http_connection.cpp
@@ -1,18 +1,16 @@
-#include <http/exchange.h>
+#include <http/http_connection.h>
 
 #include <algorithm>
 
-#include <http/answer_body.h>
+#include <http/response_body.h>
+#include <http/response_head_reader.h>
 
 namespace trefoil {
 
 namespace {
 
-/// Limit on the heads of a response, interim ones included.
+/// Limit on the head of a response, interim ones included.
 constexpr std::size_t maxHeadBytes = 16 * 1024;
-constexpr int firstFinalStatus = 200;
-/// Interval at which a waiting reader checks whether others need what it holds.
-constexpr duration heldBytesCheckInterval = std::chrono::milliseconds(200);
 
 timestamp after(timestamp now, duration time)
 {
@@ -92,33 +90,27 @@
         while (outcome == read_outcome::TimedOut && boot_clock::now() < end) {
             if (held && held->wasRevoked())
                 return read_outcome::Broken;
-            outcome = m_stream->readMore(std::min(end, boot_clock::now() + heldBytesCheckInterval));
+            outcome =
+                m_stream->readMore(std::min(end, boot_clock::now() + byte_budget::checkInterval));
         }
         return outcome;
     };
-    response_head head;
-    std::size_t headBytes = 0;
-    while (head.status < firstFinalStatus) {
-        const std::size_t end = buffer.find("\r\n\r\n");
-        if (headBytes + std::min(end, buffer.size()) > maxHeadBytes)
-            return failure(http_errors::broken, "the head of the response is too long");
-        if (end == std::string::npos) {
-            const read_outcome outcome = readMore();
-            if (outcome != read_outcome::Bytes)
-                return failure(http_errors::broken, reasonOf(outcome));
-            continue;
-        }
-        result<response_head> parsed = parseResponseHead(std::string_view(buffer).substr(0, end));
-        if (!parsed)
-            return failure(http_errors::broken, parsed.error().message);
-        buffer.erase(0, end + 4);
-        headBytes += end;
-        head = std::move(*parsed);
+    response_head_reader heads(maxHeadBytes);
+    std::optional<response_head> arrived;
+    while (!arrived) {
+        result<std::optional<response_head>> next = heads.feed(buffer);
+        if (!next)
+            return failure(http_errors::broken, next.error().message);
+        arrived = std::move(*next);
+        const read_outcome outcome = arrived ? read_outcome::Bytes : readMore();
+        if (outcome != read_outcome::Bytes)
+            return failure(http_errors::broken, reasonOf(outcome));
     }
+    response_head &head = *arrived;
     const result<body_framing> framing = framingOf(head, method);
     if (!framing)
         return failure(http_errors::broken, framing.error().message);
-    answer_body body({.framing = *framing, .maxHeldBytes = limits.maxBodyBytes});
+    response_body body({.framing = *framing, .maxHeldBytes = limits.maxBodyBytes});
     while (true) {
         body.feed(buffer);
         if (body.state() == body_state::Whole)
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -152,6 +152,19 @@
     });
 }
 
+head_state takeHead(std::string &buffer, std::size_t maxBytes, std::string &head)
+{
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    const std::size_t end = buffer.find(headEnd);
+    if (std::min(end, buffer.size()) > maxBytes)
+        return head_state::TooLong;
+    if (end == std::string::npos)
+        return head_state::Incomplete;
+    head = buffer.substr(0, end);
+    buffer.erase(0, end + headEnd.size());
+    return head_state::Complete;
+}
+
 result<request_head> parseRequestHead(std::string_view text)
 {
     constexpr const char *code = "bad-request";
--- a/libs/http/src/answer_body.cpp
+++ b/libs/http/src/response_body.cpp
@@ -1,11 +1,11 @@
-#include <http/answer_body.h>
+#include <http/response_body.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace trefoil {
 
-answer_body::answer_body(const answer_body_options &options) : m_options(options)
+response_body::response_body(const response_body_options &options) : m_options(options)
 {
     const bool isEmpty = options.framing.end == body_end::None
         || (options.framing.end == body_end::Length && options.framing.length == 0);
@@ -13,12 +13,12 @@
         m_state = body_state::Whole;
 }
 
-std::size_t answer_body::heldBytes() const
+std::size_t response_body::heldBytes() const
 {
     return m_plain.size() + m_openChunk.size() + m_events.incompleteBytes();
 }
 
-bool answer_body::decode(std::string &input)
+bool response_body::decode(std::string &input)
 {
     if (m_options.framing.end == body_end::Chunked) {
         const chunked_state state = m_chunks.feed(input, m_openChunk);
@@ -35,7 +35,7 @@
     return m_options.framing.end == body_end::Length && m_bodyBytes == m_options.framing.length;
 }
 
-std::string answer_body::feed(std::string &input)
+std::string response_body::feed(std::string &input)
 {
     if (m_state != body_state::Incomplete)
         return {};
@@ -56,7 +56,7 @@
     return events;
 }
 
-void answer_body::end(bool isOrderly)
+void response_body::end(bool isOrderly)
 {
     if (m_state != body_state::Incomplete)
         return;
@@ -68,7 +68,7 @@
         m_state = body_state::BrokenOff;
 }
 
-void answer_body::finish()
+void response_body::finish()
 {
     m_state = m_events.isInsideEvent() ? body_state::BrokenOff : body_state::Whole;
 }
--- a/libs/http/src/sse_framer.cpp
+++ b/libs/http/src/sse_framer.cpp
@@ -2,38 +2,9 @@
 
 #include <utility>
 
-namespace trefoil {
-
-namespace {
+#include "sse_lines.h"
 
-/// Removes the next line from @p rest and returns it without its end.
-std::string_view takeLine(std::string_view &rest)
-{
-    const std::size_t end = rest.find_first_of("\r\n");
-    const std::string_view line = rest.substr(0, end);
-    if (end == std::string_view::npos) {
-        rest = {};
-        return line;
-    }
-    rest.remove_prefix(rest.substr(end).starts_with("\r\n") ? end + 2 : end + 1);
-    return line;
-}
-
-/// Returns the name of the field that @p line holds; "" for a comment.
-std::string_view fieldName(std::string_view line) { return line.substr(0, line.find(':')); }
-
-std::string_view fieldValue(std::string_view line)
-{
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return {};
-    line.remove_prefix(colon + 1);
-    if (line.starts_with(' '))
-        line.remove_prefix(1);
-    return line;
-}
-
-} // namespace
+namespace trefoil {
 
 std::string sse_framer::feed(std::string_view bytes)
 {
@@ -90,26 +61,4 @@
     return false;
 }
 
-void stream_progress::record(std::string_view events)
-{
-    std::string_view id = m_lastEventId;
-    bool hasData = false;
-    bool hasId = false;
-    while (!events.empty()) {
-        const std::string_view line = takeLine(events);
-        if (line.empty()) {
-            if (hasData)
-                m_canContinue = hasId;
-            hasData = false;
-            hasId = false;
-        } else if (fieldName(line) == "data") {
-            hasData = true;
-        } else if (fieldName(line) == "id") {
-            id = fieldValue(line);
-            hasId = !id.empty();
-        }
-    }
-    m_lastEventId = std::string(id);
-}
-
 } // namespace trefoil
--- a/libs/http/tests/exchange_test.cpp
+++ b/libs/http/tests/http_connection_test.cpp
@@ -1,4 +1,4 @@
-#include <http/exchange.h>
+#include <http/http_connection.h>
 
 #include <functional>
 #include <thread>
@@ -81,7 +81,7 @@
 
 } // namespace
 
-TEST(Exchange, ReturnsWholeResponsesOfEachFraming)
+TEST(HttpConnection, ReturnsWholeResponsesOfEachFraming)
 {
     for (const char *text :
          {"Content-Length: 4\r\n\r\nbody",
@@ -95,7 +95,7 @@
     }
 }
 
-TEST(Exchange, KeepsTheConnectionAfterAResponseWithALength)
+TEST(HttpConnection, KeepsTheConnectionAfterAResponseWithALength)
 {
     single_server server([](byte_stream &stream, int request) {
         stream.write(head + "Content-Length: 1\r\nX-Number: " + std::to_string(request) + "\r\n\r\n"
@@ -113,7 +113,7 @@
 }
 
 // What a server had left unread of a body was taken for the beginning of the next request.
-TEST(Exchange, ConnectionIsNotKeptAfterARefusalThatMayLeaveTheBodyUnread)
+TEST(HttpConnection, ConnectionIsNotKeptAfterARefusalThatMayLeaveTheBodyUnread)
 {
     single_server server([](byte_stream &stream, int request) {
         stream.write(request == 0 ? "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
@@ -127,7 +127,7 @@
     EXPECT_FALSE(connection.isReusable());
 }
 
-TEST(Exchange, HostOfTheCallerGoesBeforeTheAddress)
+TEST(HttpConnection, HostOfTheCallerGoesBeforeTheAddress)
 {
     std::string received;
     single_server server(
@@ -142,7 +142,7 @@
 }
 
 // A chunked response that was cut was taken for a whole one.
-TEST(Exchange, CutResponseIsNoResponse)
+TEST(HttpConnection, CutResponseIsNoResponse)
 {
     for (const char *text :
          {"", "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody",
@@ -157,7 +157,7 @@
 }
 
 // Each read had a time limit, but not the whole response, which was kept up to 16 MB.
-TEST(Exchange, BytesWithoutEndAreBoundedInSizeAndTime)
+TEST(HttpConnection, BytesWithoutEndAreBoundedInSizeAndTime)
 {
     const std::string block(16 * 1024, 'x');
     struct endless_case
@@ -194,7 +194,7 @@
     }
 }
 
-TEST(Exchange, ResponseOverTheSharedBudgetFails)
+TEST(HttpConnection, ResponseOverTheSharedBudgetFails)
 {
     single_server server(respondWithoutEnd(head + "\r\n", std::string(16 * 1024, 'x'), 0ms));
     byte_budget budget({.totalBytes = 100'000, .freeBytes = 1000});
@@ -204,7 +204,7 @@
 }
 
 // A server wrote without end and without reading while a long request was written to it.
-TEST(Exchange, BytesThatArriveWhileTheRequestIsWrittenAreBounded)
+TEST(HttpConnection, BytesThatArriveWhileTheRequestIsWrittenAreBounded)
 {
     single_server server([](byte_stream &stream, int) {
         const std::string block(64 * 1024, 'x');
--- a/libs/http/tests/answer_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -1,4 +1,5 @@
-#include <http/answer_body.h>
+#include <http/response_body.h>
+#include <http/stream_progress.h>
 
 #include <array>
 #include <optional>
@@ -56,10 +57,10 @@
 };
 
 /// Feeds @p bytes in pieces of @p pieceSize and ends the answer with @p how, if it is given.
-attempt_result attempt(const answer_body_options &options, std::string_view bytes,
+attempt_result attempt(const response_body_options &options, std::string_view bytes,
                        std::size_t pieceSize, std::optional<cut> how)
 {
-    answer_body body(options);
+    response_body body(options);
     attempt_result result;
     std::string input;
     while (!bytes.empty()) {
@@ -94,18 +95,18 @@
 
 } // namespace
 
-TEST(AnswerBody, SoundStreamKeepsItsBytesAndIsPassedOnEventByEvent)
+TEST(ResponseBody, SoundStreamKeepsItsBytesAndIsPassedOnEventByEvent)
 {
     for (const body_end end : framings) {
         const std::string bytes = encoded(end, events);
-        const answer_body_options options {
+        const response_body_options options {
             .framing = framingOf(end, bytes.size()), .isEventStream = true, .maxHeldBytes = 64};
         for (std::size_t pieceSize = 1; pieceSize <= bytes.size(); ++pieceSize) {
             const attempt_result got = attempt(options, bytes, pieceSize, cut::OrderlyEnd);
             EXPECT_EQ(got.state, body_state::Whole) << pieceSize;
             EXPECT_EQ(got.passedOn, concatenated()) << pieceSize;
         }
-        answer_body body(options);
+        response_body body(options);
         for (const std::string &event : events) {
             std::string input = event;
             if (end == body_end::Chunked) {
@@ -118,13 +119,13 @@
 }
 
 // An incomplete event was joined with the events of the next server, or passed on as complete.
-TEST(AnswerBody, StreamCutAtAnyByteIsNeitherCompleteNorJoined)
+TEST(ResponseBody, StreamCutAtAnyByteIsNeitherCompleteNorJoined)
 {
     for (const body_end end : framings) {
         const std::string bytes = encoded(end, events);
-        const answer_body_options options {.framing = framingOf(end, bytes.size()),
-                                           .isEventStream = true,
-                                           .maxHeldBytes = maxHeldBytes};
+        const response_body_options options {.framing = framingOf(end, bytes.size()),
+                                             .isEventStream = true,
+                                             .maxHeldBytes = maxHeldBytes};
         for (const cut how : cuts) {
             // Without chunks, bytes that don't belong to the answer can't be told from it.
             if (how == cut::MalformedBytes && end != body_end::Chunked)
@@ -156,7 +157,7 @@
                         rest.push_back(events[i]);
                 }
                 const std::string restBytes = encoded(end, rest);
-                answer_body_options restOptions = options;
+                response_body_options restOptions = options;
                 restOptions.framing = framingOf(end, restBytes.size());
                 const attempt_result second =
                     attempt(restOptions, restBytes, restBytes.size(), cut::OrderlyEnd);
@@ -176,8 +177,32 @@
     }
 }
 
+TEST(ResponseBody, IncompleteEventDoesNotReachTheNextServersStream)
+{
+    const response_body_options options {
+        .framing = {.end = body_end::Close}, .isEventStream = true, .maxHeldBytes = maxHeldBytes};
+    stream_progress progress;
+    response_body first(options);
+    std::string input = "id: 1\ndata: a\n\nid: 2\nda";
+    progress.record(first.feed(input));
+    EXPECT_EQ(progress.lastEventId(), "1");
+    input = "ta: b\n\nid: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: cut";
+    progress.record(first.feed(input));
+    EXPECT_EQ(progress.lastEventId(), "7");
+    first.end(false);
+    response_body second(options);
+    input = "id: 8\r\ndata: b\r\n\r\n";
+    const std::string events = second.feed(input);
+    EXPECT_EQ(events, "id: 8\r\ndata: b\r\n\r\n");
+    progress.record(events);
+    EXPECT_EQ(progress.lastEventId(), "8");
+    EXPECT_EQ(second.heldBytes(), 0u);
+    second.end(true);
+    EXPECT_EQ(second.state(), body_state::Whole);
+}
+
 // A chunked stream, or one with a length, that ended inside an event was passed on as complete.
-TEST(AnswerBody, StreamWhoseFramingEndsInsideAnEventIsBrokenOff)
+TEST(ResponseBody, StreamWhoseFramingEndsInsideAnEventIsBrokenOff)
 {
     for (const body_end end : framings) {
         for (const char *rest : {"id: 2\nda", "id: 2\ndata: b\n", "\n: com", "data"}) {
@@ -192,7 +217,7 @@
     }
 }
 
-TEST(AnswerBody, StreamWithoutEventsIsWholeOnlyIfItsFramingSaysSo)
+TEST(ResponseBody, StreamWithoutEventsIsWholeOnlyIfItsFramingSaysSo)
 {
     const auto stateOf = [](body_end end, const std::string &bytes) {
         return attempt({.framing = framingOf(end, bytes.size()),
@@ -208,11 +233,11 @@
 }
 
 // The bytes after a cut chunk completed its last event.
-TEST(AnswerBody, EventOfAChunkIsPassedOnOnlyWithTheChunksEnd)
+TEST(ResponseBody, EventOfAChunkIsPassedOnOnlyWithTheChunksEnd)
 {
-    answer_body body({.framing = {.end = body_end::Chunked},
-                      .isEventStream = true,
-                      .maxHeldBytes = maxHeldBytes});
+    response_body body({.framing = {.end = body_end::Chunked},
+                        .isEventStream = true,
+                        .maxHeldBytes = maxHeldBytes});
     std::string input = "13\r\nid: 1\nda";
     EXPECT_EQ(body.feed(input), "");
     input += "\n\nHTTP/1.1 500 ..";
@@ -220,13 +245,13 @@
     EXPECT_EQ(body.state(), body_state::BrokenOff);
 }
 
-TEST(AnswerBody, PlainBodyCutAtAnyByteIsNotWhole)
+TEST(ResponseBody, PlainBodyCutAtAnyByteIsNotWhole)
 {
     const std::vector<std::string> parts {"{\"answer\": ", "\n\n", "42}"};
     for (const body_end end : framings) {
         const std::string bytes = encoded(end, parts);
-        const answer_body_options options {.framing = framingOf(end, bytes.size()),
-                                           .maxHeldBytes = maxHeldBytes};
+        const response_body_options options {.framing = framingOf(end, bytes.size()),
+                                             .maxHeldBytes = maxHeldBytes};
         for (std::size_t pieceSize = 1; pieceSize <= bytes.size(); ++pieceSize) {
             const attempt_result got = attempt(options, bytes, pieceSize, cut::OrderlyEnd);
             EXPECT_EQ(got.state, body_state::Whole);
@@ -246,7 +271,7 @@
     }
 }
 
-TEST(AnswerBody, HoldsNoMoreThanItsLimit)
+TEST(ResponseBody, HoldsNoMoreThanItsLimit)
 {
     const std::string block(1000, 'x');
     std::string chunk;
@@ -266,9 +291,9 @@
         {body_end::Length, true, block, block},      {body_end::Length, false, block, block},
     };
     for (const endless_case &each : cases) {
-        answer_body body({.framing = framingOf(each.end, std::size_t {1} << 40),
-                          .isEventStream = each.isEventStream,
-                          .maxHeldBytes = maxHeldBytes});
+        response_body body({.framing = framingOf(each.end, std::size_t {1} << 40),
+                            .isEventStream = each.isEventStream,
+                            .maxHeldBytes = maxHeldBytes});
         std::string input = each.first;
         std::size_t held = 0;
         int pieces = 0;
--- a/libs/routing/tests/crash_tracker_test.cpp
+++ b/libs/routing/tests/crash_tracker_test.cpp
@@ -23,7 +23,7 @@
 TEST(CrashTracker, RefusedRequestIsNotForgottenInRollingRestarts)
 {
     constexpr std::size_t instanceCount = 8;
-    const digest128 deadly = digestOf("deadly");
+    const digest128 crashing = digestOf("crashing");
     std::vector<crash_tracker> instances(instanceCount);
     timestamp now {std::chrono::seconds(100)};
     int crashes = 0;
@@ -37,12 +37,12 @@
     };
     const auto callAll = [&] {
         for (crash_tracker &instance : instances) {
-            if (instance.isRefused(now, deadly))
+            if (instance.isRefused(now, crashing))
                 continue;
             const std::string crash = "server@" + std::to_string(++crashes);
             // The instance tells the others of the crash once.
             for (crash_tracker &each : instances)
-                each.recordCrash(now, deadly, crash);
+                each.recordCrash(now, crashing, crash);
         }
     };
     for (int round = 0; round < 3; ++round) {
@@ -57,7 +57,7 @@
     EXPECT_EQ(crashes, 2);
     // What is repeated in reports doesn't count as a new crash.
     now += std::chrono::minutes(31);
-    EXPECT_FALSE(instances.front().isRefused(now, deadly));
+    EXPECT_FALSE(instances.front().isRefused(now, crashing));
     EXPECT_TRUE(instances.front().refusedRequests(now, 64).empty());
 }
 
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 #include <core/json.h>
+#include <http/response_head_reader.h>
 
 namespace trefoil {
 
@@ -157,29 +158,24 @@
     const timestamp deadline = boot_clock::now() + m_timeout;
     if (result<void> sent = send(request, deadline); !sent)
         return sent;
-    std::string &buffer = m_stream->buffer();
-    std::size_t headBytes = 0;
-    while (m_response.status < HTTPResponse::HTTP_OK) {
-        const std::size_t end = buffer.find("\r\n\r\n");
-        if (headBytes + std::min(end, buffer.size()) > maxHeadBytes)
-            return failure(backend_errors::connectionLost, "the head is too long");
-        if (end == std::string::npos) {
-            if (result<void> more = readMore(deadline, request.isCallerGone); !more)
-                return more;
-            continue;
-        }
-        result<response_head> head = parseResponseHead(std::string_view(buffer).substr(0, end));
-        if (!head)
-            return failure(backend_errors::connectionLost, head.error().message);
-        buffer.erase(0, end + 4);
-        headBytes += end;
-        m_response = std::move(*head);
+    response_head_reader heads(maxHeadBytes);
+    std::optional<response_head> head;
+    while (!head) {
+        result<std::optional<response_head>> next = heads.feed(m_stream->buffer());
+        if (!next)
+            return failure(backend_errors::connectionLost, next.error().message);
+        head = std::move(*next);
+        if (head)
+            break;
+        if (result<void> more = readMore(deadline, request.isCallerGone); !more)
+            return more;
     }
+    m_response = std::move(*head);
     const result<body_framing> framing = framingOf(m_response, request.method);
     if (!framing)
         return failure(backend_errors::connectionLost, framing.error().message);
     m_framing = *framing;
-    m_body.emplace(answer_body_options {.framing = m_framing, .maxHeldBytes = maxHeldBytes});
+    m_body.emplace(response_body_options {.framing = m_framing, .maxHeldBytes = maxHeldBytes});
     return {};
 }
 
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -12,8 +12,8 @@
 
 #include <control/control_node.h>
 #include <core/error.h>
-#include <http/answer_body.h>
-#include <http/exchange.h>
+#include <http/http_connection.h>
+#include <http/response_body.h>
 
 namespace trefoil {
 
@@ -83,7 +83,7 @@
     duration m_timeout {};
     response_head m_response;
     body_framing m_framing;
-    std::optional<answer_body> m_body;
+    std::optional<response_body> m_body;
     bool m_isReusable = false;
 };
 
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -30,8 +30,6 @@
 constexpr duration maxBodyPause = std::chrono::seconds(3);
 /// Time for a whole body: the longest takes a few seconds on the slowest links.
 constexpr duration maxBodyTime = std::chrono::seconds(30);
-/// Interval at which a waiting reader checks whether others need what it holds.
-constexpr duration heldBytesCheckInterval = std::chrono::milliseconds(200);
 /// Retry-After time of a request that would exceed what is held for all requests.
 constexpr duration heldBytesRetryAfter = std::chrono::milliseconds(500);
 
@@ -138,13 +136,10 @@
         // Empty lines before a request are allowed.
         while (buffer.starts_with("\r\n"))
             buffer.erase(0, 2);
-        const std::size_t end = buffer.find("\r\n\r\n");
-        if (end != std::string::npos && end <= bounds.headerBytes) {
-            head = buffer.substr(0, end);
-            buffer.erase(0, end + 4);
+        const head_state state = takeHead(buffer, bounds.headerBytes, head);
+        if (state == head_state::Complete)
             return true;
-        }
-        if (buffer.size() > bounds.headerBytes) {
+        if (state == head_state::TooLong) {
             reject(HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large");
             return false;
         }
@@ -198,7 +193,8 @@
         }
         const timestamp now = boot_clock::now();
         const timestamp end = std::min(deadline, progressAt + maxBodyPause);
-        const read_outcome outcome = m_caller.readMore(std::min(end, now + heldBytesCheckInterval));
+        const read_outcome outcome =
+            m_caller.readMore(std::min(end, now + byte_budget::checkInterval));
         if (outcome == read_outcome::Bytes)
             progressAt = now;
         else if (outcome == read_outcome::TimedOut && now < end)
--- a/trefoilrouter/src/edge/page_listener.cpp
+++ b/trefoilrouter/src/edge/page_listener.cpp
@@ -57,16 +57,17 @@
     std::optional<page> respond(byte_stream &stream) const
     {
         const timestamp deadline = boot_clock::now() + requestTimeout;
-        std::size_t end = std::string::npos;
-        while ((end = stream.buffer().find("\r\n\r\n")) == std::string::npos) {
-            if (stream.buffer().size() > maxHeadBytes)
-                return page {.status = HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
-                             .body = "the head is too large\n"};
+        std::string text;
+        head_state state = takeHead(stream.buffer(), maxHeadBytes, text);
+        while (state == head_state::Incomplete) {
             if (stream.readMore(deadline) != read_outcome::Bytes)
                 return std::nullopt;
+            state = takeHead(stream.buffer(), maxHeadBytes, text);
         }
-        const result<request_head> head =
-            parseRequestHead(std::string_view(stream.buffer()).substr(0, end));
+        if (state == head_state::TooLong)
+            return page {.status = HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                         .body = "the head is too large\n"};
+        const result<request_head> head = parseRequestHead(text);
         if (!head)
             return page {.status = HTTPResponse::HTTP_BAD_REQUEST,
                          .body = head.error().message + "\n"};
--- /dev/null
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -0,0 +1,361 @@
+// Sends a request to a backend server and passes its answer on.
+
+#include <algorithm>
+
+#include <Poco/Net/HTTPResponse.h>
+#include <adapter/headers.h>
+#include <http/response_head_reader.h>
+#include <telemetry/event_log.h>
+
+#include "edge/request_runner.h"
+
+namespace trefoil {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+
+/// Connect timeout for a backend server: thirty times the network latency between zones.
+constexpr duration connectTimeout = std::chrono::milliseconds(300);
+/// Longest idle time of a connection that may carry a non-repeatable request: after a reset it
+/// would be unknown whether the request ran.
+constexpr duration maxIdleNonRepeatable = std::chrono::milliseconds(800);
+/// Longest idle time of a connection for repeatable requests.
+constexpr duration maxIdleRepeatable = std::chrono::seconds(4);
+/// How long an idle connection is kept to a server that doesn't announce its timeout: half of the
+/// shortest usual timeout.
+constexpr duration defaultIdleTimeout = std::chrono::seconds(4);
+/// Interval at which a request that waits for its server checks whether to go on waiting.
+constexpr duration silenceCheckInterval = std::chrono::milliseconds(200);
+/// Limit on the head of an answer.
+constexpr std::size_t maxHeadBytes = 16 * 1024;
+/// Limit on one event of a stream.
+constexpr std::size_t maxEventBytes = 1u << 20;
+/// Limits on the body of an answer that is not passed on, after which its connection is closed
+/// instead.
+constexpr std::size_t maxUnusedBytes = 64 * 1024;
+constexpr duration maxUnusedTime = std::chrono::milliseconds(200);
+/// A longer body is not copied to be written together with its head.
+constexpr std::size_t maxCopiedBytes = 64 * 1024;
+/// Time without requests for a server that rejected one. An engine is full or loads weights, which
+/// takes more than a second; another server is full for about the time of one request.
+constexpr duration engineRejectionPause = std::chrono::milliseconds(900);
+constexpr duration plainRejectionPause = std::chrono::milliseconds(40);
+
+} // namespace
+
+request_runner::attempt_end request_runner::runAttempt(attempt &current)
+{
+    const timestamp now = boot_clock::now();
+    current.ticket = m_state.with([&](routing_state &routing) {
+        return routing.balancer.begin(now, current.placed, requestProfile());
+    });
+    logPlaced(current);
+    m_held.emplace(m_state.readBudget());
+    attempt_end end = send(current);
+    if (end != attempt_end::Delivered)
+        return end;
+    end = readHead(current);
+    if (end != attempt_end::Delivered)
+        return end;
+    // It may be an answer to an earlier request that the server has written once more.
+    if (current.isReused && current.fields.requestId.empty()) {
+        countRun(current);
+        return attempt_end::Broken;
+    }
+    m_state.with([&](routing_state &routing) {
+        if (current.fields.weights)
+            routing.balancer.onWeightsObserved(boot_clock::now(), current.placed.server,
+                                               m_fields.model, *current.fields.weights);
+        if (current.fields.running)
+            routing.balancer.onLoadReported(boot_clock::now(), current.placed.server,
+                                            *current.fields.running, current.fields.waiting);
+    });
+    recordStatement(current);
+    if (current.fields.wasNotRun)
+        return handleRejection(current);
+    countRun(current);
+    const bool isSuccess =
+        current.head.status >= HTTPResponse::HTTP_OK && current.head.status < firstRedirect;
+    const bool isForThisRequest = current.fields.requestId == m_fields.requestId;
+    if (isSuccess && (!current.fields.isSigned || !isForThisRequest))
+        return attempt_end::Broken;
+    const bool isEventStream =
+        current.head.headers.value("Content-Type").starts_with("text/event-stream");
+    if (isSuccess && isEventStream && current.framing.end != body_end::None)
+        return forwardStream(current);
+    return forwardBuffered(current);
+}
+
+request_runner::attempt_end request_runner::send(attempt &current)
+{
+    const server_placement &placed = current.placed;
+    const timestamp now = boot_clock::now();
+    result<server_connection_pool::pooled_connection> acquired = m_connections.acquire(
+        placed.server, placed.address, mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable,
+        std::min<duration>(connectTimeout, m_deadline - now));
+    if (!acquired)
+        return attempt_end::NotRun;
+    current.stream = std::move(acquired->stream);
+    current.isReused = acquired->isReused;
+    const std::string_view lastEvent = m_progress.lastEventId().empty()
+        ? std::string_view(m_fields.lastEventId)
+        : m_progress.lastEventId();
+    constexpr int priorityStep = 3;
+    constexpr int lastPriority = 9;
+    const int teamPriority = m_team == nullptr ? 0 : m_team->priority;
+    const std::string head = encodeServerRequest(
+        m_request.head, m_request.body.size(),
+        {.server = placed.server,
+         .team = m_team == nullptr ? std::string_view {} : m_team->name,
+         .timeLeft = m_deadline - boot_clock::now(),
+         .priority = std::clamp(teamPriority * priorityStep + m_route->priority, 0, lastPriority),
+         .weights = placed.weights,
+         .cacheSalt = placed.cacheSalt,
+         .cacheSource = placed.cacheSource,
+         .cacheSink = placed.cacheSink,
+         .lastEventId = lastEvent});
+    const response_limits limits = responseLimits(placed);
+    // Nothing that may wait comes between this and the request.
+    if (m_response.connection().isClosedByRemote())
+        return attempt_end::CallerLeft;
+    current.wasSent = true;
+    m_wasSent = true;
+    current.sentAt = boot_clock::now();
+    current.progressAt = current.sentAt;
+    current.timer.emplace(current.sentAt, limits);
+    // A server may answer, and close, before it has read the body; its answer is then in the
+    // buffer.
+    const bool isWritten = m_request.body.size() <= maxCopiedBytes
+        ? current.stream->write(head + m_request.body, m_deadline)
+        : current.stream->write(head, m_deadline)
+            && current.stream->write(m_request.body, m_deadline);
+    if (!isWritten && current.stream->buffer().empty()) {
+        countRun(current);
+        return attempt_end::Broken;
+    }
+    current.isRequestWritten = isWritten;
+    return attempt_end::Delivered;
+}
+
+void request_runner::countRun(attempt &current)
+{
+    m_runs += current.isCounted ? 0 : 1;
+    current.isCounted = true;
+}
+
+silence_limits request_runner::silenceLimitsOf(const attempt &current) const
+{
+    const int runs = m_runs + (current.isCounted ? 0 : 1);
+    return silenceLimits({.isStream = m_route->repeats == repeat_rule::Stream,
+                          .hasEvents = current.hasEvents,
+                          .canRetry = mayRepeat() && runs < m_route->maxAttempts,
+                          .expected = fromSeconds(current.placed.expectedMs / 1000),
+                          .expectedUncached = fromSeconds(current.placed.uncachedMs / 1000),
+                          .callerPatience = m_route->callerPatience});
+}
+
+read_outcome request_runner::waitForBytes(attempt &current)
+{
+    const silence_limits limits = silenceLimitsOf(current);
+    const auto isOver = [&current](duration limit, timestamp now) {
+        return limit != duration::max() && now - current.progressAt >= limit;
+    };
+    while (true) {
+        const timestamp now = boot_clock::now();
+        // A server that never stops sending must not hold the request past its deadline.
+        if (now >= m_deadline || now >= current.readUntil)
+            return read_outcome::TimedOut;
+        if (m_held->wasRevoked())
+            return read_outcome::Broken;
+        const bool mayGiveUpUnreachable = isOver(limits.abandonUnreachableAfter, now);
+        const bool isUnreachable = m_state.with([&](routing_state &routing) {
+            if (isOver(limits.suspectAfter, now))
+                routing.balancer.onServerSilent(now, current.ticket);
+            current.isWithdrawn =
+                !current.hasEvents && routing.partCrashes.isExpectedToCrash(m_sharedParts);
+            return mayGiveUpUnreachable && routing.balancer.isUnreachable(current.placed.server);
+        });
+        if (current.isWithdrawn)
+            return read_outcome::Broken;
+        recordSpeed(now, current);
+        if (isUnreachable || isOver(limits.abandonAfter, now))
+            return read_outcome::Broken;
+        const timestamp end = std::min(m_deadline, current.readUntil);
+        timestamp next = std::min(end, now + silenceCheckInterval);
+        if (limits.abandonAfter != duration::max())
+            next = std::min(next, current.progressAt + limits.abandonAfter);
+        const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
+        if (outcome != read_outcome::TimedOut || next >= end)
+            return outcome;
+    }
+}
+
+request_runner::attempt_end request_runner::attemptEndOf(read_outcome outcome)
+{
+    if (outcome == read_outcome::WatchedClosed)
+        return attempt_end::CallerLeft;
+    return outcome == read_outcome::TimedOut ? attempt_end::TimedOut : attempt_end::Broken;
+}
+
+request_runner::attempt_end request_runner::readHead(attempt &current)
+{
+    while (true) {
+        response_head_reader heads(maxHeadBytes);
+        std::optional<response_head> head;
+        while (!head) {
+            result<std::optional<response_head>> next = heads.feed(current.stream->buffer());
+            const read_outcome outcome = !next ? read_outcome::Broken
+                : *next                        ? read_outcome::Bytes
+                                               : waitForBytes(current);
+            if (outcome != read_outcome::Bytes) {
+                // The request was sent, so it may have run.
+                countRun(current);
+                return attemptEndOf(outcome);
+            }
+            head = std::move(*next);
+        }
+        const result<body_framing> framing = framingOf(*head, m_request.head.method);
+        if (!framing) {
+            countRun(current);
+            return attempt_end::Broken;
+        }
+        current.head = std::move(*head);
+        current.framing = *framing;
+        current.fields = decodeServerAnswer(current.head);
+        if (current.fields.requestId.empty() || current.fields.requestId == m_fields.requestId)
+            return attempt_end::Delivered;
+        // A late answer to an earlier request on this connection precedes the one to this request.
+        response_body dropped({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
+        const attempt_end skipped = readBody(current, dropped);
+        if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
+            countRun(current);
+            return skipped == attempt_end::Delivered ? attempt_end::Broken : skipped;
+        }
+    }
+}
+
+request_runner::attempt_end request_runner::awaitBody(attempt &current, response_body &body)
+{
+    if (body.state() == body_state::Whole)
+        return attempt_end::Delivered;
+    const std::size_t storedBytes = m_answer ? m_answer->second.size() : 0;
+    const bool isHeld =
+        m_held->hold(storedBytes + body.heldBytes() + current.stream->buffer().size());
+    if (body.state() == body_state::BrokenOff || !isHeld) {
+        logBrokenOff(current, body, isHeld ? "malformed_or_too_long" : "memory");
+        return attempt_end::Broken;
+    }
+    const read_outcome outcome = waitForBytes(current);
+    if (outcome == read_outcome::Bytes)
+        return attempt_end::Delivered;
+    body.end(outcome == read_outcome::End);
+    if (body.state() == body_state::Whole)
+        return attempt_end::Delivered;
+    if (outcome == read_outcome::End)
+        logBrokenOff(current, body, "ended");
+    return attemptEndOf(outcome);
+}
+
+request_runner::attempt_end request_runner::readBody(attempt &current, response_body &body)
+{
+    while (true) {
+        body.feed(current.stream->buffer());
+        const attempt_end end = awaitBody(current, body);
+        if (end != attempt_end::Delivered || body.state() == body_state::Whole)
+            return end;
+        current.progressAt = boot_clock::now();
+    }
+}
+
+request_runner::attempt_end request_runner::handleRejection(attempt &current)
+{
+    response_body body({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
+    current.readUntil = boot_clock::now() + maxUnusedTime;
+    if (readBody(current, body) == attempt_end::Delivered)
+        returnConnection(current);
+    const timestamp now = boot_clock::now();
+    m_state.with([&](routing_state &routing) {
+        const bool isOtherServer =
+            !current.fields.server.empty() && current.fields.server != current.placed.server;
+        if (current.fields.isMisdirected && isOtherServer)
+            routing.balancer.markGone(current.placed.server);
+        else if (current.fields.isMisdirected && current.placed.weights > 0)
+            routing.balancer.onWeightsMismatch(now, current.placed.server, m_fields.model,
+                                               current.placed.weights);
+        else
+            routing.balancer.markLoading(
+                current.placed.server,
+                now + (current.placed.weights > 0 ? engineRejectionPause : plainRejectionPause));
+    });
+    return attempt_end::NotRun;
+}
+
+void request_runner::returnConnection(attempt &current)
+{
+    const bool mayKeep = current.isRequestWritten && current.framing.end != body_end::Close
+        && isKeepAlive(current.head.headers, current.head.isHttp10)
+        && current.stream->buffer().empty();
+    if (!mayKeep)
+        return;
+    const duration idle = current.fields.idleTimeout.value_or(defaultIdleTimeout * 2) / 2;
+    m_connections.release(current.placed.server, std::move(*current.stream), idle);
+    current.stream.reset();
+}
+
+request_runner::attempt_end request_runner::forwardBuffered(attempt &current)
+{
+    response_body body(
+        {.framing = current.framing, .maxHeldBytes = m_state.readBudget().maxMessageBytes()});
+    const attempt_end end = readBody(current, body);
+    if (end != attempt_end::Delivered)
+        return end;
+    recordStart(current);
+    current.timer->onEvents(boot_clock::now(), 1);
+    current.timer->onComplete();
+    returnConnection(current);
+    if (m_response.currentState() != caller_response::state::NothingSent)
+        return attempt_end::Broken;
+    m_answer = {current.head, std::move(body.plainBody())};
+    if (current.head.status >= firstServerFailure && mayRepeat())
+        return attempt_end::Failed;
+    return writeAnswer() ? attempt_end::Delivered : attempt_end::CallerBroken;
+}
+
+bool request_runner::writeAnswer()
+{
+    if (!m_response.sendAnswer(m_answer->first, m_answer->second, m_deadline))
+        return false;
+    m_status = m_answer->first.status;
+    logEnd("answered", m_status);
+    return true;
+}
+
+request_runner::attempt_end request_runner::forwardStream(attempt &current)
+{
+    response_body body(
+        {.framing = current.framing, .isEventStream = true, .maxHeldBytes = maxEventBytes});
+    while (true) {
+        const std::string events = body.feed(current.stream->buffer());
+        if (containsData(events))
+            current.progressAt = boot_clock::now();
+        recordEvents(current, events);
+        const bool isWhole = body.state() == body_state::Whole;
+        if ((!events.empty() || isWhole)
+            && !m_response.sendEvents(current.head, events, isWhole, m_deadline))
+            return attempt_end::CallerBroken;
+        m_progress.record(events);
+        if (isWhole) {
+            current.timer->onComplete();
+            m_status = current.head.status;
+            returnConnection(current);
+            logEnd("answered", m_status);
+            return attempt_end::Delivered;
+        }
+        const attempt_end end = awaitBody(current, body);
+        if (end != attempt_end::Delivered)
+            return end;
+    }
+}
+
+} // namespace trefoil
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -68,7 +68,7 @@
                    .add("ms", toMilliseconds(boot_clock::now() - current.sentAt)));
 }
 
-void request_runner::logBrokenOff(const attempt &current, const answer_body &body,
+void request_runner::logBrokenOff(const attempt &current, const response_body &body,
                                   const char *reason) const
 {
     writeEvent(event_line("proxy", "answer_broken_off")
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -1,6 +1,7 @@
 // Records what an attempt tells of its server, of the server's release and of the prompt's parts.
 
 #include <algorithm>
+#include <array>
 
 #include <telemetry/event_log.h>
 
@@ -17,6 +18,50 @@
 
 } // namespace
 
+void request_runner::recordStatement(const attempt &current)
+{
+    const server_answer_fields &fields = current.fields;
+    const std::string &server = current.placed.server;
+    // Another server may answer at the address.
+    if (fields.isMisdirected || (!fields.server.empty() && fields.server != server))
+        return;
+    if (!fields.invalidField.empty()) {
+        m_state.metrics().counterOf("trefoil_invalid_server_statements_total").add();
+        writeEvent(event_line("servers", "statement_invalid")
+                       .add("request", m_fields.requestId)
+                       .add("server", server)
+                       .add("field", fields.invalidField));
+    }
+    const timestamp now = boot_clock::now();
+    server_statements::changes changed;
+    server_statements::counts counts;
+    m_state.with([&](routing_state &routing) {
+        server_statements &statements = routing.balancer.statements();
+        changed = statements.record(now, current.sentAt, server, fields.stated);
+        counts = statements.count(now);
+    });
+    if (changed == server_statements::changes {})
+        return;
+    metric_registry &metrics = m_state.metrics();
+    metrics.gaugeOf("trefoil_servers_limited").set(static_cast<double>(counts.limited));
+    metrics.gaugeOf("trefoil_servers_leaving").set(static_cast<double>(counts.leaving));
+    metrics.gaugeOf("trefoil_servers_paused").set(static_cast<double>(counts.paused));
+    const std::array<std::pair<bool, const char *>, 4> events {
+        {{changed.hasNewLimit, "limit_named"},
+         {changed.hasLimitEnded, "limit_ended"},
+         {changed.isNowLeaving, "leaving_stated"},
+         {changed.isNowPaused, "pause_stated"}}};
+    for (const std::pair<bool, const char *> &each : events) {
+        if (each.first)
+            writeEvent(
+                event_line("servers", each.second)
+                    .add("request", m_fields.requestId)
+                    .add("server", server)
+                    .add("requests_per_second", fields.stated.requestsPerSecond.value_or(0))
+                    .add("pause_ms", toMilliseconds(fields.stated.pause.value_or(duration {}))));
+    }
+}
+
 void request_runner::recordStart(attempt &current)
 {
     current.hasEvents = true;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -8,10 +8,11 @@
 #include <adapter/headers.h>
 #include <core/digest.h>
 #include <dispatch/silence_policy.h>
-#include <http/answer_body.h>
 #include <http/byte_stream.h>
 #include <http/message.h>
+#include <http/response_body.h>
 #include <http/sse_framer.h>
+#include <http/stream_progress.h>
 #include <rollout/response_timing.h>
 
 #include "edge/caller_response.h"
@@ -122,10 +123,10 @@
     attempt_end readHead(attempt &current);
     attempt_end handleRejection(attempt &current);
     /// Reads until @p body is whole.
-    attempt_end readBody(attempt &current, answer_body &body);
+    attempt_end readBody(attempt &current, response_body &body);
     /// Waits for more of @p body, unless it is whole. Returns Delivered if there may be more to
     /// decode.
-    attempt_end awaitBody(attempt &current, answer_body &body);
+    attempt_end awaitBody(attempt &current, response_body &body);
     attempt_end forwardBuffered(attempt &current);
     attempt_end forwardStream(attempt &current);
     /// Records what the server stated about itself in the head of its answer.
@@ -158,7 +159,7 @@
     void logUnplaced(timestamp now, const std::optional<server_placement> &best) const;
     void logPlaced(const attempt &current) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
-    void logBrokenOff(const attempt &current, const answer_body &body, const char *reason) const;
+    void logBrokenOff(const attempt &current, const response_body &body, const char *reason) const;
     void logEnd(std::string_view outcome, int status) const;
 
     edge_state &m_state;
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -16,7 +16,7 @@
 #include <core/clock.h>
 #include <core/error.h>
 #include <core/supervisor.h>
-#include <http/exchange.h>
+#include <http/http_connection.h>
 
 namespace trefoil {
 
