Don't wake long polls that hold no bytes

Change: only readers that hold counted bytes look. The reading of a response is split into head and body.

--- a/libs/http/include/http/byte_budget.h
+++ b/libs/http/include/http/byte_budget.h
@@ -43,6 +43,8 @@
         /// Protects what the reader holds: the message is complete and in use. It is counted
         /// until this object is destroyed.
         void keep();
+        /// Returns the bytes that are counted: what the reader holds, or 0 if that is little.
+        std::size_t heldBytes() const { return m_counted; }
         /// Returns whether the reader has to end.
         bool wasRevoked() const { return m_wasRevoked; }
 
--- a/libs/http/src/http_connection.cpp
+++ b/libs/http/src/http_connection.cpp
@@ -52,6 +52,75 @@
                                              : "the connection was lost";
 }
 
+/// Reads one response within its limits.
+class response_reader
+{
+public:
+    response_reader(byte_stream &stream, timestamp deadline, const exchange_limits &limits)
+        : m_stream(stream), m_deadline(deadline), m_limits(limits)
+    {
+        if (limits.budget != nullptr)
+            m_held.emplace(*limits.budget);
+    }
+
+    result<response_head> readHead()
+    {
+        response_head_reader heads(maxHeadBytes);
+        while (true) {
+            result<std::optional<response_head>> head = heads.feed(m_stream.buffer());
+            if (!head)
+                return failure(http_errors::broken, head.error().message);
+            if (*head)
+                return std::move(**head);
+            const read_outcome outcome = readMore();
+            if (outcome != read_outcome::Bytes)
+                return failure(http_errors::broken, reasonOf(outcome));
+        }
+    }
+
+    result<std::string> readBody(const body_framing &framing)
+    {
+        response_body body({.framing = framing, .maxHeldBytes = m_limits.maxBodyBytes});
+        while (true) {
+            body.feed(m_stream.buffer());
+            if (body.state() == body_state::Whole)
+                return std::move(body.plainBody());
+            const bool isOverBudget =
+                m_held && !m_held->hold(body.heldBytes() + m_stream.buffer().size());
+            if (body.state() == body_state::BrokenOff || isOverBudget)
+                return failure(http_errors::broken, "the response is malformed or too long");
+            const read_outcome outcome = readMore();
+            if (outcome == read_outcome::Bytes)
+                continue;
+            body.end(outcome == read_outcome::End);
+            if (body.state() != body_state::Whole)
+                return failure(http_errors::broken, reasonOf(outcome));
+        }
+    }
+
+private:
+    read_outcome readMore()
+    {
+        const timestamp end = std::min(m_deadline, after(boot_clock::now(), m_limits.idle));
+        while (true) {
+            if (m_held && m_held->wasRevoked())
+                return read_outcome::Broken;
+            // Long polls, which hold nothing, are not woken in vain.
+            const bool holdsBytes = m_held && m_held->heldBytes() > 0;
+            const timestamp next =
+                holdsBytes ? std::min(end, boot_clock::now() + byte_budget::checkInterval) : end;
+            const read_outcome outcome = m_stream.readMore(next);
+            if (outcome != read_outcome::TimedOut || boot_clock::now() >= end)
+                return outcome;
+        }
+    }
+
+    byte_stream &m_stream;
+    timestamp m_deadline;
+    const exchange_limits &m_limits;
+    std::optional<byte_budget::share> m_held;
+};
+
 } // namespace
 
 result<http_response> http_connection::send(const http_request &request,
@@ -80,59 +149,20 @@
 result<http_response> http_connection::read(std::string_view method, timestamp deadline,
                                             const exchange_limits &limits)
 {
-    std::string &buffer = m_stream->buffer();
-    std::optional<byte_budget::share> held;
-    if (limits.budget != nullptr)
-        held.emplace(*limits.budget);
-    const auto readMore = [&] {
-        const timestamp end = std::min(deadline, after(boot_clock::now(), limits.idle));
-        read_outcome outcome = read_outcome::TimedOut;
-        while (outcome == read_outcome::TimedOut && boot_clock::now() < end) {
-            if (held && held->wasRevoked())
-                return read_outcome::Broken;
-            outcome =
-                m_stream->readMore(std::min(end, boot_clock::now() + byte_budget::checkInterval));
-        }
-        return outcome;
-    };
-    response_head_reader heads(maxHeadBytes);
-    std::optional<response_head> arrived;
-    while (!arrived) {
-        result<std::optional<response_head>> next = heads.feed(buffer);
-        if (!next)
-            return failure(http_errors::broken, next.error().message);
-        arrived = std::move(*next);
-        const read_outcome outcome = arrived ? read_outcome::Bytes : readMore();
-        if (outcome != read_outcome::Bytes)
-            return failure(http_errors::broken, reasonOf(outcome));
-    }
-    response_head &head = *arrived;
-    const result<body_framing> framing = framingOf(head, method);
+    response_reader reader(*m_stream, deadline, limits);
+    result<response_head> head = reader.readHead();
+    if (!head)
+        return tl::unexpected(head.error());
+    const result<body_framing> framing = framingOf(*head, method);
     if (!framing)
         return failure(http_errors::broken, framing.error().message);
-    response_body body({.framing = *framing, .maxHeldBytes = limits.maxBodyBytes});
-    while (true) {
-        body.feed(buffer);
-        if (body.state() == body_state::Whole)
-            break;
-        const bool isTooLong = held && !held->hold(body.heldBytes() + buffer.size());
-        if (body.state() == body_state::BrokenOff || isTooLong)
-            return failure(http_errors::broken, "the response is malformed or too long");
-        const read_outcome outcome = readMore();
-        if (outcome == read_outcome::Bytes)
-            continue;
-        body.end(outcome == read_outcome::End);
-        if (body.state() != body_state::Whole)
-            return failure(http_errors::broken, reasonOf(outcome));
-    }
-    const bool mayReuse =
-        framing->end != body_end::Close && isKeepAlive(head.headers, head.isHttp10);
-    http_response response {.status = head.status,
-                            .body = std::move(body.plainBody()),
-                            .headers = std::move(head.headers)};
-    if (!mayReuse)
+    result<std::string> body = reader.readBody(*framing);
+    if (!body)
+        return tl::unexpected(body.error());
+    if (framing->end == body_end::Close || !isKeepAlive(head->headers, head->isHttp10))
         m_stream.reset();
-    return response;
+    return http_response {
+        .status = head->status, .body = std::move(*body), .headers = std::move(head->headers)};
 }
 
 result<http_response> sendHttpRequestOnNewConnection(const endpoint &address,
--- a/libs/http/tests/http_connection_test.cpp
+++ b/libs/http/tests/http_connection_test.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace trefoil {
@@ -127,6 +128,25 @@
     EXPECT_FALSE(connection.isReusable());
 }
 
+// A long poll was woken five times a second to see whether it had to give up bytes that it did not
+// hold.
+TEST(HttpConnection, WaitThatHoldsNothingIsOneWait)
+{
+    single_server server([](byte_stream &stream, int) {
+        std::this_thread::sleep_for(900ms);
+        stream.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", fromNow(1s));
+    });
+    byte_budget budget({.totalBytes = 1 << 20});
+    rusage before {};
+    rusage after {};
+    getrusage(RUSAGE_THREAD, &before);
+    ASSERT_TRUE(sendHttpRequestOnNewConnection(server.address(), {.path = "/"},
+                                               {.total = 2s, .budget = &budget}));
+    getrusage(RUSAGE_THREAD, &after);
+    // One for the connection, one for the response and one to spare.
+    EXPECT_LE(after.ru_nvcsw - before.ru_nvcsw, 3);
+}
+
 TEST(HttpConnection, HostOfTheCallerGoesBeforeTheAddress)
 {
     std::string received;
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -193,8 +193,9 @@
         }
         const timestamp now = boot_clock::now();
         const timestamp end = std::min(deadline, progressAt + maxBodyPause);
+        const bool holdsBytes = held.heldBytes() > 0;
         const read_outcome outcome =
-            m_caller.readMore(std::min(end, now + byte_budget::checkInterval));
+            m_caller.readMore(holdsBytes ? std::min(end, now + byte_budget::checkInterval) : end);
         if (outcome == read_outcome::Bytes)
             progressAt = now;
         else if (outcome == read_outcome::TimedOut && now < end)
