Read the cache group in force before each attempt

Cause: a request kept the configuration that it was admitted with for all its attempts.

Change: dispatch/request_terms says for each setting whether a request keeps it or each attempt reads it; terms are compared again just before the request is sent. dispatch/configuration_contact decides whether the known configuration may be taken for the one in force; without that (paused, cut off, behind another instance) a team shares with itself only.

--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -156,6 +156,10 @@
     std::vector<cache_store> cacheStores() const;
 };
 
+/// Returns the cache group of requests that share KV cache only with those of @p team; "" stands
+/// for requests without a team. Thread-safe.
+std::string privateCacheGroup(std::string_view team);
+
 /// A backend server's registration, as published by the server.
 struct registered_server
 {
--- a/libs/dispatch/src/serving_tables.cpp
+++ b/libs/dispatch/src/serving_tables.cpp
@@ -35,9 +35,12 @@
     }
     sharedCacheGroup = isolatedTeams == digest128 {} ? "" : "+" + toHex(isolatedTeams);
     for (auto it = teams.begin(); it != teams.end(); ++it)
-        it->second.cacheGroup = it->second.isIsolated ? "/" + it->first : sharedCacheGroup;
+        it->second.cacheGroup =
+            it->second.isIsolated ? privateCacheGroup(it->first) : sharedCacheGroup;
 }
 
+std::string privateCacheGroup(std::string_view team) { return "/" + std::string(team); }
+
 const served_service *serving_tables::findService(std::string_view name) const
 {
     const auto found = services.find(name);
--- /dev/null
+++ b/libs/dispatch/tests/configuration_contact_test.cpp
@@ -0,0 +1,63 @@
+#include <dispatch/configuration_contact.h>
+
+#include <gtest/gtest.h>
+
+namespace trefoil {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const timestamp start = timestamp {} + 1h;
+
+} // namespace
+
+TEST(ConfigurationContact, AnswerOfTheStoreConfirmsForAWhile)
+{
+    configuration_contact contact({.maxSilence = 3s});
+    EXPECT_FALSE(contact.isConfirmed(start, 4));
+    contact.recordStoreAnswer(start);
+    EXPECT_TRUE(contact.isConfirmed(start + 3s, 4));
+    EXPECT_FALSE(contact.isConfirmed(start + 3001ms, 4));
+}
+
+TEST(ConfigurationContact, InstanceThatHasTheStoreConfirmsForOneThatHasNot)
+{
+    configuration_contact contact({.maxSilence = 3s});
+    contact.recordReport(start + 10s, "edge-2", start + 9s);
+    EXPECT_TRUE(contact.isConfirmed(start + 11s, 80));
+    EXPECT_FALSE(contact.isConfirmed(start + 13s, 80));
+}
+
+// A store that is down for all can't acknowledge a change.
+TEST(ConfigurationContact, OutageSeenByTheMajorityLeavesTheConfigurationConfirmed)
+{
+    configuration_contact contact({.maxSilence = 3s});
+    contact.recordReport(start + 10s, "edge-2", start);
+    contact.recordReport(start + 10s, "edge-3", start);
+    EXPECT_TRUE(contact.isConfirmed(start + 11s, 3));
+    EXPECT_FALSE(contact.isConfirmed(start + 11s, 4));
+}
+
+TEST(ConfigurationContact, InstanceCutOffFromStoreAndOthersIsNotConfirmed)
+{
+    configuration_contact contact({.maxSilence = 3s});
+    contact.recordStoreAnswer(start);
+    for (const char *other : {"edge-2", "edge-3", "edge-4"})
+        contact.recordReport(start, other, start);
+    EXPECT_TRUE(contact.isConfirmed(start + 2s, 3));
+    EXPECT_FALSE(contact.isConfirmed(start + 4s, 3));
+}
+
+TEST(ConfigurationContact, NewerConfigurationElsewhereIsToleratedBriefly)
+{
+    configuration_contact contact({.maxSilence = 3s, .maxTimeBehind = 1s});
+    contact.recordStoreAnswer(start + 5s);
+    contact.setBehindSince(start + 4s);
+    EXPECT_TRUE(contact.isConfirmed(start + 5s, 4));
+    EXPECT_FALSE(contact.isConfirmed(start + 5001ms, 4));
+    contact.setBehindSince(std::nullopt);
+    EXPECT_TRUE(contact.isConfirmed(start + 6s, 4));
+}
+
+} // namespace trefoil
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -12,6 +12,7 @@
 #include <adapter/platform_settings.h>
 #include <core/clock.h>
 #include <delivery/windowed_retry_budget.h>
+#include <dispatch/configuration_contact.h>
 #include <dispatch/load_balancer.h>
 #include <dispatch/member_table.h>
 #include <dispatch/peer_report.h>
@@ -35,6 +36,8 @@
     load_balancer balancer;
     team_limits limits;
     member_table members;
+    /// Whether the active configuration may be taken for the one in force.
+    configuration_contact configurationContact;
     release_shares releases;
     crash_tracker crashes;
     /// Finds prompt parts that crash servers.
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "edge/peer_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
@@ -32,6 +33,8 @@
 /// Interval between log lines about the teams near their limits.
 constexpr duration accountInterval = std::chrono::seconds(1);
 constexpr std::size_t maxDatagramBytes = 60000;
+/// Time beyond the intended wait after which the process may have been paused.
+constexpr duration maxWakeDelay = std::chrono::seconds(1);
 /// First byte of a report that its receiver forwards within its zone; other reports begin with a
 /// brace.
 constexpr char forwardMark = '+';
@@ -98,6 +101,7 @@
         socket.bind(Poco::Net::SocketAddress(own.host, own.port), true);
         std::string buffer(maxDatagramBytes, '\0');
         timestamp sentAt {};
+        timestamp wokenAt = boot_clock::now();
         while (!stop.stop_requested()) {
             const timestamp now = boot_clock::now();
             // The interval shrinks when callers arrive, also during a wait.
@@ -109,12 +113,20 @@
             }
             const std::int64_t waitUs =
                 std::chrono::duration_cast<std::chrono::microseconds>(next - now).count();
-            if (!socket.poll(Poco::Timespan(std::max<std::int64_t>(waitUs, 0)),
-                             Poco::Net::Socket::SELECT_READ))
+            const bool isReadable = socket.poll(Poco::Timespan(std::max<std::int64_t>(waitUs, 0)),
+                                                Poco::Net::Socket::SELECT_READ);
+            const timestamp previouslyWokenAt = std::exchange(wokenAt, boot_clock::now());
+            const duration waited = std::max<duration>(next - now, duration::zero());
+            if (wokenAt - previouslyWokenAt > waited + maxWakeDelay)
+                m_mayBeQueued = true;
+            else if (!isReadable)
+                m_mayBeQueued = false;
+            if (!isReadable)
                 continue;
             const int size = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
             if (size > 0)
-                receive(std::string_view(buffer).substr(0, static_cast<std::size_t>(size)));
+                receive(wokenAt,
+                        std::string_view(buffer).substr(0, static_cast<std::size_t>(size)));
         }
         return {};
     } catch (const Poco::Exception &problem) {
@@ -239,7 +251,7 @@
     }
 }
 
-void peer_exchange::receive(std::string_view datagram)
+void peer_exchange::receive(timestamp now, std::string_view datagram)
 {
     const bool isForwarded = datagram.starts_with(forwardMark);
     if (isForwarded)
@@ -256,7 +268,7 @@
         for (const endpoint &target : targets)
             sendTo(target, datagram);
     }
-    applyReport(boot_clock::now(), *report);
+    applyReport(now, *report);
 }
 
 void peer_exchange::applyReport(timestamp now, const peer_report &report)
@@ -284,8 +296,13 @@
 
 void peer_exchange::applyServers(timestamp now, const peer_report &report, routing_state &routing)
 {
+    std::optional<timestamp> storeAnsweredAt;
     if (report.storeHeardAgoMs)
-        routing.storeOutage.recordContact(now - std::chrono::milliseconds(*report.storeHeardAgoMs));
+        storeAnsweredAt = now - std::chrono::milliseconds(*report.storeHeardAgoMs);
+    if (storeAnsweredAt)
+        routing.storeOutage.recordContact(*storeAnsweredAt);
+    if (!m_mayBeQueued)
+        routing.configurationContact.recordReport(now, report.from, storeAnsweredAt);
     for (auto it = report.storeEpochs.begin(); it != report.storeEpochs.end(); ++it)
         routing.balancer.setStoreEpoch(it->first, it->second);
     routing.balancer.setPeerLoad(now, report.from, report.load);
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -38,7 +38,7 @@
 
 private:
     result<void> run(const std::stop_token &stop);
-    void receive(std::string_view datagram);
+    void receive(timestamp now, std::string_view datagram);
     void sendTo(const endpoint &peer, std::string_view datagram);
     void applyReport(timestamp now, const peer_report &report);
     void applyServers(timestamp now, const peer_report &report, routing_state &routing);
@@ -61,6 +61,9 @@
     std::atomic<std::size_t> m_otherCount = 0;
     std::atomic<bool> m_isLargeFleet = false;
     std::atomic<bool> m_isLeader = false;
+    /// Whether reports may have waited in the socket while the process was paused. Their age is
+    /// unknown then. Used by the thread of run() only.
+    bool m_mayBeQueued = false;
     std::map<std::string, bool, std::less<>> m_wasAlive;
     /// Totals last received, by instance, release and route: reports carry totals, and only the
     /// increase is added.
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -103,20 +103,28 @@
         : m_progress.lastEventId();
     constexpr int priorityStep = 3;
     constexpr int lastPriority = 9;
-    const int teamPriority = m_team == nullptr ? 0 : m_team->priority;
+    const int teamPriority = m_admitted.team == nullptr ? 0 : m_admitted.team->priority;
     const std::string head = encodeServerRequest(
         m_request.head, m_request.body.size(),
         {.server = placed.server,
-         .team = m_team == nullptr ? std::string_view {} : m_team->name,
+         .team = m_admitted.team == nullptr ? std::string_view {} : m_admitted.team->name,
          .timeLeft = m_deadline - boot_clock::now(),
-         .priority = std::clamp(teamPriority * priorityStep + m_route->priority, 0, lastPriority),
+         .priority =
+             std::clamp(teamPriority * priorityStep + m_admitted.route->priority, 0, lastPriority),
          .weights = placed.weights,
          .cacheSalt = placed.cacheSalt,
          .cacheSource = placed.cacheSource,
          .cacheSink = placed.cacheSink,
          .lastEventId = lastEvent});
     const response_limits limits = responseLimits(placed);
-    // Nothing that may wait comes between this and the request.
+    // Nothing that may wait comes between this and the request. The connection may have taken long
+    // to open, or the process may have been paused, since the server was chosen.
+    if (termsInForce(boot_clock::now()) != m_terms) {
+        if (current.isReused)
+            m_connections.release(placed.server, std::move(*current.stream), defaultIdleTimeout);
+        current.stream.reset();
+        return attempt_end::Outdated;
+    }
     if (m_response.connection().isClosedByRemote())
         return attempt_end::CallerLeft;
     current.wasSent = true;
@@ -147,12 +155,12 @@
 silence_limits request_runner::silenceLimitsOf(const attempt &current) const
 {
     const int runs = m_runs + (current.isCounted ? 0 : 1);
-    return silenceLimits({.isStream = m_route->repeats == repeat_rule::Stream,
+    return silenceLimits({.isStream = m_admitted.route->repeats == repeat_rule::Stream,
                           .hasEvents = current.hasEvents,
-                          .canRetry = mayRepeat() && runs < m_route->maxAttempts,
+                          .canRetry = mayRepeat() && runs < m_admitted.route->maxAttempts,
                           .expected = fromSeconds(current.placed.expectedMs / 1000),
                           .expectedUncached = fromSeconds(current.placed.uncachedMs / 1000),
-                          .callerPatience = m_route->callerPatience});
+                          .callerPatience = m_admitted.route->callerPatience});
 }
 
 read_outcome request_runner::waitForBytes(attempt &current)
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -13,12 +13,12 @@
 {
     writeEvent(event_line("proxy", "rejected")
                    .add("request", m_fields.requestId)
-                   .add("service", m_service)
+                   .add("service", m_admitted.service)
                    .add("best_server", best ? best->server : "")
                    .add("expected_ms", best ? best->expectedMs : 0.0)
                    .add("left_ms", toMilliseconds(m_deadline - now))
                    .add("tried", static_cast<int>(m_triedServers.size()))
-                   .add("config_version", m_tables->version));
+                   .add("config_version", m_admitted.tables->version));
 }
 
 void request_runner::logPlaced(const attempt &current) const
@@ -28,7 +28,7 @@
     const bool hasSharedPart = prompt.size() > 1;
     writeEvent(event_line("proxy", "placed")
                    .add("request", m_fields.requestId)
-                   .add("route", m_route->name)
+                   .add("route", m_admitted.route->name)
                    .add("server", placed.server)
                    .add("attempt", static_cast<int>(m_triedServers.size()) + 1)
                    .add("expected_ms", placed.expectedMs)
@@ -39,21 +39,23 @@
                    .add("store_to", placed.cacheSink ? toString(*placed.cacheSink) : "")
                    .add("cache_salt", placed.cacheSalt)
                    .add("weights", placed.weights)
-                   .add("config_version", m_tables->version)
+                   .add("config_version", m_admitted.tables->version)
                    .add("left_ms", toMilliseconds(m_deadline - boot_clock::now())));
 }
 
 void request_runner::logAttemptEnd(const attempt &current, attempt_end end) const
 {
     // Successful attempts are logged only where a rollout depends on them.
-    const bool isInRollout = m_state.with(
-        [this](routing_state &routing) { return routing.releases.request(m_service).has_value(); });
+    const bool isInRollout = m_state.with([this](routing_state &routing) {
+        return routing.releases.request(m_admitted.service).has_value();
+    });
     if (end == attempt_end::Delivered && !isInRollout)
         return;
     const std::optional<duration> firstEventTime =
         current.timer ? current.timer->firstEventTime() : std::nullopt;
-    constexpr std::array<const char *, 7> words {
-        "delivered", "not_run", "failed", "broken", "caller_left", "timed_out", "caller_broken"};
+    constexpr std::array<const char *, 8> words {"delivered",     "not_run",     "failed",
+                                                 "broken",        "caller_left", "timed_out",
+                                                 "caller_broken", "outdated"};
     writeEvent(event_line("proxy", "attempt_ended")
                    .add("request", m_fields.requestId)
                    .add("server", current.placed.server)
@@ -82,23 +84,24 @@
 void request_runner::logEnd(std::string_view outcome, int status) const
 {
     const duration taken = boot_clock::now() - m_request.receivedAt;
-    const std::string route = m_route == nullptr ? "" : m_route->name;
+    const std::string route = m_admitted.route == nullptr ? "" : m_admitted.route->name;
     metric_registry &metrics = m_state.metrics();
     metrics
         .counterOf("trefoil_requests_total",
                    "route=\"" + route + "\",status=\"" + std::to_string(status) + "\"")
         .add();
     metrics.summaryOf("trefoil_request_seconds", "route=\"" + route + "\"").observe(taken);
-    writeEvent(event_line("proxy", "ended")
-                   .add("request", m_fields.requestId)
-                   .add("route", route)
-                   .add("team", m_team == nullptr ? std::string_view {} : m_team->name)
-                   .add("status", status)
-                   .add("outcome", outcome)
-                   .add("runs", m_runs)
-                   .add("config_version", m_tables ? m_tables->version : 0)
-                   .add("config_age_ms", toMilliseconds(m_state.tablesAge(boot_clock::now())))
-                   .add("ms", toMilliseconds(taken)));
+    writeEvent(
+        event_line("proxy", "ended")
+            .add("request", m_fields.requestId)
+            .add("route", route)
+            .add("team", m_admitted.team == nullptr ? std::string_view {} : m_admitted.team->name)
+            .add("status", status)
+            .add("outcome", outcome)
+            .add("runs", m_runs)
+            .add("config_version", m_admitted.tables ? m_admitted.tables->version : 0)
+            .add("config_age_ms", toMilliseconds(m_state.tablesAge(boot_clock::now())))
+            .add("ms", toMilliseconds(taken)));
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -107,8 +107,11 @@
         outcome == attempt_outcome::Done && current.timer ? current.timer->times() : std::nullopt;
     m_state.with([&](routing_state &routing) {
         routing.balancer.end(now, current.ticket, outcome);
+        if (end == attempt_end::Outdated)
+            routing.balancer.cancel(current.placed);
         if (times)
-            routing.releases.recordTimes(m_service, current.placed.release, m_route->name, *times);
+            routing.releases.recordTimes(m_admitted.service, current.placed.release,
+                                         m_admitted.route->name, *times);
     });
     recordReleaseEnd(current, end);
     logAttemptEnd(current, end);
@@ -119,10 +122,11 @@
 response_limits request_runner::responseLimits(const server_placement &placed) const
 {
     const std::optional<response_limits> limits = m_state.with([this](routing_state &routing) {
-        return routing.releases.limits(m_service, m_route->name);
+        return routing.releases.limits(m_admitted.service, m_admitted.route->name);
     });
-    return raisedFor(fromSeconds(placed.expectedMs / 1000),
-                     limits.value_or(response_limits {.firstEvent = m_route->targetLatency * 2}));
+    return raisedFor(
+        fromSeconds(placed.expectedMs / 1000),
+        limits.value_or(response_limits {.firstEvent = m_admitted.route->targetLatency * 2}));
 }
 
 void request_runner::recordSpeed(timestamp now, attempt &current)
@@ -149,14 +153,16 @@
 void request_runner::recordReleaseOutcome(const attempt &current, const outcome_counts &counts)
 {
     m_state.with([&](routing_state &routing) {
-        if (!routing.releases.request(m_service))
+        if (!routing.releases.request(m_admitted.service))
             return;
-        routing.releases.recordOutcome(m_service, current.placed.release, m_route->name, counts);
+        routing.releases.recordOutcome(m_admitted.service, current.placed.release,
+                                       m_admitted.route->name, counts);
         release_outcomes &outcomes =
-            routing.localOutcomes[m_service + "/" + current.placed.release + "/" + m_route->name];
-        outcomes.service = m_service;
+            routing.localOutcomes[m_admitted.service + "/" + current.placed.release + "/"
+                                  + m_admitted.route->name];
+        outcomes.service = m_admitted.service;
         outcomes.release = current.placed.release;
-        outcomes.route = m_route->name;
+        outcomes.route = m_admitted.route->name;
         outcomes.counts += counts;
     });
 }
@@ -189,7 +195,7 @@
         parts += (parts.empty() ? "" : " ") + part.id;
     writeEvent(event_line("proxy", "crash_suspected")
                    .add("request", m_fields.requestId)
-                   .add("route", m_route->name)
+                   .add("route", m_admitted.route->name)
                    .add("server", current.placed.server)
                    .add("digest", toHex(m_bodyDigest))
                    .add("parts", parts)
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -47,7 +47,7 @@
 
 bool request_runner::run()
 {
-    m_tables = m_state.tables();
+    m_admitted.tables = m_state.tables();
     m_fields = decodeCallerFields(m_request.head.headers);
     // The request may have waited unread for longer than its caller did.
     if (m_response.connection().isClosedByRemote()) {
@@ -65,7 +65,7 @@
 std::optional<request_runner::refusal> request_runner::admit()
 {
     const timestamp now = boot_clock::now();
-    if (!m_tables)
+    if (!m_admitted.tables)
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet",
                         withJitter(minRetryAfter * 2)};
     if (m_state.isTooLateToServe())
@@ -73,23 +73,25 @@
                         minRetryAfter};
     if (m_fields.requestId.empty())
         return refusal {HTTPResponse::HTTP_BAD_REQUEST, "the request has no id", std::nullopt};
-    m_route =
-        m_tables->findRoute(m_request.head.headers.value("Host"), pathOf(m_request.head.target));
-    if (m_route == nullptr)
+    m_admitted.route = m_admitted.tables->findRoute(m_request.head.headers.value("Host"),
+                                                    pathOf(m_request.head.target));
+    if (m_admitted.route == nullptr)
         return refusal {HTTPResponse::HTTP_NOT_FOUND, "no route", std::nullopt};
-    m_team = m_fields.key.empty() ? nullptr : m_tables->findTeam(m_fields.key);
-    if (m_team == nullptr && !m_route->isOpen && !m_tables->teams.empty())
+    m_admitted.team = m_fields.key.empty() ? nullptr : m_admitted.tables->findTeam(m_fields.key);
+    if (m_admitted.team == nullptr && !m_admitted.route->isOpen
+        && !m_admitted.tables->teams.empty())
         return refusal {HTTPResponse::HTTP_UNAUTHORIZED, "unknown key", std::nullopt};
-    m_deadline = m_request.receivedAt + m_route->timeout;
+    m_deadline = m_request.receivedAt + m_admitted.route->timeout;
     if (m_fields.timeout)
         m_deadline = std::min(m_deadline, m_request.receivedAt + *m_fields.timeout);
     chooseService();
-    const std::string_view team = m_team == nullptr ? std::string_view {} : m_team->name;
+    const std::string_view team =
+        m_admitted.team == nullptr ? std::string_view {} : m_admitted.team->name;
     m_bodyDigest = digestOf(m_request.body, digestOf(m_request.head.target, digestOf(team)));
     for (std::size_t i = 0; i + 1 < m_fields.prompt.size(); ++i)
         m_sharedParts.push_back(hash64(m_fields.prompt[i].id, hash64(m_fields.model)));
     const bool isCrashSuspect = m_state.with([&](routing_state &routing) {
-        routing.retryBudgets.try_emplace(m_service, routing.retryBudgetOptions)
+        routing.retryBudgets.try_emplace(m_admitted.service, routing.retryBudgetOptions)
             .first->second.recordRequest(now);
         return routing.crashes.isRefused(now, m_bodyDigest);
     });
@@ -118,22 +120,22 @@
 
 std::optional<request_runner::refusal> request_runner::checkLimit(timestamp now)
 {
-    if (m_team == nullptr || m_team->rate <= 0)
+    if (m_admitted.team == nullptr || m_admitted.team->rate <= 0)
         return std::nullopt;
     m_limitCost = 1;
-    if (m_team->unit == limit_unit::Tokens)
+    if (m_admitted.team->unit == limit_unit::Tokens)
         m_limitCost = m_fields.hasTokenCounts ? m_fields.promptTokens + m_fields.outputTokens
-                                              : m_team->defaultTokens;
+                                              : m_admitted.team->defaultTokens;
     team_limits::limit_state state;
     const std::optional<duration> wait = m_state.with([&](routing_state &routing) {
-        state = routing.limits.limitState(now, m_team->name);
-        return routing.limits.admit(now, m_team->name, m_limitCost);
+        state = routing.limits.limitState(now, m_admitted.team->name);
+        return routing.limits.admit(now, m_admitted.team->name, m_limitCost);
     });
     if (!wait)
         return std::nullopt;
     writeEvent(event_line("limits", "over_limit")
                    .add("request", m_fields.requestId)
-                   .add("team", m_team->name)
+                   .add("team", m_admitted.team->name)
                    .add("units", m_limitCost)
                    .add("rate", state.rate)
                    .add("level", state.level)
@@ -150,12 +152,12 @@
 void request_runner::chooseService()
 {
     double sum = 0;
-    for (const route_target &target : m_route->targets)
+    for (const route_target &target : m_admitted.route->targets)
         sum += target.weight;
     constexpr double hashRange = 18446744073709551616.0;
     double remainingWeight = static_cast<double>(hash64(m_fields.requestId)) / hashRange * sum;
-    for (const route_target &target : m_route->targets) {
-        m_service = target.service;
+    for (const route_target &target : m_admitted.route->targets) {
+        m_admitted.service = target.service;
         remainingWeight -= target.weight;
         if (remainingWeight < 0)
             return;
@@ -164,25 +166,33 @@
 
 request_profile request_runner::requestProfile() const
 {
-    const served_service *service = m_tables->findService(m_service);
-    const bool isModel = service != nullptr && service->engine.has_value();
-    return {.service = m_service,
-            .model = isModel ? std::string_view(m_fields.model) : std::string_view {},
-            .cacheGroup = m_team != nullptr ? m_team->cacheGroup : m_tables->sharedCacheGroup,
+    return {.service = m_admitted.service,
+            .model = m_terms.isModel ? std::string_view(m_fields.model) : std::string_view {},
+            .cacheGroup = m_terms.cacheGroup,
             .prompt = m_fields.prompt,
             .outputTokens = m_fields.outputTokens,
             .tried = m_triedServers,
             .excludedReleases = m_excludedReleases};
 }
 
+attempt_terms request_runner::termsInForce(timestamp now) const
+{
+    const std::shared_ptr<const serving_tables> inForce = m_state.tables();
+    const bool isConfirmed = m_state.with([now](const routing_state &routing) {
+        return routing.configurationContact.isConfirmed(now, routing.members.otherCount());
+    });
+    return attemptTerms(m_admitted, *inForce, isConfirmed);
+}
+
 std::optional<server_placement> request_runner::choosePlacement(timestamp now)
 {
+    m_terms = termsInForce(now);
     return m_state.with([&](routing_state &routing) -> std::optional<server_placement> {
         m_excludedReleases.clear();
-        if (routing.releases.request(m_service)) {
+        if (routing.releases.request(m_admitted.service)) {
             const std::uint64_t bits = hash64(m_fields.requestId);
-            for (std::string &release : routing.balancer.releasesOf(m_service)) {
-                if (!routing.releases.allows(now, m_service, release, bits))
+            for (std::string &release : routing.balancer.releasesOf(m_admitted.service)) {
+                if (!routing.releases.allows(now, m_admitted.service, release, bits))
                     m_excludedReleases.push_back(std::move(release));
             }
         }
@@ -220,6 +230,8 @@
         finish(current, end);
         if (end == attempt_end::Delivered)
             return std::nullopt;
+        if (end == attempt_end::Outdated)
+            continue;
         if (end == attempt_end::CallerLeft || end == attempt_end::CallerBroken) {
             endAbandoned();
             return std::nullopt;
@@ -251,7 +263,8 @@
     // Capacity frees up once the expected wait has shrunk to the route's target latency.
     duration wait = minRetryAfter * 2;
     if (best)
-        wait = std::max(wait, fromSeconds(best->expectedMs / 1000) - m_route->targetLatency);
+        wait =
+            std::max(wait, fromSeconds(best->expectedMs / 1000) - m_admitted.route->targetLatency);
     return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
                     best ? "overloaded" : "no backend server", withJitter(wait)};
 }
@@ -270,14 +283,14 @@
 bool request_runner::mayRetryElsewhere(attempt_end end, const attempt &last)
 {
     m_triedServers.push_back(last.placed.server);
-    if (end != attempt_end::NotRun && (!mayRepeat() || m_runs >= m_route->maxAttempts))
+    if (end != attempt_end::NotRun && (!mayRepeat() || m_runs >= m_admitted.route->maxAttempts))
         return false;
     if (!m_progress.canContinue())
         return false;
     if (!last.wasSent)
         return true;
     return m_state.with([this](routing_state &routing) {
-        return routing.retryBudgets.try_emplace(m_service, routing.retryBudgetOptions)
+        return routing.retryBudgets.try_emplace(m_admitted.service, routing.retryBudgetOptions)
             .first->second.takeRetry(boot_clock::now());
     });
 }
@@ -285,8 +298,9 @@
 void request_runner::refundLimit()
 {
     if (m_limitCost > 0)
-        m_state.with(
-            [&](routing_state &routing) { routing.limits.refund(m_team->name, m_limitCost); });
+        m_state.with([&](routing_state &routing) {
+            routing.limits.refund(m_admitted.team->name, m_limitCost);
+        });
 }
 
 void request_runner::endAbandoned()
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -7,6 +7,7 @@
 
 #include <adapter/headers.h>
 #include <core/digest.h>
+#include <dispatch/request_terms.h>
 #include <dispatch/silence_policy.h>
 #include <http/byte_stream.h>
 #include <http/message.h>
@@ -63,7 +64,9 @@
         CallerLeft,
         TimedOut,
         /// Writing to the caller failed.
-        CallerBroken
+        CallerBroken,
+        /// The terms of the attempt changed before the request was sent.
+        Outdated
     };
 
     /// State of one attempt at a backend server.
@@ -115,6 +118,8 @@
     /// caller has received nothing yet, else with @p refused.
     std::optional<refusal> giveUp(const std::optional<refusal> &refused);
     std::optional<server_placement> choosePlacement(timestamp now);
+    /// Returns the terms of an attempt that starts at @p now.
+    attempt_terms termsInForce(timestamp now) const;
     bool wouldMissDeadline(timestamp now, const server_placement &placed) const;
     bool mayRetryElsewhere(attempt_end end, const attempt &last);
 
@@ -155,7 +160,7 @@
     void refundLimit();
     bool writeAnswer();
     request_profile requestProfile() const;
-    bool mayRepeat() const { return m_route->mayRepeat(); }
+    bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
     void logUnplaced(timestamp now, const std::optional<server_placement> &best) const;
     void logPlaced(const attempt &current) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
@@ -169,11 +174,10 @@
     std::optional<byte_budget::share> m_held;
     caller_response m_response;
 
-    std::shared_ptr<const serving_tables> m_tables;
+    admitted_terms m_admitted;
+    /// Terms of the current attempt.
+    attempt_terms m_terms;
     caller_fields m_fields;
-    const served_route *m_route = nullptr;
-    const served_team *m_team = nullptr;
-    std::string m_service;
     double m_limitCost = 0;
     timestamp m_deadline;
     digest128 m_bodyDigest;
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -1,5 +1,6 @@
 #include "edge/store_watch.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -107,6 +108,7 @@
     const fleet_position fleet = fleetPosition();
     std::uint64_t from = 0;
     watch_read read;
+    const timestamp startedAt = boot_clock::now();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &watched = m_kinds.find(kind)->second;
@@ -115,11 +117,11 @@
         // they are behind.
         const bool isFresh = fleet.rank < watched.freshReaders;
         read = watched.pacer.nextRead(
-            boot_clock::now(), isFresh ? read_freshness::Newest : read_freshness::MayBeStale);
+            startedAt, isFresh ? read_freshness::Newest : read_freshness::MayBeStale);
     }
     const result<object_changes> answer = m_store.read(kind, from, read);
     if (answer)
-        return applyAnswer(kind, read, *answer, fleet.others);
+        return applyAnswer(kind, startedAt, read, *answer, fleet.others);
     const bool isHistoryGone = answer.error().code == platform_errors::historyGone;
     if (!isHistoryGone)
         recordReachability(kind, false, answer.error().message);
@@ -131,8 +133,9 @@
     return duration::zero();
 }
 
-duration store_watch::applyAnswer(const std::string &kind, const watch_read &read,
-                                  const object_changes &answer, int otherInstances)
+duration store_watch::applyAnswer(const std::string &kind, timestamp startedAt,
+                                  const watch_read &read, const object_changes &answer,
+                                  int otherInstances)
 {
     recordReachability(kind, true, "");
     const timestamp now = boot_clock::now();
@@ -164,6 +167,13 @@
                        .add("outdated", std::uint64_t {outdated}));
     if (hasChanged)
         apply(kind);
+    if (kind == store_kinds::configuration && read.freshness == read_freshness::Newest) {
+        // The answer may have waited in the socket while the process was paused.
+        const timestamp statedAt = std::min(now, startedAt + read.waitTime + read.answerTime);
+        m_state.with([statedAt](routing_state &routing) {
+            routing.configurationContact.recordStoreAnswer(statedAt);
+        });
+    }
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_kinds.find(kind)->second.pacer.onAnswered(now, !answer.changed.empty(),
                                                        otherInstances);
@@ -236,24 +246,45 @@
     const std::map<std::string, std::uint64_t, std::less<>> &newest,
     const std::map<std::string, std::uint64_t, std::less<>> &outdated)
 {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    for (auto it = newest.begin(); it != newest.end(); ++it) {
-        const auto watched = m_kinds.find(it->first);
-        if (watched == m_kinds.end())
-            continue;
-        const auto count = outdated.find(it->first);
-        std::uint64_t &adopted = watched->second.adoptedOutdated;
-        const bool knowsMore = count != outdated.end()
-            && count->second
-                > std::max<std::uint64_t>(adopted, watched->second.mirror.outdatedCount());
-        if (knowsMore)
-            adopted = count->second;
-        if (knowsMore || it->second > watched->second.mirror.newestChange()) {
-            if (!watched->second.behindSince)
-                watched->second.behindSince = now;
-            watched->second.newerPeer = peer;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (auto it = newest.begin(); it != newest.end(); ++it) {
+            const auto watched = m_kinds.find(it->first);
+            if (watched == m_kinds.end())
+                continue;
+            const auto count = outdated.find(it->first);
+            std::uint64_t &adopted = watched->second.adoptedOutdated;
+            const bool knowsMore = count != outdated.end()
+                && count->second
+                    > std::max<std::uint64_t>(adopted, watched->second.mirror.outdatedCount());
+            if (knowsMore)
+                adopted = count->second;
+            if (knowsMore || it->second > watched->second.mirror.newestChange()) {
+                if (!watched->second.behindSince)
+                    watched->second.behindSince = now;
+                watched->second.newerPeer = peer;
+            }
+            std::uint64_t &elsewhere = watched->second.newestElsewhere;
+            elsewhere = std::max(elsewhere, it->second);
         }
     }
+    updateConfigurationContact(now);
+}
+
+void store_watch::updateConfigurationContact(timestamp now)
+{
+    std::optional<timestamp> since;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        watched_kind &watched = m_kinds.find(store_kinds::configuration)->second;
+        if (watched.newestElsewhere > watched.mirror.newestChange())
+            since = watched.lacksNewestSince.value_or(now);
+        if (since == watched.lacksNewestSince)
+            return;
+        watched.lacksNewestSince = since;
+    }
+    m_state.with(
+        [&since](routing_state &routing) { routing.configurationContact.setBehindSince(since); });
 }
 
 void store_watch::removeExpired(timestamp now)
@@ -392,6 +423,8 @@
         objects = m_kinds.find(kind)->second.mirror.objects();
     }
     (this->*appliers.at(kind))(objects);
+    if (kind == store_kinds::configuration)
+        updateConfigurationContact(boot_clock::now());
 }
 
 void store_watch::applyConfiguration(const std::map<std::string, object, std::less<>> &objects)
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -61,6 +61,9 @@
         std::optional<timestamp> behindSince;
         /// Address of that instance.
         endpoint newerPeer;
+        /// Newest change that any other instance knows, and since when this copy lacks it.
+        std::uint64_t newestElsewhere = 0;
+        std::optional<timestamp> lacksNewestSince;
         /// Largest number of outdated states for which another instance's copy was requested.
         std::uint64_t adoptedOutdated = 0;
     };
@@ -76,8 +79,11 @@
     result<void> watch(const std::string &kind, const std::stop_token &stop);
     /// Makes one read and returns the pause before the next one.
     duration readOnce(const std::string &kind);
-    duration applyAnswer(const std::string &kind, const watch_read &read,
+    /// Precondition: @p startedAt is when the read started.
+    duration applyAnswer(const std::string &kind, timestamp startedAt, const watch_read &read,
                          const object_changes &answer, int otherInstances);
+    /// Updates since when the configuration is older than that of another instance.
+    void updateConfigurationContact(timestamp now);
     void recordReachability(const std::string &kind, bool reachable, const std::string &reason);
     void applyFetchedCopy(const std::string &kind, const std::string &text);
     void apply(const std::string &kind);
