Sum the load that other instances report as reports arrive

Change: peer_load_table keeps the sum of each server up to date; a report costs as much as it and the previous one of its instance have entries. Entries of servers in the store are decoded again only if they have changed, and unchanged lists are not applied. The report parser keeps its buffers.

--- a/libs/dispatch/benchmarks/bench_dispatch.cpp
+++ b/libs/dispatch/benchmarks/bench_dispatch.cpp
@@ -1,6 +1,7 @@
 // CPU time of the work of an instance that grows with the size of the fleet: processing the reports
 // of all other instances and choosing among all servers.
 
+#include <array>
 #include <chrono>
 #include <cstdio>
 
@@ -11,8 +12,12 @@
 
 namespace {
 
-constexpr int servers = 140;
-constexpr int instances = 81;
+struct fleet_size
+{
+    int instances = 0;
+    int servers = 0;
+};
+constexpr std::array<fleet_size, 3> fleetSizes {{{8, 22}, {81, 144}, {295, 263}}};
 /// Concurrently open requests of an instance, each on a different server.
 constexpr int openRequests = 12;
 constexpr int placementsInReport = 5;
@@ -20,7 +25,7 @@
 
 std::string serverName(int i) { return "i-" + std::to_string(10000000 + i * 7919); }
 
-peer_report makeReport(int instance)
+peer_report makeReport(int instance, int servers)
 {
     peer_report report {.from = "edge-" + std::to_string(instance),
                         .incarnation = 1796367851123,
@@ -55,8 +60,11 @@
     std::printf("%-24s %8.2f us\n", name, taken.count() / repeats);
 }
 
-void run()
+void run(const fleet_size &size)
 {
+    const int servers = size.servers;
+    const int instances = size.instances;
+    std::printf("%d instances, %d servers\n", instances, servers);
     load_balancer balancer({.zone = "z1"});
     std::vector<registered_server> listed;
     for (int i = 0; i < servers; ++i)
@@ -77,19 +85,18 @@
     const timestamp now = boot_clock::now();
     std::vector<std::string> texts;
     for (int i = 0; i < instances; ++i) {
-        const peer_report report = makeReport(i);
+        const peer_report report = makeReport(i, servers);
         texts.push_back(toText(report));
         balancer.setPeerLoad(now, report.from, report.load);
         balancer.addCachePlacements(now, report.placed);
     }
     std::printf("%-24s %8zu bytes\n", "report", texts[0].size());
     measure("read report", [&](int i) { parsePeerReport(texts[i % instances]); });
-    const peer_report report = makeReport(5);
+    const peer_report report = makeReport(5, servers);
     measure("write report", [&](int) { toText(report); });
-    measure("take load and parts", [&](int i) {
+    measure("take load and parts", [&](int) {
         balancer.setPeerLoad(now, report.from, report.load);
         balancer.addCachePlacements(now, report.placed);
-        static_cast<void>(i);
     });
     const std::vector<prompt_part> prompt {{.id = "5c1e07a2", .tokens = 6300},
                                            {.id = "e4402b7d", .tokens = 2890}};
@@ -104,6 +111,7 @@
 
 int main()
 {
-    trefoil::run();
+    for (const trefoil::fleet_size &size : trefoil::fleetSizes)
+        trefoil::run(size);
     return 0;
 }
--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <core/clock.h>
+#include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_statements.h>
 #include <dispatch/serving_tables.h>
@@ -91,16 +92,6 @@
     Abandoned
 };
 
-/// Load that the requests of one instance put on a server.
-struct server_load
-{
-    int running = 0;
-    /// Prompt tokens to compute for requests that have had no first event yet.
-    double pendingTokens = 0;
-    /// KV cache memory that the requests take on the engine, in tokens.
-    double memoryTokens = 0;
-};
-
 /// Prompt parts that a request has put into the KV cache of a server and possibly of a store.
 /// Reported to the other instances so that they can place requests where parts are cached.
 struct cache_placement
@@ -233,10 +224,9 @@
     bool isUnreachable(std::string_view server) const;
 
     /// Returns the load that this instance has put on each server.
-    std::map<std::string, server_load, std::less<>> ownLoad() const;
+    server_loads ownLoad() const;
     /// Replaces the load that @p peer has put on each server.
-    void setPeerLoad(timestamp now, std::string_view peer,
-                     const std::map<std::string, server_load, std::less<>> &load);
+    void setPeerLoad(timestamp now, std::string_view peer, const server_loads &load);
     /// Returns the copies and the newly cached parts of this instance's requests since the last
     /// call and clears them.
     std::vector<cache_placement> takeCachePlacements();
@@ -268,21 +258,20 @@
     /// Returns the distinct releases that the servers of @p service run.
     std::vector<std::string> releasesOf(std::string_view service) const;
     /// Returns the load that all instances together put on @p server.
-    server_load totalLoad(timestamp now, std::string_view server) const;
+    server_load totalLoad(timestamp now, std::string_view server);
     /// Returns whether @p server is suspect: it failed or stopped responding recently.
     bool isSuspect(timestamp now, std::string_view server) const;
 
 private:
-    struct peer_load
-    {
-        server_load load;
-        timestamp at;
-    };
     struct server_state
     {
         registered_server info;
         server_load own;
-        std::map<std::string, peer_load, std::less<>> peers;
+        /// Place in m_peerLoads.
+        peer_load_table::slot slot = 0;
+        /// Requests that the server reported and no instance, and when it did.
+        int unattributed = 0;
+        timestamp unattributedAt;
         timestamp loadingUntil;
         timestamp suspectUntil;
         /// Moving average of the share of requests that the server failed or lost.
@@ -410,6 +399,7 @@
     load_balancer_options m_options;
     std::mt19937_64 m_random;
     std::map<std::string, server_state, std::less<>> m_servers;
+    peer_load_table m_peerLoads;
     std::map<std::string, engine_traits, std::less<>> m_engines;
     /// Prefill rates of the engines, by service.
     std::map<std::string, prefill_rate, std::less<>> m_prefillRates;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -89,7 +89,7 @@
     /// Number of states in a restored store that the instance knows to be outdated, by kind.
     std::map<std::string, std::uint64_t, std::less<>> outdated;
     /// Load that the instance has put on each server.
-    std::map<std::string, server_load, std::less<>> load;
+    server_loads load;
     /// See team_limits::totals(), team_limits::takeLevels() and
     /// team_limits::takeDemandRates().
     admitted_totals admitted;
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -176,6 +176,8 @@
     std::map<std::string, std::uint64_t, std::less<>> weights;
     /// Start time in milliseconds since 1970; distinguishes a restart under the same id.
     std::uint64_t startedAtMs = 0;
+
+    bool operator==(const registered_server &) const = default;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -56,7 +56,7 @@
 }
 
 load_balancer::load_balancer(const load_balancer_options &options)
-    : m_options(options), m_random(options.randomSeed),
+    : m_options(options), m_random(options.randomSeed), m_peerLoads(options.reportLifetime),
       m_statements({.randomSeed = static_cast<std::uint32_t>(options.randomSeed)})
 { }
 
@@ -69,7 +69,10 @@
         const auto known = m_servers.find(server.id);
         const bool isSame =
             known != m_servers.end() && known->second.info.startedAtMs == server.startedAtMs;
-        server_state state = isSame ? std::move(known->second) : server_state {};
+        if (known != m_servers.end() && !isSame)
+            m_peerLoads.removeServer(server.id);
+        server_state state = isSame ? std::move(known->second)
+                                    : server_state {.slot = m_peerLoads.addServer(server.id)};
         const std::map<std::string, std::uint64_t, std::less<>> before =
             isSame ? state.info.weights : decltype(state.info.weights) {};
         state.info = server;
@@ -82,6 +85,10 @@
         }
         next.emplace(server.id, std::move(state));
     }
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (!next.contains(it->first))
+            m_peerLoads.removeServer(it->first);
+    }
     m_servers = std::move(next);
     m_statements.setServers(servers);
 }
@@ -262,22 +269,21 @@
         state->loadingUntil = until;
 }
 
-server_load load_balancer::totalLoad(timestamp now, std::string_view server) const
+server_load load_balancer::totalLoad(timestamp now, std::string_view server)
 {
+    m_peerLoads.removeExpired(now);
     const server_state *state = findServer(server);
     return state == nullptr ? server_load {} : totalLoad(now, *state);
 }
 
 server_load load_balancer::totalLoad(timestamp now, const server_state &state) const
 {
-    server_load total = state.own;
-    for (auto it = state.peers.begin(); it != state.peers.end(); ++it) {
-        if (now - it->second.at > m_options.reportLifetime)
-            continue;
-        total.running += it->second.load.running;
-        total.pendingTokens += it->second.load.pendingTokens;
-        total.memoryTokens += it->second.load.memoryTokens;
-    }
+    const server_load &reported = m_peerLoads.loadOn(state.slot);
+    server_load total {.running = state.own.running + reported.running,
+                       .pendingTokens = state.own.pendingTokens + reported.pendingTokens,
+                       .memoryTokens = state.own.memoryTokens + reported.memoryTokens};
+    if (now - state.unattributedAt <= m_options.reportLifetime)
+        total.running += state.unattributed;
     return total;
 }
 
@@ -290,6 +296,7 @@
 std::uint64_t load_balancer::begin(timestamp now, const server_placement &placed,
                                    const request_profile &request)
 {
+    m_peerLoads.removeExpired(now);
     server_state *server = findServer(placed.server);
     ticket_state ticket {.server = placed.server,
                          .pendingTokens = placed.missingTokens,
@@ -571,16 +578,15 @@
     if (state == nullptr)
         return;
     // Requests beyond the known load are attributed to instances whose reports are missing.
-    const server_load known = totalLoad(now, *state);
-    const int unknown = running + waiting - known.running - 1;
-    peer_load &unattributed = state->peers["(unknown)"];
-    unattributed.at = now;
-    unattributed.load.running = std::max(0, unknown + unattributed.load.running) / 2;
+    m_peerLoads.removeExpired(now);
+    const int unknown = running + waiting - totalLoad(now, *state).running - 1;
+    state->unattributed = std::max(0, unknown + state->unattributed) / 2;
+    state->unattributedAt = now;
 }
 
-std::map<std::string, server_load, std::less<>> load_balancer::ownLoad() const
+server_loads load_balancer::ownLoad() const
 {
-    std::map<std::string, server_load, std::less<>> load;
+    server_loads load;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         if (it->second.own.running > 0)
             load[it->first] = it->second.own;
@@ -588,17 +594,9 @@
     return load;
 }
 
-void load_balancer::setPeerLoad(timestamp now, std::string_view peer,
-                                const std::map<std::string, server_load, std::less<>> &load)
+void load_balancer::setPeerLoad(timestamp now, std::string_view peer, const server_loads &load)
 {
-    const std::string name(peer);
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        const auto reported = load.find(it->first);
-        if (reported == load.end())
-            it->second.peers.erase(name);
-        else
-            it->second.peers[name] = {.load = reported->second, .at = now};
-    }
+    m_peerLoads.setLoad(now, peer, load);
 }
 
 std::vector<registered_server> load_balancer::servers() const
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -48,7 +48,7 @@
     return list;
 }
 
-Json::Value loadToJson(const std::map<std::string, server_load, std::less<>> &load)
+Json::Value loadToJson(const server_loads &load)
 {
     Json::Value value(Json::objectValue);
     for (auto it = load.begin(); it != load.end(); ++it) {
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -206,7 +206,8 @@
 
 std::optional<peer_report> parsePeerReport(std::string_view text)
 {
-    simdjson::dom::parser parser;
+    // Keeps its buffers from one report to the next.
+    thread_local simdjson::dom::parser parser;
     const std::optional<value_fields> found =
         as<value_fields>(parser.parse(text.data(), text.size()));
     if (!found)
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -249,6 +249,7 @@
 
 std::optional<server_placement> load_balancer::choose(timestamp now, const request_profile &request)
 {
+    m_peerLoads.removeExpired(now);
     m_limitedServers.clear();
     m_limitedFor = std::nullopt;
     std::optional<server_placement> best = chooseAdmitted(now, request, false);
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -469,6 +469,16 @@
     applyServers(servers);
 }
 
+const result<registered_server> &store_watch::decodeIfChanged(const std::string &id,
+                                                              const std::string &value)
+{
+    const auto known = m_decodedServers.find(id);
+    if (known != m_decodedServers.end() && known->second.value == value)
+        return known->second.server;
+    decoded_server decoded {.value = value, .server = decodeServer(id, value)};
+    return m_decodedServers.insert_or_assign(id, std::move(decoded)).first->second.server;
+}
+
 void store_watch::applyServers(const std::map<std::string, object, std::less<>> &objects)
 {
     const std::shared_ptr<const serving_tables> tables = m_state.tables();
@@ -476,7 +486,7 @@
     std::map<std::string, std::string, std::less<>> conditions;
     for (auto it = objects.begin(); it != objects.end(); ++it) {
         const std::string id = nameWithoutKind(it->first);
-        result<registered_server> server = decodeServer(id, it->second.value);
+        const result<registered_server> &server = decodeIfChanged(id, it->second.value);
         const bool isServed = server && tables && tables->findService(server->service) != nullptr;
         std::string condition = !server ? "unreadable"
             : !isServed                 ? "of an unknown service"
@@ -491,14 +501,19 @@
                            .add("reason", server ? "" : server.error().message.c_str()));
         conditions[id] = std::move(condition);
         if (isServed)
-            servers.push_back(std::move(*server));
+            servers.push_back(*server);
     }
+    std::erase_if(m_decodedServers,
+                  [&conditions](const auto &each) { return !conditions.contains(each.first); });
     for (auto it = m_serverConditions.begin(); it != m_serverConditions.end(); ++it) {
         if (!conditions.contains(it->first))
             writeEvent(event_line("servers", "server_gone").add("server", it->first));
     }
     m_serverConditions = std::move(conditions);
-    m_state.with([&servers](routing_state &routing) { routing.balancer.setServers(servers); });
+    if (servers == m_appliedServers)
+        return;
+    m_appliedServers = std::move(servers);
+    m_state.with([this](routing_state &routing) { routing.balancer.setServers(m_appliedServers); });
 }
 
 void store_watch::applyWeights(const std::map<std::string, object, std::less<>> &objects)
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -68,6 +68,13 @@
         std::uint64_t adoptedOutdated = 0;
     };
 
+    /// A server's entry in the store, with what it was decoded to.
+    struct decoded_server
+    {
+        std::string value;
+        result<registered_server> server;
+    };
+
     /// Position of this instance among all instances.
     struct fleet_position
     {
@@ -89,6 +96,9 @@
     void apply(const std::string &kind);
     void applyConfiguration(const std::map<std::string, object, std::less<>> &objects);
     void applyServers(const std::map<std::string, object, std::less<>> &objects);
+    /// Returns the decoded @p value of the server @p id.
+    const result<registered_server> &decodeIfChanged(const std::string &id,
+                                                     const std::string &value);
     void applyWeights(const std::map<std::string, object, std::less<>> &objects);
     void applyRollouts(const std::map<std::string, object, std::less<>> &objects);
     void applyInstances(const std::map<std::string, object, std::less<>> &objects);
@@ -100,6 +110,10 @@
     /// Serialises apply(), so that an older copy can't overwrite a newer one.
     std::mutex m_applyMutex;
     std::map<std::string, std::string, std::less<>> m_serverConditions;
+    /// Entries at the last change of the servers, by id. Most of them stay as they are.
+    std::map<std::string, decoded_server, std::less<>> m_decodedServers;
+    /// Servers that the load balancer has.
+    std::vector<registered_server> m_appliedServers;
     bool m_hasAppliedWeights = false;
 };
 
