Let servers get calls whose estimates only calls can correct

Callers were served by fewer servers than there were: a plain server that was added, had restarted or had once been slow got no calls beside fast ones for as long as those were free. Cause: its estimate was corrected only by calls to it.

Change: call_time takes the average of the pool for a server that has not been measured, and lets each estimate approach that average.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <core/clock.h>
+#include <dispatch/call_time.h>
 #include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_statements.h>
@@ -116,8 +117,8 @@
     prefill_rate_options prefill;
     /// Time to the first event of an idle engine in milliseconds, without prefill.
     double baseFirstEventMs = 40;
-    /// Assumed duration in milliseconds of a call to a service without a model, until a call has
-    /// been measured.
+    /// Assumed duration in milliseconds of a call to a service without a model, until a call to any
+    /// of its servers has been measured.
     double defaultCallMs = 20;
     /// Cost of a model server in another zone: the price of cross-zone traffic for the prompt.
     double crossZoneCostMs = 30;
@@ -291,8 +292,8 @@
         timestamp weightsObservedAt;
         /// Ratio of the measured to the expected time to the first event.
         double slowness = 1;
-        /// Average duration of a call in milliseconds, 0 until one has been measured.
-        double callMs = 0;
+        /// Duration of a call to a service without a model.
+        call_time callTime;
         /// Last use by part; see cachedPartKey().
         std::unordered_map<std::uint64_t, timestamp> parts;
     };
@@ -395,12 +396,16 @@
     void measurePrefill(const server_state &server, const ticket_state &ticket, double measuredMs);
     void touchParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
     double poolFailureShare(std::string_view service) const;
+    double poolCallMs(std::string_view service) const;
+    void recordCall(timestamp now, server_state &server, double milliseconds);
 
     load_balancer_options m_options;
     std::mt19937_64 m_random;
     std::map<std::string, server_state, std::less<>> m_servers;
     peer_load_table m_peerLoads;
     std::map<std::string, engine_traits, std::less<>> m_engines;
+    /// Average duration in milliseconds of the calls to all servers of a service without a model.
+    std::map<std::string, double, std::less<>> m_poolCallMs;
     /// Prefill rates of the engines, by service.
     std::map<std::string, prefill_rate, std::less<>> m_prefillRates;
     /// Measurements for the next report.
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -25,6 +25,8 @@
 constexpr duration requestedProbeInterval = std::chrono::milliseconds(1500);
 /// Weight of the newest measurement in a server's average latency.
 constexpr double latencyWeight = 0.1;
+/// The same for all servers of a service.
+constexpr double poolLatencyWeight = 0.05;
 /// Maximum number of parts remembered for a server and for a KV cache store.
 constexpr std::size_t maxParts = 4096;
 constexpr std::size_t maxStoreParts = 65536;
@@ -520,6 +522,19 @@
     return count > 0 ? sum / count : 0;
 }
 
+double load_balancer::poolCallMs(std::string_view service) const
+{
+    const auto found = m_poolCallMs.find(service);
+    return found == m_poolCallMs.end() ? m_options.defaultCallMs : found->second;
+}
+
+void load_balancer::recordCall(timestamp now, server_state &server, double milliseconds)
+{
+    double &pool = m_poolCallMs.try_emplace(server.info.service, milliseconds).first->second;
+    pool = pool * (1 - poolLatencyWeight) + milliseconds * poolLatencyWeight;
+    server.callTime.record(now, milliseconds, pool);
+}
+
 void load_balancer::end(timestamp now, std::uint64_t ticket, attempt_outcome outcome)
 {
     const auto found = m_tickets.find(ticket);
@@ -549,12 +564,8 @@
         target.consecutiveLosses = 0;
         if (target.suspicionCount > 0 && target.failureShare < suspectShare / 2)
             target.suspicionCount -= 1;
-        if (!state.isModel) {
-            const double measured = toSeconds(now - state.startedAt) * 1000;
-            target.callMs = target.callMs > 0
-                ? target.callMs * (1 - latencyWeight) + measured * latencyWeight
-                : measured;
-        }
+        if (!state.isModel)
+            recordCall(now, target, toSeconds(now - state.startedAt) * 1000);
         return;
     }
     // A live server never refuses a connection, so one failed connection is enough.
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -303,7 +303,7 @@
         estimateEngine(now, state, request, *engine, affinity, placed);
         return placed;
     }
-    const double callMs = state.callMs > 0 ? state.callMs : m_options.defaultCallMs;
+    const double callMs = state.callTime.estimateMs(now, poolCallMs(state.info.service));
     const int running = totalLoad(now, state).running;
     placed.expectedMs = callMs * (1 + static_cast<double>(running) / std::max(1, state.info.slots));
     return placed;
--- a/libs/dispatch/tests/load_balancer_test.cpp
+++ b/libs/dispatch/tests/load_balancer_test.cpp
@@ -1,6 +1,7 @@
 #include <dispatch/load_balancer.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 serving_tables engineTables()
 {
     serving_tables tables;
@@ -472,4 +475,53 @@
     EXPECT_TRUE(balancer.choose(now, sharedPromptRequest())->cacheSource.has_value());
 }
 
+namespace {
+
+/// Sends one call after the other for @p time. A call takes @p callTimes of its server. Returns the
+/// calls by server.
+std::map<std::string, int> sendCalls(load_balancer &balancer, timestamp &now, duration time,
+                                     const std::map<std::string, duration> &callTimes)
+{
+    std::map<std::string, int> calls;
+    const request_profile request {.service = "plain"};
+    for (const timestamp end = now + time; now < end;) {
+        const server_placement placed = *balancer.choose(now, request);
+        const std::uint64_t ticket = balancer.begin(now, placed, request);
+        now += callTimes.at(placed.server);
+        balancer.end(now, ticket, attempt_outcome::Done);
+        ++calls[placed.server];
+        now += 20ms;
+    }
+    return calls;
+}
+
+} // namespace
+
+// A server that was added got no calls beside fast ones, since its calls were assumed to be slow.
+TEST(LoadBalancer, ServerAddedToAFastPoolGetsCalls)
+{
+    const std::vector<registered_server> servers = makeServers("plain", 3, false);
+    load_balancer balancer = makeBalancer({servers[1], servers[2]});
+    timestamp now = boot_clock::now();
+    const std::map<std::string, duration> times {{"plain0", 9ms}, {"plain1", 9ms}, {"plain2", 9ms}};
+    sendCalls(balancer, now, 3s, times);
+    balancer.setServers(servers);
+    // It is the only one in the zone of the instance.
+    EXPECT_GT(sendCalls(balancer, now, 3s, times)["plain0"], 50);
+}
+
+// A server that had been slow got no calls any more, which could have shown that it is fast again.
+TEST(LoadBalancer, ServerThatWasSlowForAMomentGetsCallsAgain)
+{
+    load_balancer balancer = makeBalancer(makeServers("plain", 3, false));
+    timestamp now = boot_clock::now();
+    std::map<std::string, duration> times {{"plain0", 9ms}, {"plain1", 9ms}, {"plain2", 9ms}};
+    sendCalls(balancer, now, 1s, times);
+    times["plain0"] = 3s;
+    EXPECT_LE(sendCalls(balancer, now, 4s, times)["plain0"], 2);
+    times["plain0"] = 9ms;
+    sendCalls(balancer, now, 15s, times);
+    EXPECT_GT(sendCalls(balancer, now, 3s, times)["plain0"], 50);
+}
+
 } // namespace trefoil
