--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -20,11 +20,12 @@
 constexpr duration window = std::chrono::seconds(8);
 constexpr double rate = 250000;
 constexpr double burst = 250000;
-/// What the limit allows in a window, and what the platform tolerates beyond it.
-constexpr double limitInWindow = rate * 8 + burst;
-constexpr double allowedInWindow = limitInWindow * 1.1 + 110000;
-/// Half of what is tolerated.
-constexpr double tolerance = (allowedInWindow - limitInWindow) / 2;
+/// What the limit allows in a window, and what the platform tolerates beyond it, for a team with
+/// @p scale times the rate and burst.
+constexpr double limitInWindowOf(double scale) { return (rate * 8 + burst) * scale; }
+constexpr double allowedInWindowOf(double scale) { return limitInWindowOf(scale) * 1.1 + 110000; }
+constexpr double limitInWindow = limitInWindowOf(1);
+constexpr double allowedInWindow = allowedInWindowOf(1);
 constexpr double requestUnits = 9200;
 constexpr duration step = std::chrono::milliseconds(2);
 
@@ -40,6 +41,8 @@
     /// Returns whether a report from one instance to another is lost.
     std::function<bool(double, std::size_t, std::size_t)> isLost =
         [](double, std::size_t, std::size_t) { return false; };
+    /// Factor on the rate and the burst of the team.
+    double scale = 1;
     /// Longest time that a report travels.
     double maxTransit = 0.04;
     unsigned seed = 1;
@@ -188,8 +191,12 @@
     }
     void applyLimit(member &each)
     {
-        each.limits.setLimit(at(m_now), "team",
-                             {.rate = rate, .burst = burst, .tolerance = tolerance});
+        const double scale = m_options.scale;
+        // Half of what the platform tolerates.
+        const double tolerance = (allowedInWindowOf(scale) - limitInWindowOf(scale)) / 2;
+        each.limits.setLimit(
+            at(m_now), "team",
+            {.rate = rate * scale, .burst = burst * scale, .tolerance = tolerance});
     }
     void listPeers(member &each)
     {
@@ -262,7 +269,8 @@
     {
         std::exponential_distribution<double> pauses(1);
         std::lognormal_distribution<double> sizes(-0.32, 0.8);
-        const double unitsPerSecond = m_options.load(m_now) * limitInWindow / toSeconds(window);
+        const double unitsPerSecond =
+            m_options.load(m_now) * limitInWindowOf(m_options.scale) / toSeconds(window);
         for (; m_nextRequest <= m_now;
              m_nextRequest += pauses(m_random) * requestUnits / unitsPerSecond) {
             const double units = std::round(requestUnits * sizes(m_random));
@@ -343,6 +351,27 @@
     }
 }
 
+// All instances together see the jump of a large team long before its reports add up.
+TEST(TeamLimitsFleet, JumpOfALargeTeamStaysInTheLimitOfTheWindow)
+{
+    constexpr double scale = 10;
+    for (const unsigned seed : seeds) {
+        for (const std::size_t active : {std::size_t {6}, std::size_t {81}}) {
+            for (const double transit : {0.04, 0.6}) {
+                simulated_fleet fleet({.instances = 81,
+                                       .load = jumpAt(2, 4.6),
+                                       .active = always(active),
+                                       .scale = scale,
+                                       .maxTransit = transit,
+                                       .seed = seed});
+                fleet.runUntil(14);
+                EXPECT_LE(fleet.maxInWindow(), allowedInWindowOf(scale))
+                    << seed << " " << active << " " << transit;
+            }
+        }
+    }
+}
+
 TEST(TeamLimitsFleet, CallersThatMoveToAllInstancesStayInTheLimitOfTheWindow)
 {
     for (const unsigned seed : seeds) {
