Charge limits for the reports of a large fleet at most every 20 ms

Each report of another instance charged all instances for the time since the report before, for each team that it named: work of instances x teams in each report.

Change: a report charges only if 20 ms have passed; what it adds or corrects itself is still charged at once.

--- a/libs/dispatch/benchmarks/bench_dispatch.cpp
+++ b/libs/dispatch/benchmarks/bench_dispatch.cpp
@@ -60,6 +60,39 @@
     std::printf("%-24s %8.2f us\n", name, taken.count() / repeats);
 }
 
+/// Applies the reports of all other instances in turn, at the rate at which they arrive, of which
+/// each tells that some teams have sent requests.
+void measureLimits(const fleet_size &size)
+{
+    constexpr int teams = 16;
+    constexpr int activeTeams = 5;
+    team_limits limits({.window = std::chrono::seconds(8)});
+    timestamp now = timestamp {} + std::chrono::hours(1);
+    const auto team = [](int i) { return "team-" + std::to_string(i); };
+    for (int i = 0; i < teams; ++i)
+        limits.setLimit(now, team(i), {.rate = 250000, .burst = 250000, .tolerance = 100000});
+    std::vector<std::string> peers;
+    for (int i = 1; i < size.instances; ++i)
+        peers.push_back("edge-" + std::to_string(i));
+    limits.setPeers(now, peers);
+    const duration period = std::chrono::milliseconds(200 + 3 * size.instances);
+    std::uint64_t sequence = 0;
+    admitted_totals admitted;
+    const admitted_totals demandRates {{team(0), 900.0}, {team(1), 900.0}, {team(2), 900.0}};
+    measure("charge limits", [&](int i) {
+        now += period / size.instances;
+        for (int each = 0; each < activeTeams; ++each)
+            admitted[team(each)] += 100;
+        limits.applyReport(now,
+                           {.peer = peers[static_cast<std::size_t>(i) % peers.size()],
+                            .incarnation = 1,
+                            .sequence = ++sequence,
+                            .admitted = admitted,
+                            .demandRates = demandRates,
+                            .period = period});
+    });
+}
+
 void run(const fleet_size &size)
 {
     const int servers = size.servers;
@@ -102,6 +135,7 @@
                                            {.id = "e4402b7d", .tokens = 2890}};
     const request_profile request {
         .service = "llm", .model = "model", .prompt = prompt, .outputTokens = 7};
+    measureLimits(size);
     measure("choose a server", [&](int) { balancer.choose(now, request); });
 }
 
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -36,6 +36,9 @@
 constexpr double newInstanceLevel = 0.5;
 /// Instances that a fleet is assumed to have until their list is known.
 constexpr double unknownFleetSize = 8;
+/// Least time between charges for what other instances are expected to admit, which look at all of
+/// them. A large fleet reports several times in it.
+constexpr duration minChargeInterval = std::chrono::milliseconds(20);
 /// Least demand that is reported, as a fraction of a request of average size.
 constexpr double minReportedDemand = 0.05;
 /// Least rate in units per second used to compute a refused caller's wait.
@@ -422,7 +425,8 @@
         if (isIdle)
             continue;
         // Charges what was expected of the instance until now.
-        refill(now, teamBucket);
+        if (now - teamBucket.filledAt >= minChargeInterval)
+            refill(now, teamBucket);
         reconcile(now, teamBucket, usage, total, isNew);
         usage.demandRate = demandRate;
     }
