Keep the descriptor that waits for reports

Poco's Socket::poll() opens, fills and closes an epoll descriptor in each call: four system calls for each report of another instance. A PollSet keeps it.

--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/PollSet.h>
 #include <Poco/Net/SocketAddress.h>
 #include <telemetry/event_log.h>
 
@@ -44,6 +45,13 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMilliseconds(now - at)));
 }
 
+/// Returns the time from @p now until @p next, rounded up to the resolution of a poll.
+Poco::Timespan timespanUntil(timestamp now, timestamp next)
+{
+    const std::int64_t ms = std::chrono::ceil<std::chrono::milliseconds>(next - now).count();
+    return Poco::Timespan(std::max<std::int64_t>(ms, 0) * Poco::Timespan::MILLISECONDS);
+}
+
 /// Adds the crashes that this instance saw, and what it knows of the prompt parts suspected of
 /// them.
 void addCrashes(timestamp now, const routing_state &routing, peer_report &report)
@@ -99,6 +107,9 @@
     try {
         Poco::Net::DatagramSocket &socket = m_socket;
         socket.bind(Poco::Net::SocketAddress(own.host, own.port), true);
+        // Unlike Socket::poll(), it keeps its descriptor from one call to the next.
+        Poco::Net::PollSet readable;
+        readable.add(socket, Poco::Net::PollSet::POLL_READ);
         std::string buffer(maxDatagramBytes, '\0');
         timestamp sentAt {};
         timestamp wokenAt = boot_clock::now();
@@ -111,10 +122,7 @@
                 sentAt = now;
                 next = now + reportInterval(m_isLeader);
             }
-            const std::int64_t waitUs =
-                std::chrono::duration_cast<std::chrono::microseconds>(next - now).count();
-            const bool isReadable = socket.poll(Poco::Timespan(std::max<std::int64_t>(waitUs, 0)),
-                                                Poco::Net::Socket::SELECT_READ);
+            const bool isReadable = !readable.poll(timespanUntil(now, next)).empty();
             const timestamp previouslyWokenAt = std::exchange(wokenAt, boot_clock::now());
             const duration waited = std::max<duration>(next - now, duration::zero());
             if (wokenAt - previouslyWokenAt > waited + maxWakeDelay)
