Assume the largest fleet until the list of instances is known

After a restart of all instances of a large fleet a team got more than its limit (QUOTA): an instance took the fleet for one of 8 until it knew the list, so each of 81 admitted an eighth of the limit.

Change: the assumed size is that of the largest fleet that is planned for.

--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -34,8 +34,9 @@
 constexpr duration sameStartTime = std::chrono::seconds(1);
 /// Fraction of the burst that an instance takes for the level until another tells it.
 constexpr double newInstanceLevel = 0.5;
-/// Instances that a fleet is assumed to have until their list is known.
-constexpr double unknownFleetSize = 8;
+/// Instances that a fleet is assumed to have until their list is known: as many as the largest one
+/// that is planned for. Each instance of a fleet that starts at once assumes this.
+constexpr double unknownFleetSize = 300;
 /// Least time between charges for what other instances are expected to admit, which look at all of
 /// them. A large fleet reports several times in it.
 constexpr duration minChargeInterval = std::chrono::milliseconds(20);
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -431,6 +431,28 @@
     }
 }
 
+TEST(TeamLimitsFleet, RestartsOfAllInstancesOfALargeFleetStayInTheLimitOfTheWindow)
+{
+    for (const unsigned seed : {1u, 2u}) {
+        for (const std::size_t active : {std::size_t {6}, std::size_t {81}}) {
+            for (const double scale : {1.0, 10.0}) {
+                simulated_fleet fleet({.instances = 81,
+                                       .load = jumpAt(3, 7.5),
+                                       .active = always(active),
+                                       .scale = scale,
+                                       .seed = seed});
+                for (const double killedAt : {5.0, 8.5}) {
+                    fleet.runUntil(killedAt);
+                    fleet.restartAll(1);
+                }
+                fleet.runUntil(18);
+                EXPECT_LE(fleet.maxInWindow(), allowedInWindowOf(scale))
+                    << seed << " " << active << " " << scale;
+            }
+        }
+    }
+}
+
 TEST(TeamLimitsFleet, CutOffInstancesStayInTheLimitOfTheWindow)
 {
     for (const unsigned seed : seeds) {
