Charge what instances admit while their reports are late

Reports reached them seconds late, over links full of prompts, and each late report took back what had been charged for its sender.

Change: a report tells the sender's uptime, so its lateness against the most punctual one is known; what the sender is expected to have admitted since it wrote the report is charged. While information is old, the others are expected to see the growth of demand that an instance certainly sees itself.

--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -212,6 +212,8 @@
         windowed_sum spent;
         /// Units requested recently, with exponential decay over demandTime.
         double demand = 0;
+        /// Values of demand some seconds back, the oldest first.
+        std::deque<std::pair<timestamp, double>> demandHistory;
         /// Demand in units per second as last reported.
         double reportedDemand = 0;
         /// Average units of a request.
@@ -234,6 +236,10 @@
         bool isLeaving = false;
         /// Announced time until the next report.
         duration period {};
+        /// Least difference between the arrival of a report and the sender's uptime in it, since
+        /// its start, and by how much the last report exceeded it.
+        std::optional<duration> leastOffset;
+        duration lateness {};
     };
 
     /// Demand of a team in units per second, as instances know it of each other.
@@ -244,6 +250,12 @@
         /// Demand on this instance at present.
         double current = 0;
         double all = 0;
+        /// Time since the oldest report was written that the demand of another instance is known
+        /// from.
+        duration age {};
+        /// Factor by which the demand on this instance has certainly grown in that time. The others
+        /// are expected to see the same.
+        double growth = 1;
         /// Instances with demand, including this one.
         int requesters = 1;
         /// All instances, and those that report, including this one.
@@ -265,7 +277,17 @@
     /// @p isNew: all of the total was spent since this instance started.
     void reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total, bool isNew);
     void spend(timestamp now, bucket &teamBucket, double units);
+    /// Records when the report was written, as far as its arrival tells.
+    static void recordLateness(timestamp now, const limit_report &report, peer_state &state);
+    /// Charges what an instance is expected to have admitted since it wrote a report that arrived
+    /// late.
+    void chargeLateness(timestamp now, bucket &teamBucket, const peer_state &peer);
     team_demand demandOf(timestamp now, const bucket &teamBucket) const;
+    double growthOf(timestamp now, const bucket &teamBucket, duration age) const;
+    void keepDemand(timestamp now, bucket &teamBucket) const;
+    /// Returns what an instance with @p demandRate is expected to admit in a second.
+    double expectedRate(const team_demand &demand, const bucket &teamBucket, double demandRate,
+                        double rate) const;
     /// Returns the share of a limit that falls to an instance with @p demandRate: in proportion to
     /// it while the team exceeds its rate, otherwise the demand and a part of what is left.
     double shareOf(const team_demand &demand, const bucket &teamBucket, double demandRate) const;
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -40,6 +40,15 @@
 /// Least time between charges for what other instances are expected to admit, which look at all of
 /// them. A large fleet reports several times in it.
 constexpr duration minChargeInterval = std::chrono::milliseconds(20);
+/// Interval and time for which an instance remembers the demand on itself, and the greatest growth
+/// that it expects of the others.
+constexpr duration demandInterval = std::chrono::milliseconds(100);
+constexpr duration maxDemandAge = std::chrono::seconds(3);
+constexpr double maxGrowth = 8;
+/// Standard deviations of a demand by which it may differ from its average by chance.
+constexpr double certainDeviations = 3;
+/// Reports that are less late are taken for punctual.
+constexpr duration minLateness = std::chrono::milliseconds(100);
 /// Least demand that is reported, as a fraction of a request of average size.
 constexpr double minReportedDemand = 0.05;
 /// Least rate in units per second used to compute a refused caller's wait.
@@ -175,10 +184,53 @@
             it->second.isHeard ? teamBucket.peers[it->second.index].demandRate : demand.own;
         demand.all += rate;
         demand.requesters += rate > 0 ? 1 : 0;
+        if (rate > 0 && it->second.isHeard)
+            demand.age =
+                std::max<duration>(demand.age, now - it->second.seenAt + it->second.lateness);
     }
+    demand.age = std::min(demand.age, maxDemandAge);
+    demand.growth = growthOf(now, teamBucket, demand.age);
+    demand.all *= demand.growth;
+    demand.own *= demand.growth;
     return demand;
 }
 
+double team_limits::growthOf(timestamp now, const bucket &teamBucket, duration age) const
+{
+    const std::deque<std::pair<timestamp, double>> &history = teamBucket.demandHistory;
+    const auto after =
+        std::upper_bound(history.begin(), history.end(), now - age,
+                         [](timestamp time, const auto &each) { return time < each.first; });
+    if (after == history.begin() || teamBucket.size <= 0)
+        return 1;
+    const std::pair<timestamp, double> &known = *std::prev(after);
+    const double decay =
+        std::exp(-toSeconds(now - age - known.first) / toSeconds(m_options.demandTime));
+    const double before = known.second * decay;
+    const double current = teamBucket.demand;
+    const double least = current - certainDeviations * std::sqrt(current * teamBucket.size);
+    const double most =
+        before + certainDeviations * std::sqrt(std::max(before, teamBucket.size) * teamBucket.size);
+    return std::clamp(least / most, 1.0, maxGrowth);
+}
+
+void team_limits::keepDemand(timestamp now, bucket &teamBucket) const
+{
+    std::deque<std::pair<timestamp, double>> &history = teamBucket.demandHistory;
+    if (!history.empty() && now - history.back().first < demandInterval)
+        return;
+    history.emplace_back(now, teamBucket.demand);
+    while (now - history.front().first > maxDemandAge + demandInterval)
+        history.pop_front();
+}
+
+double team_limits::expectedRate(const team_demand &demand, const bucket &teamBucket,
+                                 double demandRate, double rate) const
+{
+    const double grown = demandRate * demand.growth;
+    return std::min(shareOf(demand, teamBucket, grown) * rate, grown);
+}
+
 double team_limits::shareOf(const team_demand &demand, const bucket &teamBucket,
                             double demandRate) const
 {
@@ -224,8 +276,9 @@
     if (m_options.isStrict)
         return false;
     const double level = std::max(0.0, available(now, teamBucket));
-    return demand.all - demand.own + demand.current
-        <= teamBucket.rate + level / toSeconds(m_options.levelTime);
+    const double current = (demand.all - demand.own) / demand.growth + demand.current;
+    const double expected = demand.growth > 1 ? std::max(demand.all, current) : current;
+    return expected <= teamBucket.rate + level / toSeconds(m_options.levelTime);
 }
 
 double team_limits::maxAllowance(timestamp now, const team_demand &demand, bucket &teamBucket,
@@ -260,10 +313,10 @@
         const bool isPeerSilent = isSilent(now, peer);
         if (hasEnded(now, peer) || (!isPeerSilent && usage.demandRate <= 0))
             continue;
-        const double share =
-            shareOf(demand, teamBucket, peer.isHeard ? usage.demandRate : demand.own);
+        const double silentDemand = peer.isHeard ? usage.demandRate * demand.growth : demand.own;
         const double expected = elapsed
-            * (isPeerSilent ? share * silentRate : std::min(share * rate, usage.demandRate));
+            * (isPeerSilent ? shareOf(demand, teamBucket, silentDemand) * silentRate
+                            : expectedRate(demand, teamBucket, usage.demandRate, rate));
         usage.expected += expected;
         spend(now, teamBucket, expected);
         (isPeerSilent ? teamBucket.account.chargedForSilent : teamBucket.account.chargedForPeers) +=
@@ -282,6 +335,7 @@
     chargePeers(now, teamBucket, demand, elapsed);
     teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
     teamBucket.demand *= std::exp(-elapsed / toSeconds(m_options.demandTime));
+    keepDemand(now, teamBucket);
     const double level = available(now, teamBucket);
     teamBucket.allowance = std::min(teamBucket.allowance
                                         + admissionRate(now, teamBucket, level)
@@ -404,12 +458,38 @@
     teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
 }
 
+void team_limits::recordLateness(timestamp now, const limit_report &report, peer_state &state)
+{
+    if (!report.uptime)
+        return;
+    const duration offset = now.time_since_epoch() - *report.uptime;
+    if (!state.leastOffset || state.incarnation != report.incarnation)
+        state.leastOffset = offset;
+    state.leastOffset = std::min(*state.leastOffset, offset);
+    state.lateness = offset - *state.leastOffset;
+}
+
+void team_limits::chargeLateness(timestamp now, bucket &teamBucket, const peer_state &peer)
+{
+    peer_usage &usage = teamBucket.peers[peer.index];
+    if (peer.lateness < minLateness || usage.demandRate <= 0)
+        return;
+    const team_demand demand = demandOf(now, teamBucket);
+    const double rate = admissionRate(now, teamBucket, available(now, teamBucket));
+    const double late = toSeconds(std::min(peer.lateness, maxDemandAge))
+        * expectedRate(demand, teamBucket, usage.demandRate, rate);
+    usage.expected += late;
+    spend(now, teamBucket, late);
+    teamBucket.account.chargedForPeers += late;
+}
+
 void team_limits::applyReport(timestamp now, const limit_report &report)
 {
     peer_state &state = addPeer(now, report.peer, false);
     if (std::pair(report.incarnation, report.sequence)
         <= std::pair(state.incarnation, state.sequence))
         return;
+    recordLateness(now, report, state);
     const bool isRestarted = state.isHeard && state.incarnation != report.incarnation;
     const bool isNew = report.uptime && *report.uptime <= now - m_startedAt + sameStartTime;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
@@ -430,6 +510,7 @@
             refill(now, teamBucket);
         reconcile(now, teamBucket, usage, total, isNew);
         usage.demandRate = demandRate;
+        chargeLateness(now, teamBucket, state);
     }
     if (!state.isHeard || isRestarted)
         state.firstHeardAt = now;
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -45,6 +45,8 @@
     double scale = 1;
     /// Longest time that a report travels.
     double maxTransit = 0.04;
+    /// Time that reports wait at the link of an instance, which is in heavy use.
+    std::function<double(double, std::size_t)> linkDelay = [](double, std::size_t) { return 0.0; };
     unsigned seed = 1;
 };
 
@@ -236,7 +238,8 @@
                          .uptime = fromSeconds(m_now - sender.startedAt)};
             sent.levels = sender.limits.takeLevels(at(m_now));
             for (std::size_t to = 0; to < m_members.size(); ++to) {
-                const double transit = 0.001 + m_options.maxTransit * uniform();
+                const double transit = 0.001 + m_options.maxTransit * uniform()
+                    + m_options.linkDelay(m_now, i) + m_options.linkDelay(m_now, to);
                 if (to == i || m_options.isLost(m_now, i, to))
                     continue;
                 sent.to = to;
@@ -372,6 +375,44 @@
     }
 }
 
+namespace {
+
+/// During a jump, the links of three of the six instances with callers carry reports late.
+simulated_fleet fleetWithSlowLinks(double delay, unsigned seed)
+{
+    return simulated_fleet(
+        {.instances = 81,
+         .load = jumpAt(2, 4.6),
+         .active = always(6),
+         .scale = 10,
+         .linkDelay = [delay](double now,
+                              std::size_t index) { return now > 2 && index < 3 ? delay : 0.0; },
+         .seed = seed});
+}
+
+} // namespace
+
+// Instances admitted what others had used up already, as told by reports that were late.
+TEST(TeamLimitsFleet, JumpBesideSlowLinksStaysInTheLimitOfTheWindow)
+{
+    for (const unsigned seed : seeds) {
+        for (const double delay : {0.3, 0.6}) {
+            simulated_fleet fleet = fleetWithSlowLinks(delay, seed);
+            fleet.runUntil(14);
+            EXPECT_LE(fleet.maxInWindow(), allowedInWindowOf(10)) << seed << " " << delay;
+        }
+    }
+}
+
+TEST(TeamLimitsFleet, JumpBesideVerySlowLinksStaysInTheLimitOfTheWindow)
+{
+    for (const unsigned seed : seeds) {
+        simulated_fleet fleet = fleetWithSlowLinks(1, seed);
+        fleet.runUntil(14);
+        EXPECT_LE(fleet.maxInWindow(), allowedInWindowOf(10)) << seed;
+    }
+}
+
 TEST(TeamLimitsFleet, CallersThatMoveToAllInstancesStayInTheLimitOfTheWindow)
 {
     for (const unsigned seed : seeds) {
