--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -476,7 +476,8 @@
         return;
     const team_demand demand = demandOf(now, teamBucket);
     const double rate = admissionRate(now, teamBucket, available(now, teamBucket));
-    const double late = toSeconds(std::min(peer.lateness, maxDemandAge))
+    const duration counted = std::max<duration>(m_options.window, maxDemandAge);
+    const double late = toSeconds(std::min(peer.lateness, counted))
         * expectedRate(demand, teamBucket, usage.demandRate, rate);
     usage.expected += late;
     spend(now, teamBucket, late);
