Measure lateness against the last minute only

A report's lateness was measured against the most punctual one since its sender's start.

Change: report_lateness keeps the least offset of the last half minute to minute.

--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <core/clock.h>
+#include <dispatch/report_lateness.h>
 #include <dispatch/report_timeout.h>
 
 namespace trefoil {
@@ -236,10 +237,7 @@
         bool isLeaving = false;
         /// Announced time until the next report.
         duration period {};
-        /// Least difference between the arrival of a report and the sender's uptime in it, since
-        /// its start, and by how much the last report exceeded it.
-        std::optional<duration> leastOffset;
-        duration lateness {};
+        report_lateness lateness;
     };
 
     /// Demand of a team in units per second, as instances know it of each other.
@@ -277,8 +275,6 @@
     /// @p isNew: all of the total was spent since this instance started.
     void reconcile(timestamp now, bucket &teamBucket, peer_usage &usage, double total, bool isNew);
     void spend(timestamp now, bucket &teamBucket, double units);
-    /// Records when the report was written, as far as its arrival tells.
-    static void recordLateness(timestamp now, const limit_report &report, peer_state &state);
     /// Charges what an instance is expected to have admitted since it wrote a report that arrived
     /// late.
     void chargeLateness(timestamp now, bucket &teamBucket, const peer_state &peer);
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -185,8 +185,8 @@
         demand.all += rate;
         demand.requesters += rate > 0 ? 1 : 0;
         if (rate > 0 && it->second.isHeard)
-            demand.age =
-                std::max<duration>(demand.age, now - it->second.seenAt + it->second.lateness);
+            demand.age = std::max<duration>(demand.age,
+                                            now - it->second.seenAt + it->second.lateness.last());
     }
     demand.age = std::min(demand.age, maxDemandAge);
     demand.growth = growthOf(now, teamBucket, demand.age);
@@ -458,26 +458,15 @@
     teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
 }
 
-void team_limits::recordLateness(timestamp now, const limit_report &report, peer_state &state)
-{
-    if (!report.uptime)
-        return;
-    const duration offset = now.time_since_epoch() - *report.uptime;
-    if (!state.leastOffset || state.incarnation != report.incarnation)
-        state.leastOffset = offset;
-    state.leastOffset = std::min(*state.leastOffset, offset);
-    state.lateness = offset - *state.leastOffset;
-}
-
 void team_limits::chargeLateness(timestamp now, bucket &teamBucket, const peer_state &peer)
 {
     peer_usage &usage = teamBucket.peers[peer.index];
-    if (peer.lateness < minLateness || usage.demandRate <= 0)
+    if (peer.lateness.last() < minLateness || usage.demandRate <= 0)
         return;
     const team_demand demand = demandOf(now, teamBucket);
     const double rate = admissionRate(now, teamBucket, available(now, teamBucket));
     const duration counted = std::max<duration>(m_options.window, maxDemandAge);
-    const double late = toSeconds(std::min(peer.lateness, counted))
+    const double late = toSeconds(std::min(peer.lateness.last(), counted))
         * expectedRate(demand, teamBucket, usage.demandRate, rate);
     usage.expected += late;
     spend(now, teamBucket, late);
@@ -490,7 +479,10 @@
     if (std::pair(report.incarnation, report.sequence)
         <= std::pair(state.incarnation, state.sequence))
         return;
-    recordLateness(now, report, state);
+    if (state.incarnation != report.incarnation)
+        state.lateness = {};
+    if (report.uptime)
+        state.lateness.record(now, *report.uptime);
     const bool isRestarted = state.isHeard && state.incarnation != report.incarnation;
     const bool isNew = report.uptime && *report.uptime <= now - m_startedAt + sameStartTime;
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
