Compare another instance's newest change with all that this one has read

An instance counted as behind while another knew a newer change of the configuration than any object of its own copy shows. Found by reading.

Change: it is behind while its copy doesn't reach that change. Tests: store_watch and configuration_change_test pass.

--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -277,7 +277,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         watched_kind &watched = m_kinds.find(store_kinds::configuration)->second;
-        if (watched.newestElsewhere > watched.mirror.newestChange())
+        if (watched.newestElsewhere > watched.mirror.upToVersion())
             since = watched.lacksNewestSince.value_or(now);
         if (since == watched.lacksNewestSince)
             return;
