--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -279,7 +279,9 @@
     /// late.
     void chargeLateness(timestamp now, bucket &teamBucket, const peer_state &peer);
     team_demand demandOf(timestamp now, const bucket &teamBucket) const;
+    /// Returns the factor by which the demand on this instance has certainly grown in @p age.
     double growthOf(timestamp now, const bucket &teamBucket, duration age) const;
+    /// Adds the present demand to the history that growthOf() looks at.
     void keepDemand(timestamp now, bucket &teamBucket) const;
     /// Returns what an instance with @p demandRate is expected to admit in a second.
     double expectedRate(const team_demand &demand, const bucket &teamBucket, double demandRate,
