Leader: an order to a server ends with the lease that it was sent under

Cause: an order may take 900 ms, and its lease was checked only when it was sent. A successor that knows the previous leader's orders, and an instance that takes over its own expired lease, act at once; an order of the lease before could then reach a server after one with a higher fencing token.

Change: an order's time-out is at most what is left of the lease.

--- a/libs/dispatch/src/leader_lease.cpp
+++ b/libs/dispatch/src/leader_lease.cpp
@@ -173,4 +173,9 @@
 
 bool leader_lease::mayAct(timestamp now) const { return holds(now) && now >= m_actsFrom; }
 
+duration leader_lease::actingTimeLeft(timestamp now) const
+{
+    return mayAct(now) ? m_heldUntil - now : duration::zero();
+}
+
 } // namespace trefoil
--- a/libs/dispatch/tests/leader_lease_test.cpp
+++ b/libs/dispatch/tests/leader_lease_test.cpp
@@ -40,9 +40,9 @@
 };
 
 /// Makes the next store call of one candidate. With @p isStoreDown the store can't be reached; with
-/// @p isAnswerLost the answer to a write is lost.
+/// @p isAnswerLost the answer to a write is lost. @p knowsOrders as in leader_lease::onWritten().
 void stepCandidate(timestamp now, candidate &each, int rank, bool isLeaderAlive, fake_store &store,
-                   bool isStoreDown, bool isAnswerLost)
+                   bool isStoreDown, bool isAnswerLost, bool knowsOrders = false)
 {
     const store_call next = each.lease.next(now, rank, isLeaderAlive, true);
     if (next == store_call::Read && !isStoreDown)
@@ -53,7 +53,7 @@
     const std::uint64_t expected = each.lease.revision();
     const std::optional<std::uint64_t> written =
         isStoreDown ? std::nullopt : store.write(record, expected);
-    each.lease.onWritten(now, isAnswerLost ? std::nullopt : written, false);
+    each.lease.onWritten(now, isAnswerLost ? std::nullopt : written, knowsOrders);
 }
 
 } // namespace
@@ -151,6 +151,47 @@
     }
 }
 
+// Guards against an order that reaches a server after an order of a later lease: orders may take
+// 900 ms to arrive, and a successor that knows the previous leader's orders, or an instance that
+// takes over its own expired lease, acts at once.
+TEST(LeaderLease, OrdersOfALeaseEndBeforeThoseOfTheNext)
+{
+    constexpr duration slowestOrder = std::chrono::milliseconds(900);
+    int takeovers = 0;
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        fake_store store;
+        std::array<candidate, 3> all {candidate("a"), candidate("b"), candidate("c")};
+        bool isStoreDown = false;
+        std::uint64_t lastEpoch = 0;
+        timestamp ordersEnd {};
+        for (timestamp now {}; now < timestamp {} + std::chrono::seconds(60); now += stepTime) {
+            isStoreDown = random() % 1000 < (isStoreDown ? 50 : 15) ? !isStoreDown : isStoreDown;
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                candidate &each = all[i];
+                if (random() % 100 == 0)
+                    each.isDown = !each.isDown;
+                if (each.isDown)
+                    continue;
+                stepCandidate(now, each, static_cast<int>(i), false, store, isStoreDown,
+                              random() % 10 == 0, true);
+                const duration left = each.lease.actingTimeLeft(now);
+                EXPECT_EQ(left > duration::zero(), each.lease.mayAct(now));
+                if (left <= duration::zero())
+                    continue;
+                EXPECT_GE(each.lease.epoch(), lastEpoch) << "seed " << seed;
+                if (each.lease.epoch() > lastEpoch) {
+                    EXPECT_GE(now, ordersEnd) << "seed " << seed;
+                    takeovers += lastEpoch > 0 ? 1 : 0;
+                }
+                lastEpoch = each.lease.epoch();
+                ordersEnd = std::max(ordersEnd, now + std::min(slowestOrder, left));
+            }
+        }
+    }
+    EXPECT_GT(takeovers, 200);
+}
+
 TEST(LeaderLease, LeaderWhoseRecordIsGoneWaitsAndTakesAHigherEpoch)
 {
     fake_store store;
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -1,5 +1,6 @@
 #include "edge/leader_runner.h"
 
+#include <algorithm>
 #include <thread>
 
 #include <adapter/documents.h>
@@ -316,14 +317,18 @@
 void leader_runner::deliverOrder(const weights_order &order)
 {
     order_answer answer = order_answer::Unknown;
-    bool mayAct = false;
+    duration timeLeft {};
     {
         // The lease may have expired while the order was queued or the process was suspended.
         const std::lock_guard<std::mutex> lock(m_mutex);
-        mayAct = m_lease.mayAct(boot_clock::now()) && m_lease.epoch() == order.epoch;
+        if (m_lease.epoch() == order.epoch)
+            timeLeft = m_lease.actingTimeLeft(boot_clock::now());
     }
+    // An order that is still under way when the lease ends would reach the server after one of the
+    // next lease, which has a higher fencing token.
+    const bool mayAct = timeLeft > duration::zero();
     if (mayAct)
-        answer = sendOrder(order, m_state.settings().name, orderTimeout);
+        answer = sendOrder(order, m_state.settings().name, std::min(orderTimeout, timeLeft));
     const timestamp now = boot_clock::now();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
