Discovery: connections that wait for a thread count as overload

Cause: callers are sent to all instances, and not to the large ones only, while the mean scheduling delay of the large ones is above 40 ms.

Change: the delay that an instance reports is the time for which connections have been waiting for a thread, if that is longer. No new field in reports.

Result: ConnectionReserve.WaitingTimeGrowsUntilNoConnectionWaits.

--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -96,7 +96,7 @@
                       std::uint64_t sequence, bool isLeaving, std::uint64_t leaderEpoch,
                       duration period = {});
     /// Records the scheduling delay of @p name, which may be this instance: the time that its
-    /// threads wait for a processor.
+    /// threads wait for a processor, or its callers' connections for a thread.
     void recordSchedulingDelay(std::string_view name, duration delay);
 
     /// Returns whether the other instance @p name is alive and not leaving.
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -82,7 +82,8 @@
     bool isLeaving = false;
     /// Time until the next report in milliseconds.
     double periodMs = 0;
-    /// Scheduling delay in milliseconds: time that the instance's threads wait for a processor.
+    /// Scheduling delay in milliseconds: time that the instance's threads wait for a processor, or
+    /// its callers' connections for a thread.
     double delayMs = 0;
     /// Newest store revision that the instance has seen, by kind of object.
     std::map<std::string, std::uint64_t, std::less<>> revisions;
--- a/libs/http/include/http/connection_reserve.h
+++ b/libs/http/include/http/connection_reserve.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <optional>
 
 #include <core/clock.h>
 
@@ -27,6 +28,9 @@
 
     /// Records how many connections are served and how many wait to be.
     void update(int open, int waiting);
+    /// Records how many connections wait to be served at @p now, and returns for how long at least
+    /// one has been waiting. Precondition: called by one thread, with times that do not decrease.
+    duration recordWaiting(timestamp now, int waiting);
     /// Returns whether a connection that has been idle for @p idleTime may be kept. One that may
     /// not has to be closed by the caller, and is counted as such.
     bool mayKeep(duration idleTime);
@@ -35,6 +39,8 @@
     connection_reserve_options m_options;
     /// Number of idle connections to close.
     std::atomic<int> m_surplus = 0;
+    /// Since when connections have been waiting, unless none waits.
+    std::optional<timestamp> m_waitingSince;
 };
 
 } // namespace trefoil
--- a/libs/http/src/connection_reserve.cpp
+++ b/libs/http/src/connection_reserve.cpp
@@ -10,6 +10,15 @@
     m_surplus = std::max(0, open + waiting - usable);
 }
 
+duration connection_reserve::recordWaiting(timestamp now, int waiting)
+{
+    if (waiting <= 0)
+        m_waitingSince.reset();
+    else if (!m_waitingSince)
+        m_waitingSince = now;
+    return m_waitingSince ? now - *m_waitingSince : duration::zero();
+}
+
 bool connection_reserve::mayKeep(duration idleTime)
 {
     if (idleTime < m_options.minIdleTime)
--- a/libs/http/tests/connection_reserve_test.cpp
+++ b/libs/http/tests/connection_reserve_test.cpp
@@ -53,4 +53,17 @@
     EXPECT_EQ(mostWaiting, 0);
 }
 
+// All threads of a large instance were taken while its processor was idle: 12,393 connections were
+// reset, because only the scheduling delay sent callers to other instances.
+TEST(ConnectionReserve, WaitingTimeGrowsUntilNoConnectionWaits)
+{
+    connection_reserve reserve({.maxConnections = 100});
+    timestamp now {};
+    EXPECT_EQ(reserve.recordWaiting(now, 0), 0ms);
+    for (int i = 0; i < 4; ++i, now += 50ms)
+        EXPECT_EQ(reserve.recordWaiting(now, 1 + i), i * 50ms);
+    EXPECT_EQ(reserve.recordWaiting(now, 0), 0ms);
+    EXPECT_EQ(reserve.recordWaiting(now + 50ms, 3), 0ms);
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -265,7 +265,9 @@
                                         threads, listenOn(address, backlog), params);
             server.start();
             while (!stop.stop_requested()) {
-                reserve.update(server.currentConnections(), server.queuedConnections());
+                const int waiting = server.queuedConnections();
+                reserve.update(server.currentConnections(), waiting);
+                state.recordConnectionWait(reserve.recordWaiting(boot_clock::now(), waiting));
                 std::this_thread::sleep_for(reserveUpdateInterval);
             }
             server.stop();
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -256,9 +256,11 @@
 void edge_instance::recordSchedulingDelay(duration delay)
 {
     m_meanSchedulingDelay += (delay - m_meanSchedulingDelay) / delayAverageSpan;
+    // Connections that wait for a thread are delayed too, even while the processor is idle.
+    const duration longest = std::max(m_meanSchedulingDelay, m_state.connectionWait());
     m_state.with([&](routing_state &routing) {
-        routing.schedulingDelay = m_meanSchedulingDelay;
-        routing.members.recordSchedulingDelay(m_settings.name, m_meanSchedulingDelay);
+        routing.schedulingDelay = longest;
+        routing.members.recordSchedulingDelay(m_settings.name, longest);
     });
 }
 
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -52,7 +52,8 @@
     /// Servers that load weights on another leader's orders, by id, with the time when that leader
     /// last reported the load.
     std::map<std::string, timestamp, std::less<>> loadsByOtherLeaders;
-    /// Mean time for which this instance's threads wait for the processor.
+    /// Mean time for which this instance's threads wait for the processor, or the time for which
+    /// callers' connections have been waiting for a thread if that is longer.
     duration schedulingDelay {};
     /// When the platform's store last answered this instance.
     timestamp storeAnsweredAt;
@@ -128,6 +129,10 @@
     void recordRequest() { m_lastRequestAt = boot_clock::now(); }
     /// Returns when the last caller's request was read.
     timestamp lastRequestAt() const { return m_lastRequestAt; }
+    /// Records for how long callers' connections have been waiting for a thread, without a pause.
+    void recordConnectionWait(duration wait) { m_connectionWait = wait; }
+    /// Returns the time that was last passed to recordConnectionWait().
+    duration connectionWait() const { return m_connectionWait; }
     /// Number of requests in progress.
     std::atomic<int> &openRequests() { return m_openRequests; }
     /// Returns the bound of what all readers of bytes from outside hold together.
@@ -149,6 +154,7 @@
     duration m_serveTimeAfterStop;
     std::atomic<timestamp> m_leavingSince {timestamp {}};
     std::atomic<timestamp> m_lastRequestAt {timestamp {}};
+    std::atomic<duration> m_connectionWait {duration::zero()};
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_isClosing = false;
     std::atomic<bool> m_isStoreReachable = false;
