Admission control under overload (contract pressure), wired into the edge

Cause: each request was placed or refused on its own expected wait, up to 0.8 of the time left, so that queues of seconds built up at the engines and urgent requests waited behind less urgent ones.

Change: libs/admission decides for each service whether a request is sent, waits at the instance or is refused. Without the contract nothing changes.

Not solved yet: instances that fill the same engine at the same time overcommit its memory in the simulation.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -15,6 +15,7 @@
 #include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_statements.h>
+#include <dispatch/service_load.h>
 #include <dispatch/serving_tables.h>
 
 namespace trefoil {
@@ -74,6 +75,11 @@
     double expectedMs = 0;
     /// Part of expectedMs that is spent on copying cached parts.
     double copyMs = 0;
+    /// Part of expectedMs that is spent behind other requests.
+    double queueMs = 0;
+    /// Whether the request fits into the server's memory or short queue. Always true without
+    /// load_balancer_options::avoidsFullServers.
+    bool fits = true;
     /// Expected time to the first event in milliseconds if no part of the prompt is cached.
     double uncachedMs = 0;
 };
@@ -135,6 +141,13 @@
     duration staleWeightsLimit = std::chrono::milliseconds(10500);
     /// Fraction of an engine's memory that requests may take before further ones queue.
     double memoryShare = 0.9;
+    /// Whether a request is placed on a full server only if all are full. A model engine is full if
+    /// the memory of running requests, each with its whole prompt, leaves no room for the request;
+    /// another server if its slots and its short queue are taken.
+    bool avoidsFullServers = false;
+    /// Requests for each slot of a server without a model, running and in its short queue, from
+    /// which it is full: half of what servers accept, since reports of load arrive late.
+    int maxRequestsPerSlot = 3;
     /// Cost of a suspect server.
     double suspectCostMs = 400;
     /// Load reported by other instances expires after this time.
@@ -260,6 +273,9 @@
     std::vector<std::string> releasesOf(std::string_view service) const;
     /// Returns the load that all instances together put on @p server.
     server_load totalLoad(timestamp now, std::string_view server);
+    /// Returns the load that all instances together put on the servers of @p service that may take
+    /// requests. It may be up to 20 ms old.
+    const service_load &serviceLoad(timestamp now, std::string_view service);
     /// Returns whether @p server is suspect: it failed or stopped responding recently.
     bool isSuspect(timestamp now, std::string_view server) const;
 
@@ -393,6 +409,7 @@
     static void forgetParts(server_state &server, const ticket_state &ticket);
     double prefillTokensPerMs(std::string_view service) const;
     prefill_rate &prefillRateOf(std::string_view service);
+    service_load sumLoad(timestamp now, std::string_view service) const;
     void measurePrefill(const server_state &server, const ticket_state &ticket, double measuredMs);
     void touchParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
     double poolFailureShare(std::string_view service) const;
@@ -423,6 +440,8 @@
     std::vector<std::string> m_limitedServers;
     /// See limitedFor().
     std::optional<duration> m_limitedFor;
+    /// Results of serviceLoad(), by service.
+    std::map<std::string, service_load, std::less<>> m_serviceLoads;
 };
 
 /// Returns the salt under which engines share KV cache of @p model at version @p weights among the
--- a/libs/dispatch/include/dispatch/peer_load_table.h
+++ b/libs/dispatch/include/dispatch/peer_load_table.h
@@ -54,6 +54,11 @@
     /// slot of a server that was added.
     const server_load &loadOn(slot server) const { return m_servers[server].total; }
 
+    /// Returns the number of instances whose reports count.
+    std::size_t peerCount() const { return m_peers.size(); }
+    /// Returns the number of instances that report load on any server.
+    std::size_t busyPeerCount() const;
+
 private:
     struct server_total
     {
--- a/libs/dispatch/src/peer_load_table.cpp
+++ b/libs/dispatch/src/peer_load_table.cpp
@@ -67,6 +67,14 @@
     removeExpired(now);
 }
 
+std::size_t peer_load_table::busyPeerCount() const
+{
+    std::size_t count = 0;
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
+        count += it->second.entries.empty() ? 0 : 1;
+    return count;
+}
+
 void peer_load_table::removeExpired(timestamp now)
 {
     while (!m_reports.empty() && now - m_reports.front().first > m_lifetime) {
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -19,6 +19,8 @@
 constexpr double copySetupMs = 4;
 /// Cost in milliseconds of exceeding an engine's memory or slots by its full capacity.
 constexpr double overloadCostMs = 1500;
+/// Cost in milliseconds of a server into which a request doesn't fit: above all other costs.
+constexpr double fullServerCostMs = 1e6;
 /// Converts megabits per second to bits per millisecond.
 constexpr double bitsPerMsPerMbps = 1000;
 constexpr double bitsPerByte = 8;
@@ -137,9 +139,10 @@
         sharedTokens += isPrivate ? 0 : part.tokens;
         promptTokens += part.tokens;
         isHeld = isHeld && !isPrivate && isLikelyCached(state.parts, key, now);
+        if (!isHeld || m_options.avoidsFullServers)
+            placed.memoryTokens += part.tokens;
         if (isHeld)
             continue;
-        placed.memoryTokens += part.tokens;
         if (isPrivate) {
             placed.missingTokens += part.tokens;
             continue;
@@ -182,11 +185,14 @@
     const double tokensPerMs = prefillTokensPerMs(request.service);
     const double queueMs = m_options.baseFirstEventMs + load.pendingTokens / tokensPerMs;
     placed.copyMs = copyTimeMs;
+    placed.queueMs = load.pendingTokens / tokensPerMs * state.slowness;
     placed.expectedMs =
         (queueMs + placed.missingTokens / tokensPerMs) * state.slowness + copyTimeMs;
     placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness;
     const double usableTokens = engine.memoryTokens * m_options.memoryShare;
     const double excessTokens = load.memoryTokens + placed.memoryTokens - usableTokens;
+    // A request that is larger than the usable memory fits on an idle engine only.
+    placed.fits = !m_options.avoidsFullServers || excessTokens <= 0 || load.running <= 0;
     if (excessTokens > 0 && engine.memoryTokens > 0)
         placed.expectedMs += overloadCostMs * excessTokens / engine.memoryTokens;
     if (load.running >= engine.slots)
@@ -305,7 +311,10 @@
     }
     const double callMs = state.callTime.estimateMs(now, poolCallMs(state.info.service));
     const int running = totalLoad(now, state).running;
-    placed.expectedMs = callMs * (1 + static_cast<double>(running) / std::max(1, state.info.slots));
+    const int slots = std::max(1, state.info.slots);
+    placed.expectedMs = callMs * (1 + static_cast<double>(running) / slots);
+    placed.queueMs = callMs * std::max(0, running + 1 - slots) / slots;
+    placed.fits = !m_options.avoidsFullServers || running < slots * m_options.maxRequestsPerSlot;
     return placed;
 }
 
@@ -322,6 +331,8 @@
         cost += isEngine ? m_options.crossZoneCostMs : m_options.crossZoneCallCostMs;
     if (now < state.suspectUntil)
         cost += m_options.suspectCostMs;
+    if (!placed.fits)
+        cost += fullServerCostMs;
     return cost;
 }
 
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include <adapter/platform_settings.h>
+#include <admission/admission_control.h>
+#include <admission/usual_deadlines.h>
 #include <core/clock.h>
 #include <delivery/windowed_retry_budget.h>
 #include <dispatch/configuration_contact.h>
@@ -61,6 +63,11 @@
     /// Request outcomes per release under rollout, counted here and reported to the other
     /// instances.
     std::map<std::string, release_outcomes, std::less<>> localOutcomes;
+    /// Admission of requests under contract `pressure`, by service.
+    std::map<std::string, admission_control, std::less<>> admissions;
+    usual_deadlines usualDeadlines;
+    /// Requests that wait at this instance for a server.
+    int waitingRequests = 0;
 };
 
 /// State of one instance that all of its threads share. All methods are thread-safe.
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -101,16 +101,12 @@
     const std::string_view lastEvent = m_progress.lastEventId().empty()
         ? std::string_view(m_fields.lastEventId)
         : m_progress.lastEventId();
-    constexpr int priorityStep = 3;
-    constexpr int lastPriority = 9;
-    const int teamPriority = m_admitted.team == nullptr ? 0 : m_admitted.team->priority;
     const std::string head = encodeServerRequest(
         m_request.head, m_request.body.size(),
         {.server = placed.server,
          .team = m_admitted.team == nullptr ? std::string_view {} : m_admitted.team->name,
          .timeLeft = m_deadline - boot_clock::now(),
-         .priority =
-             std::clamp(teamPriority * priorityStep + m_admitted.route->priority, 0, lastPriority),
+         .priority = rank(),
          .weights = placed.weights,
          .cacheSalt = placed.cacheSalt,
          .cacheSource = placed.cacheSource,
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -42,7 +42,7 @@
                                byte_stream &caller, const caller_request &request,
                                bool closesConnection)
     : m_state(state), m_connections(connections), m_request(request),
-      m_response(caller, request.head, closesConnection)
+      m_response(caller, request.head, closesConnection), m_admission(state)
 { }
 
 bool request_runner::run()
@@ -198,14 +198,42 @@
         }
         std::optional<server_placement> placed = routing.balancer.choose(now, requestProfile());
         m_limitedFor = routing.balancer.limitedFor();
-        if (placed && wouldMissDeadline(now, *placed))
+        const bool isRefused = placed
+            && (m_admission.isInForce() ? !m_admission.decide(now, routing, admissionSubject(),
+                                                              m_deadline - now, *placed)
+                                        : wouldMissDeadline(now, *placed));
+        if (isRefused)
             routing.balancer.cancel(*placed);
         return placed;
     });
 }
 
+int request_runner::rank() const
+{
+    constexpr int priorityStep = 3;
+    constexpr int lastPriority = 9;
+    const int teamPriority = m_admitted.team == nullptr ? 0 : m_admitted.team->priority;
+    return std::clamp(teamPriority * priorityStep + m_admitted.route->priority, 0, lastPriority);
+}
+
+request_admission::subject request_runner::admissionSubject() const
+{
+    const std::vector<prompt_part> &prompt = m_fields.prompt;
+    return {.requestId = m_fields.requestId,
+            .service = m_admitted.service,
+            .route = m_admitted.route->name,
+            .team = m_admitted.team == nullptr ? std::string_view {} : m_admitted.team->name,
+            .sharedPart = prompt.size() > 1 ? std::string_view(prompt[prompt.size() - 2].id)
+                                            : std::string_view {},
+            .rank = rank(),
+            .target = m_admitted.route->targetLatency,
+            .statedTime = m_deadline - m_request.receivedAt};
+}
+
 bool request_runner::wouldMissDeadline(timestamp now, const server_placement &placed) const
 {
+    if (m_admission.isInForce())
+        return m_admission.refusal() != nullptr;
     const double leftMs = toSeconds(m_deadline - now) * 1000;
     return placed.expectedMs > leftMs * maxWaitFraction;
 }
@@ -221,6 +249,14 @@
             return giveUp(blocked);
         attempt current;
         const std::optional<server_placement> placed = choosePlacement(now);
+        if (placed && m_admission.isInForce())
+            m_admission.log(admissionSubject());
+        if (placed && m_admission.isWaiting()) {
+            if (m_admission.wait(m_response.connection()))
+                continue;
+            endAbandoned();
+            return std::nullopt;
+        }
         if (!placed || wouldMissDeadline(now, *placed)) {
             logUnplaced(now, placed);
             return giveUp(unplacedRefusal(placed));
@@ -260,6 +296,9 @@
     if (!best && m_limitedFor)
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
                         "the backend servers take no requests now", withJitter(*m_limitedFor)};
+    if (best && m_admission.refusal() != nullptr)
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "overloaded",
+                        m_admission.refusal()->time};
     // Capacity frees up once the expected wait has shrunk to the route's target latency.
     duration wait = minRetryAfter * 2;
     if (best)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -18,6 +18,7 @@
 
 #include "edge/caller_response.h"
 #include "edge/edge_state.h"
+#include "edge/request_admission.h"
 #include "edge/server_connection_pool.h"
 
 namespace trefoil {
@@ -120,6 +121,9 @@
     std::optional<server_placement> choosePlacement(timestamp now);
     /// Returns the terms of an attempt that starts at @p now.
     attempt_terms termsInForce(timestamp now) const;
+    request_admission::subject admissionSubject() const;
+    /// Returns the urgency that servers and the admission are told; 0 is the most urgent.
+    int rank() const;
     bool wouldMissDeadline(timestamp now, const server_placement &placed) const;
     bool mayRetryElsewhere(attempt_end end, const attempt &last);
 
@@ -174,6 +178,7 @@
     std::optional<byte_budget::share> m_held;
     caller_response m_response;
 
+    request_admission m_admission;
     admitted_terms m_admitted;
     /// Terms of the current attempt.
     attempt_terms m_terms;
