Placement weights the pace that servers state about their machines

Cause: other work makes a server's machine up to 2.5 times slower, many times a second. What an instance measures itself (slowness, call_time) follows only after about ten requests, and the fourth value of X-Server-Load, which states the pace, was not read.

Change: server_pace averages the stated values over a second, bounds each to 0.5 to 4 and returns to 1 as they age. The factor is relative to the pace during the measurements, so a slowdown that has been measured is not counted again. It scales queueing and prefill of engines and the call time of plain servers. Without a fourth value the factor is exactly 1. An invalid value is ignored, the others count. The line "placed" has pace_factor if it differs from 1.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -14,6 +14,7 @@
 #include <dispatch/call_time.h>
 #include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
+#include <dispatch/server_pace.h>
 #include <dispatch/server_statements.h>
 #include <dispatch/serving_tables.h>
 
@@ -76,6 +77,10 @@
     double copyMs = 0;
     /// Expected time to the first event in milliseconds if no part of the prompt is cached.
     double uncachedMs = 0;
+    /// Factor from the pace that the server stated, included in expectedMs and uncachedMs.
+    double paceFactor = 1;
+    /// Part of an engine's expectedMs that paceFactor adds.
+    double paceMs = 0;
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -209,6 +214,8 @@
     void end(timestamp now, std::uint64_t ticket, attempt_outcome outcome);
     /// Takes the numbers of running and waiting requests that @p server reports in a response.
     void onLoadReported(timestamp now, std::string_view server, int running, int waiting);
+    /// Takes the pace that @p server states, see server_pace.
+    void onPaceReported(timestamp now, std::string_view server, int pace);
 
     /// Returns the servers to probe with a connection now: those that stopped responding, lost
     /// requests, refused a connection or were named by requestProbe(). Servers that can't be
@@ -294,6 +301,11 @@
         double slowness = 1;
         /// Duration of a call to a service without a model.
         call_time callTime;
+        server_pace pace;
+        /// Average of the pace during the measurements of slowness.
+        double slownessPace = 1;
+        /// Average of the pace, as a factor, during the measurements of callTime.
+        call_time callPace;
         /// Last use by part; see cachedPartKey().
         std::unordered_map<std::uint64_t, timestamp> parts;
     };
@@ -339,6 +351,7 @@
         /// Tokens of other requests that the server had to compute before.
         double tokensAhead = 0;
         double memoryTokens = 0;
+        /// Expected time to the first event, without the pace.
         double expectedMs = 0;
         double copyMs = 0;
         /// Shared parts that the server and a store hold from the first event on.
@@ -397,6 +410,7 @@
     void touchParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
     double poolFailureShare(std::string_view service) const;
     double poolCallMs(std::string_view service) const;
+    double poolCallPace(std::string_view service) const;
     void recordCall(timestamp now, server_state &server, double milliseconds);
 
     load_balancer_options m_options;
@@ -406,6 +420,8 @@
     std::map<std::string, engine_traits, std::less<>> m_engines;
     /// Average duration in milliseconds of the calls to all servers of a service without a model.
     std::map<std::string, double, std::less<>> m_poolCallMs;
+    /// Average of the pace during these calls, as a factor.
+    std::map<std::string, double, std::less<>> m_poolCallPace;
     /// Prefill rates of the engines, by service.
     std::map<std::string, prefill_rate, std::less<>> m_prefillRates;
     /// Measurements for the next report.
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -303,7 +303,7 @@
     ticket_state ticket {.server = placed.server,
                          .pendingTokens = placed.missingTokens,
                          .memoryTokens = placed.memoryTokens,
-                         .expectedMs = placed.expectedMs,
+                         .expectedMs = placed.expectedMs - placed.paceMs,
                          .copyMs = placed.copyMs,
                          .startedAt = now,
                          .isModel = !placed.cacheSalt.empty()};
@@ -440,6 +440,8 @@
         double &slowness = server->slowness;
         slowness =
             std::clamp(slowness * (1 - latencyWeight) + slowness * ratio * latencyWeight, 0.5, 8.0);
+        double &pace = server->slownessPace;
+        pace = pace * (1 - latencyWeight) + server->pace.pace() * latencyWeight;
     }
 }
 
@@ -528,11 +530,21 @@
     return found == m_poolCallMs.end() ? m_options.defaultCallMs : found->second;
 }
 
+double load_balancer::poolCallPace(std::string_view service) const
+{
+    const auto found = m_poolCallPace.find(service);
+    return found == m_poolCallPace.end() ? 1 : found->second;
+}
+
 void load_balancer::recordCall(timestamp now, server_state &server, double milliseconds)
 {
     double &pool = m_poolCallMs.try_emplace(server.info.service, milliseconds).first->second;
     pool = pool * (1 - poolLatencyWeight) + milliseconds * poolLatencyWeight;
     server.callTime.record(now, milliseconds, pool);
+    const double pace = server.pace.pace();
+    double &poolPace = m_poolCallPace.try_emplace(server.info.service, pace).first->second;
+    poolPace = poolPace * (1 - poolLatencyWeight) + pace * poolLatencyWeight;
+    server.callPace.record(now, pace, poolPace);
 }
 
 void load_balancer::end(timestamp now, std::uint64_t ticket, attempt_outcome outcome)
@@ -595,6 +607,12 @@
     state->unattributedAt = now;
 }
 
+void load_balancer::onPaceReported(timestamp now, std::string_view server, int pace)
+{
+    if (server_state *state = findServer(server))
+        state->pace.record(now, pace);
+}
+
 server_loads load_balancer::ownLoad() const
 {
     server_loads load;
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -182,9 +182,11 @@
     const double tokensPerMs = prefillTokensPerMs(request.service);
     const double queueMs = m_options.baseFirstEventMs + load.pendingTokens / tokensPerMs;
     placed.copyMs = copyTimeMs;
-    placed.expectedMs =
-        (queueMs + placed.missingTokens / tokensPerMs) * state.slowness + copyTimeMs;
-    placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness;
+    placed.paceFactor = state.pace.factor(now, state.slownessPace);
+    const double measuredMs = (queueMs + placed.missingTokens / tokensPerMs) * state.slowness;
+    placed.paceMs = measuredMs * (placed.paceFactor - 1);
+    placed.expectedMs = measuredMs * placed.paceFactor + copyTimeMs;
+    placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness * placed.paceFactor;
     const double usableTokens = engine.memoryTokens * m_options.memoryShare;
     const double excessTokens = load.memoryTokens + placed.memoryTokens - usableTokens;
     if (excessTokens > 0 && engine.memoryTokens > 0)
@@ -305,7 +307,10 @@
     }
     const double callMs = state.callTime.estimateMs(now, poolCallMs(state.info.service));
     const int running = totalLoad(now, state).running;
-    placed.expectedMs = callMs * (1 + static_cast<double>(running) / std::max(1, state.info.slots));
+    placed.paceFactor =
+        state.pace.factor(now, state.callPace.estimateMs(now, poolCallPace(state.info.service)));
+    placed.expectedMs = callMs * placed.paceFactor
+        * (1 + static_cast<double>(running) / std::max(1, state.info.slots));
     return placed;
 }
 
--- a/libs/dispatch/tests/load_balancer_test.cpp
+++ b/libs/dispatch/tests/load_balancer_test.cpp
@@ -413,6 +413,59 @@
     EXPECT_TRUE(balancer.choose(now, request));
 }
 
+// Guards against placement that learns only from about ten slow requests that a machine has become
+// slower, although the server states it.
+TEST(LoadBalancer, ServersThatStateASlowPaceGetFewerRequests)
+{
+    for (const char *service : {"llm", "plain"}) {
+        const bool isModel = std::string_view(service) == "llm";
+        load_balancer balancer = makeBalancer(makeServers(service, 3, isModel));
+        timestamp now {};
+        const std::string slow = std::string(service) + "1";
+        for (int i = 0; i < 20; ++i) {
+            now += 100ms;
+            balancer.onPaceReported(now, slow, 250);
+        }
+        const std::vector<prompt_part> own {{"own", 9000}};
+        const request_profile request {.service = service,
+                                       .model = isModel ? "m" : "",
+                                       .prompt = isModel ? std::span(own)
+                                                         : std::span<const prompt_part> {}};
+        int onSlow = 0;
+        for (int i = 0; i < 30; ++i) {
+            const server_placement placed = *balancer.choose(now, request);
+            balancer.begin(now, placed, request);
+            onSlow += placed.server == slow ? 1 : 0;
+        }
+        EXPECT_LT(onSlow, 8) << service;
+        EXPECT_GT(onSlow, 0) << service;
+    }
+}
+
+// A server whose requests take as long as it states must not be taken for slower than that, and one
+// whose statement is wrong must be judged by its measured times.
+TEST(LoadBalancer, StatedPaceIsNotCountedOnTopOfTheMeasuredSlowness)
+{
+    for (const double real : {2.5, 1.0}) {
+        load_balancer balancer = makeBalancer(makeServers("llm", 1, true));
+        timestamp now {};
+        const std::vector<prompt_part> own {{"own", 9000}};
+        const request_profile request {.service = "llm", .model = "m", .prompt = own};
+        const double usualMs = 40 + 9000 / 90.0;
+        for (int i = 0; i < 60; ++i) {
+            const std::uint64_t ticket =
+                balancer.begin(now, *balancer.choose(now, request), request);
+            now += fromSeconds(usualMs * real / 1000);
+            balancer.onPaceReported(now, "llm0", 250);
+            balancer.onFirstEvent(now, ticket);
+            balancer.end(now, ticket, attempt_outcome::Done);
+        }
+        EXPECT_NEAR(balancer.choose(now, request)->expectedMs, usualMs * real, usualMs * 0.1);
+        now += 5s;
+        EXPECT_NEAR(balancer.choose(now, request)->expectedMs, usualMs * real, usualMs * 0.1);
+    }
+}
+
 TEST(LoadBalancer, EngineWithFullMemoryIsAvoided)
 {
     load_balancer balancer = makeBalancer(makeServers("llm", 2, true));
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -70,6 +70,9 @@
         if (current.fields.running)
             routing.balancer.onLoadReported(boot_clock::now(), current.placed.server,
                                             *current.fields.running, current.fields.waiting);
+        if (current.fields.pace && !current.fields.isMisdirected)
+            routing.balancer.onPaceReported(boot_clock::now(), current.placed.server,
+                                            *current.fields.pace);
     });
     recordStatement(current);
     if (current.fields.wasNotRun)
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -9,6 +9,19 @@
 
 namespace trefoil {
 
+namespace {
+
+/// Begins the line of a placement with the terms of its cost that are not usual.
+event_line placedLine(const server_placement &placed)
+{
+    event_line line("proxy", "placed");
+    if (placed.paceFactor != 1)
+        line.add("pace_factor", placed.paceFactor);
+    return line;
+}
+
+} // namespace
+
 void request_runner::logUnplaced(timestamp now, const std::optional<server_placement> &best) const
 {
     writeEvent(event_line("proxy", "rejected")
@@ -26,7 +39,7 @@
     const server_placement &placed = current.placed;
     const std::vector<prompt_part> &prompt = m_fields.prompt;
     const bool hasSharedPart = prompt.size() > 1;
-    writeEvent(event_line("proxy", "placed")
+    writeEvent(placedLine(placed)
                    .add("request", m_fields.requestId)
                    .add("route", m_admitted.route->name)
                    .add("server", placed.server)
