--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -185,10 +185,12 @@
     const double tokensPerMs = prefillTokensPerMs(request.service);
     const double queueMs = m_options.baseFirstEventMs + load.pendingTokens / tokensPerMs;
     placed.copyMs = copyTimeMs;
-    placed.queueMs = load.pendingTokens / tokensPerMs * state.slowness;
-    placed.expectedMs =
-        (queueMs + placed.missingTokens / tokensPerMs) * state.slowness + copyTimeMs;
-    placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness;
+    placed.paceFactor = state.pace.factor(now, state.slownessPace);
+    const double measuredMs = (queueMs + placed.missingTokens / tokensPerMs) * state.slowness;
+    placed.paceMs = measuredMs * (placed.paceFactor - 1);
+    placed.queueMs = load.pendingTokens / tokensPerMs * state.slowness * placed.paceFactor;
+    placed.expectedMs = measuredMs * placed.paceFactor + copyTimeMs;
+    placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness * placed.paceFactor;
     const double usableTokens = engine.memoryTokens * m_options.memoryShare;
     const double excessTokens = load.memoryTokens + placed.memoryTokens - usableTokens;
     // A request that is larger than the usable memory fits on an idle engine only.
@@ -312,8 +314,11 @@
     const double callMs = state.callTime.estimateMs(now, poolCallMs(state.info.service));
     const int running = totalLoad(now, state).running;
     const int slots = std::max(1, state.info.slots);
-    placed.expectedMs = callMs * (1 + static_cast<double>(running) / slots);
-    placed.queueMs = callMs * std::max(0, running + 1 - slots) / slots;
+    placed.paceFactor =
+        state.pace.factor(now, state.callPace.estimateMs(now, poolCallPace(state.info.service)));
+    const double pacedCallMs = callMs * placed.paceFactor;
+    placed.expectedMs = pacedCallMs * (1 + static_cast<double>(running) / slots);
+    placed.queueMs = pacedCallMs * std::max(0, running + 1 - slots) / slots;
     placed.fits = !m_options.avoidsFullServers || running < slots * m_options.maxRequestsPerSlot;
     return placed;
 }
