Evacuation: nothing is sent to a zone while its object is in the store

Cause: the operator had no way to take an availability zone out of service; leaving servers one by one doesn't end copies and has to be undone one by one.

Change: with the contract "places" the kind evacuations/ is watched and copied between instances. load_balancer::mayTake, home servers, copy sources and KV cache stores leave out evacuated zones, also when no server is reachable. A request checks again before it is sent and is placed anew. An instance isn't ready before it has read the kind once. An evacuation that a restored store lacks stays in force. Contracts that this version doesn't know are logged at the start.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -16,6 +16,7 @@
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_statements.h>
 #include <dispatch/serving_tables.h>
+#include <dispatch/zone_evacuations.h>
 
 namespace trefoil {
 
@@ -62,6 +63,8 @@
     std::optional<endpoint> cacheSource;
     /// KV cache store that the engine writes the shared parts to.
     std::optional<endpoint> cacheSink;
+    /// Availability zones of cacheSource and cacheSink.
+    std::vector<std::string> copyZones;
     /// Time in milliseconds that the request's copies occupy the link of transferStore.
     double storeTransferMs = 0;
     /// Address of the KV cache store that the request copies from or to, or empty.
@@ -186,6 +189,14 @@
     /// A changed epoch means that the store has restarted empty.
     void setStoreEpoch(std::string_view address, std::uint64_t epoch);
 
+    /// Replaces the set of zones whose servers and KV cache stores must not be used.
+    zone_evacuations::changes setEvacuatedZones(timestamp now, std::span<const std::string> zones);
+    /// Returns the evacuated zones.
+    zone_evacuations &evacuations() { return m_evacuations; }
+    /// Returns whether @p placed must not be sent, because its server or one end of its copies is
+    /// in a zone that is evacuated now.
+    bool usesEvacuatedZone(const server_placement &placed) const;
+
     /// Returns what servers have stated about themselves.
     server_statements &statements() { return m_statements; }
 
@@ -419,6 +430,7 @@
     std::uint64_t m_nextTicket = 1;
     std::vector<cache_placement> m_placed;
     server_statements m_statements;
+    zone_evacuations m_evacuations;
     /// Servers that the choice in progress must not use because of their limits.
     std::vector<std::string> m_limitedServers;
     /// See limitedFor().
--- a/libs/dispatch/include/dispatch/request_terms.h
+++ b/libs/dispatch/include/dispatch/request_terms.h
@@ -30,7 +30,9 @@
     /// With which teams the request shares KV cache.
     CacheGroup,
     /// KV cache stores that the servers copy parts from and to.
-    CacheStores
+    CacheStores,
+    /// Availability zones that must not be used.
+    EvacuatedZones
 };
 
 /// When a request reads a setting.
@@ -52,7 +54,8 @@
 
 /// Returns the rules of all settings, in the order of request_setting. This is the only place that
 /// decides between the two readings: admitted_terms holds what is read at admission, attempt_terms
-/// what each attempt reads, apart from the KV cache stores, which load_balancer knows. Thread-safe.
+/// what each attempt reads, apart from the KV cache stores and the evacuated zones, which
+/// load_balancer knows. Thread-safe.
 std::span<const request_setting_rule> requestSettingRules();
 
 /// What a request keeps of the configuration that it was admitted with.
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -95,6 +95,19 @@
     m_statements.setServers(servers);
 }
 
+zone_evacuations::changes load_balancer::setEvacuatedZones(timestamp now,
+                                                           std::span<const std::string> zones)
+{
+    return m_evacuations.setZones(now, zones);
+}
+
+bool load_balancer::usesEvacuatedZone(const server_placement &placed) const
+{
+    return m_evacuations.isEvacuated(placed.zone)
+        || std::any_of(placed.copyZones.begin(), placed.copyZones.end(),
+                       [this](const std::string &zone) { return m_evacuations.isEvacuated(zone); });
+}
+
 void load_balancer::setTables(const serving_tables &tables)
 {
     m_engines.clear();
--- a/libs/dispatch/src/request_terms.cpp
+++ b/libs/dispatch/src/request_terms.cpp
@@ -8,7 +8,7 @@
 {
     using enum request_setting;
     using enum setting_reading;
-    static constexpr std::array<request_setting_rule, 9> rules {
+    static constexpr std::array<request_setting_rule, 10> rules {
         {{Route, AtAdmission, "route", "the repeat rule must not change once the request may run"},
          {Team, AtAdmission, "team", "a request in progress is not cut by the removal of its key"},
          {TeamLimit, AtAdmission, "team limit", "a request is charged once, however often it runs"},
@@ -17,7 +17,8 @@
          {Priority, AtAdmission, "priority", "only the order among requests depends on it"},
          {ServiceTraits, AtEachAttempt, "service traits", "must match the servers that are listed"},
          {CacheGroup, AtEachAttempt, "cache group", "an isolated team shares nothing from then on"},
-         {CacheStores, AtEachAttempt, "cache stores", "a removed store must not be used"}}};
+         {CacheStores, AtEachAttempt, "cache stores", "a removed store must not be used"},
+         {EvacuatedZones, AtEachAttempt, "evacuated zones", "nothing more may be sent there"}}};
     return rules;
 }
 
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -29,7 +29,8 @@
                             const request_profile &request) const
 {
     const registered_server &info = state.info;
-    if (info.service != request.service || info.isLeaving || state.isGone)
+    if (info.service != request.service || info.isLeaving || state.isGone
+        || m_evacuations.isEvacuated(info.zone))
         return false;
     const std::span<const std::string> excluded = request.excludedReleases;
     if (std::find(excluded.begin(), excluded.end(), info.release) != excluded.end())
@@ -68,8 +69,8 @@
     std::vector<part_holder> &holders = m_holders[part];
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const server_state &state = it->second;
-        const bool isUsable =
-            !state.isGone && now >= state.loadingUntil && now >= state.suspectUntil;
+        const bool isUsable = !state.isGone && now >= state.loadingUntil
+            && now >= state.suspectUntil && !m_evacuations.isEvacuated(state.info.zone);
         const auto held = state.parts.find(part);
         if (isUsable && held != state.parts.end() && now - held->second < cachedPartLifetime)
             holders.push_back({.state = &state, .lastUse = held->second});
@@ -168,12 +169,16 @@
         if (copySource.engine == nullptr)
             copySource.store = affinity.store;
     }
-    if (copySource.store != nullptr)
+    if (copySource.store != nullptr) {
         placed.cacheSource = copySource.store->info.address;
-    else if (copySource.engine != nullptr)
+        placed.copyZones.push_back(copySource.store->info.zone);
+    } else if (copySource.engine != nullptr) {
         placed.cacheSource = copySource.engine->info.address;
+        placed.copyZones.push_back(copySource.engine->info.zone);
+    }
     if (affinity.store != nullptr && !isStored) {
         placed.cacheSink = affinity.store->info.address;
+        placed.copyZones.push_back(affinity.store->info.zone);
         placed.storeTransferMs += copyMs({.store = affinity.store}, state, sharedTokens, engine);
     }
     if (placed.storeTransferMs > 0)
@@ -198,6 +203,8 @@
     const store_state *best = nullptr;
     std::uint64_t bestScore = 0;
     for (const store_state &store : m_stores) {
+        if (m_evacuations.isEvacuated(store.info.zone))
+            continue;
         const std::uint64_t score = hash64(store.name, prefixHash);
         if (best == nullptr || score > bestScore) {
             best = &store;
@@ -229,14 +236,16 @@
 {
     // With a single store, each zone has its own home server. With several stores, the home server
     // is in the zone of the store: copies of all parts in all zones would not fit.
-    const bool hasStorePerZone = m_stores.size() > 1;
+    const bool hasStorePerZone = m_stores.size() > 1 && store != nullptr;
     const std::string &zone = hasStorePerZone ? store->info.zone : m_options.zone;
+    // The servers of all other zones share the prompts of an evacuated one.
+    const bool isAnyZone = m_evacuations.isEvacuated(zone);
     std::string best;
     std::uint64_t bestScore = 0;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const registered_server &info = it->second.info;
-        if (info.service != request.service || info.isLeaving || info.zone != zone
-            || m_statements.isLeaving(info.id))
+        if (info.service != request.service || info.isLeaving || m_statements.isLeaving(info.id)
+            || (isAnyZone ? m_evacuations.isEvacuated(info.zone) : info.zone != zone))
             continue;
         const std::uint64_t score = hash64(info.id, prefixHash);
         if (best.empty() || score > bestScore) {
@@ -266,7 +275,8 @@
 {
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const registered_server &info = it->second.info;
-        const bool isUsable = info.service == service && !info.isLeaving && !it->second.isGone;
+        const bool isUsable = info.service == service && !info.isLeaving && !it->second.isGone
+            && !m_evacuations.isEvacuated(info.zone);
         const std::optional<duration> left =
             isUsable ? m_statements.pauseLeft(now, info.id) : std::nullopt;
         if (left)
--- a/libs/dispatch/tests/request_terms_test.cpp
+++ b/libs/dispatch/tests/request_terms_test.cpp
@@ -33,7 +33,7 @@
     const std::span<const request_setting_rule> rules = requestSettingRules();
     for (std::size_t i = 0; i < rules.size(); ++i)
         EXPECT_EQ(static_cast<std::size_t>(rules[i].setting), i);
-    EXPECT_EQ(rules.size(), static_cast<std::size_t>(request_setting::CacheStores) + 1);
+    EXPECT_EQ(rules.size(), static_cast<std::size_t>(request_setting::EvacuatedZones) + 1);
 }
 
 TEST(RequestTerms, AttemptUsesTheCacheGroupInForce)
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -98,6 +98,8 @@
                    .add("callers", toString(m_settings.callers))
                    .add("store", toString(m_settings.store))
                    .add("incarnation", m_state.incarnation()));
+    for (const std::string &contract : unknownContracts(m_settings))
+        writeEvent(event_line("instance", "contract_unknown").add("contract", contract));
     const child_body supervisor =
         supervise({.name = "instance",
                    .children = children(),
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -62,6 +62,7 @@
 edge_state::edge_state(const platform_settings &settings)
     : m_settings(settings), m_incarnation(wallMilliseconds()), m_routing(settings),
       m_serveTimeAfterStop(fromSeconds(toSeconds(settings.stopGrace) * serveShareOfGrace)),
+      m_areEvacuationsKnown(!settings.hasContract(contract_names::places)),
       m_readBudget({.totalBytes = settings.memoryBytes / readShareOfMemory})
 { }
 
@@ -87,6 +88,9 @@
     return now - m_publishedAt;
 }
 
-bool edge_state::isReady() const { return !m_isLeaving && tables() != nullptr; }
+bool edge_state::isReady() const
+{
+    return !m_isLeaving && tables() != nullptr && areEvacuationsKnown();
+}
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -121,7 +121,13 @@
     bool isStoreReachable() const { return m_isStoreReachable; }
     /// Records whether the store answers.
     void setStoreReachable(bool reachable) { m_isStoreReachable = reachable; }
-    /// Returns whether the instance has a configuration and is not shutting down.
+    /// Returns whether it is known which zones are evacuated. Until then an instance that has just
+    /// started could send requests to one.
+    bool areEvacuationsKnown() const { return m_areEvacuationsKnown; }
+    /// Records that the evacuated zones are known.
+    void setEvacuationsKnown() { m_areEvacuationsKnown = true; }
+    /// Returns whether the instance knows the configuration and the evacuated zones and is not
+    /// shutting down.
     bool isReady() const;
 
     /// Records that a caller's request was read.
@@ -152,6 +158,7 @@
     std::atomic<bool> m_isLeaving = false;
     std::atomic<bool> m_isClosing = false;
     std::atomic<bool> m_isStoreReachable = false;
+    std::atomic<bool> m_areEvacuationsKnown;
     std::atomic<int> m_openRequests = 0;
     byte_budget m_readBudget;
     metric_registry m_metrics;
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -119,7 +119,7 @@
     const response_limits limits = responseLimits(placed);
     // Nothing that may wait comes between this and the request. The connection may have taken long
     // to open, or the process may have been paused, since the server was chosen.
-    if (termsInForce(boot_clock::now()) != m_terms) {
+    if (termsInForce(boot_clock::now()) != m_terms || usesEvacuatedZone(current)) {
         if (current.isReused)
             m_connections.release(placed.server, std::move(*current.stream), defaultIdleTimeout);
         current.stream.reset();
@@ -146,6 +146,21 @@
     return attempt_end::Delivered;
 }
 
+bool request_runner::usesEvacuatedZone(const attempt &current)
+{
+    const bool isEvacuated = m_state.with([&current](const routing_state &routing) {
+        return routing.balancer.usesEvacuatedZone(current.placed);
+    });
+    if (isEvacuated) {
+        m_state.metrics().counterOf("trefoil_evacuated_placements_total").add();
+        writeEvent(event_line("places", "placement_evacuated")
+                       .add("request", m_fields.requestId)
+                       .add("server", current.placed.server)
+                       .add("zone", current.placed.zone));
+    }
+    return isEvacuated;
+}
+
 void request_runner::countRun(attempt &current)
 {
     m_runs += current.isCounted ? 0 : 1;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -65,7 +65,7 @@
 std::optional<request_runner::refusal> request_runner::admit()
 {
     const timestamp now = boot_clock::now();
-    if (!m_admitted.tables)
+    if (!m_admitted.tables || !m_state.areEvacuationsKnown())
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet",
                         withJitter(minRetryAfter * 2)};
     if (m_state.isTooLateToServe())
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -125,6 +125,8 @@
 
     attempt_end runAttempt(attempt &current);
     attempt_end send(attempt &current);
+    /// Returns whether the attempt must not be sent since a zone that it uses has been evacuated.
+    bool usesEvacuatedZone(const attempt &current);
     attempt_end readHead(attempt &current);
     attempt_end handleRejection(attempt &current);
     /// Reads until @p body is whole.
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -1,6 +1,7 @@
 #include "edge/store_watch.h"
 
 #include <algorithm>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -34,6 +35,9 @@
 constexpr duration serverReregistrationTime = std::chrono::milliseconds(1900);
 /// Time for all instances to notice that a restored store lacks their entries, and to write them.
 constexpr duration instanceRestoreTime = std::chrono::seconds(3);
+/// An evacuation that a restored store lacks stays in force until the operator writes and removes
+/// it again.
+constexpr duration evacuationRestoreTime = std::chrono::hours(24 * 365);
 /// Time that a copy may be behind before it is fetched from another instance; normally the store's
 /// watch delivers changes sooner.
 constexpr duration maxTimeBehind = std::chrono::milliseconds(350);
@@ -80,6 +84,13 @@
         {store_kinds::instances,
          kindOf(std::max(urgent, maxInstancesSilence), reducedFreshReaders, {},
                 instanceRestoreTime)}};
+    if (state.settings().hasContract(contract_names::places)) {
+        const duration evacuation =
+            fromSeconds(toSeconds(state.settings().evacuateTime) * silenceShare);
+        m_kinds.emplace(
+            store_kinds::evacuations,
+            kindOf(std::min(urgent, evacuation), maxFreshReaders, {}, evacuationRestoreTime));
+    }
     for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it)
         it->second.answeredAt = start;
 }
@@ -259,7 +270,10 @@
                     > std::max<std::uint64_t>(adopted, watched->second.mirror.outdatedCount());
             if (knowsMore)
                 adopted = count->second;
-            if (knowsMore || it->second > watched->second.mirror.newestChange()) {
+            // A peer that knows of no evacuation has no newest change to tell.
+            const bool isUnread =
+                it->first == store_kinds::evacuations && watched->second.mirror.upToVersion() == 0;
+            if (knowsMore || isUnread || it->second > watched->second.mirror.newestChange()) {
                 if (!watched->second.behindSince)
                     watched->second.behindSince = now;
                 watched->second.newerPeer = peer;
@@ -415,6 +429,7 @@
         {store_kinds::weights, &store_watch::applyWeights},
         {store_kinds::rollouts, &store_watch::applyRollouts},
         {store_kinds::instances, &store_watch::applyInstances},
+        {store_kinds::evacuations, &store_watch::applyEvacuations},
     };
     const std::lock_guard<std::mutex> applyLock(m_applyMutex);
     std::map<std::string, object, std::less<>> objects;
@@ -514,6 +529,7 @@
         return;
     m_appliedServers = std::move(servers);
     m_state.with([this](routing_state &routing) { routing.balancer.setServers(m_appliedServers); });
+    logUnknownZones();
 }
 
 void store_watch::applyWeights(const std::map<std::string, object, std::less<>> &objects)
@@ -561,6 +577,44 @@
     }
 }
 
+void store_watch::applyEvacuations(const std::map<std::string, object, std::less<>> &objects)
+{
+    const timestamp now = boot_clock::now();
+    std::vector<std::string> zones;
+    for (auto it = objects.begin(); it != objects.end(); ++it)
+        zones.push_back(nameWithoutKind(it->first));
+    const zone_evacuations::changes changed = m_state.with(
+        [&](routing_state &routing) { return routing.balancer.setEvacuatedZones(now, zones); });
+    m_state.setEvacuationsKnown();
+    m_state.metrics().gaugeOf("trefoil_zones_evacuated").set(static_cast<double>(zones.size()));
+    for (const std::string &zone : changed.started) {
+        const auto found = objects.find(store_kinds::evacuations + zone);
+        writeEvent(event_line("places", "evacuation_started")
+                       .add("zone", zone)
+                       .add("revision", store_version::revision(found->second.version)));
+    }
+    for (const std::string &zone : changed.ended)
+        writeEvent(event_line("places", "evacuation_ended").add("zone", zone));
+    logUnknownZones();
+}
+
+void store_watch::logUnknownZones()
+{
+    std::set<std::string, std::less<>> known {m_state.settings().zone};
+    for (const registered_server &server : m_appliedServers)
+        known.insert(server.zone);
+    // Without a list of servers no other zone is known yet.
+    if (m_appliedServers.empty())
+        return;
+    const std::vector<std::string> unknown = m_state.with([&](routing_state &routing) {
+        for (const member_entry &member : routing.members.others())
+            known.insert(member.zone);
+        return routing.balancer.evacuations().takeUnknown(known);
+    });
+    for (const std::string &zone : unknown)
+        writeEvent(event_line("places", "evacuation_of_unknown_zone").add("zone", zone));
+}
+
 void store_watch::applyInstances(const std::map<std::string, object, std::less<>> &objects)
 {
     const timestamp now = boot_clock::now();
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -101,6 +101,9 @@
                                                      const std::string &value);
     void applyWeights(const std::map<std::string, object, std::less<>> &objects);
     void applyRollouts(const std::map<std::string, object, std::less<>> &objects);
+    void applyEvacuations(const std::map<std::string, object, std::less<>> &objects);
+    /// Logs evacuated zones that no server or instance is in.
+    void logUnknownZones();
     void applyInstances(const std::map<std::string, object, std::less<>> &objects);
 
     edge_state &m_state;
