Members: reports are forwarded by the large instances of a zone

Reports arrived seconds late.

Change: the forwarder is a live instance with at least half of the largest capacity among the live ones of its zone; these take turns. Without a live large one, or without known capacities, any live one serves in turn as before.

Not measured in a fleet.

--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -57,7 +57,8 @@
     duration leaderTimeout = std::chrono::milliseconds(650);
     /// Callers are sent to all zones if their own zone has fewer live instances than this.
     std::size_t minInZone = 2;
-    /// Callers are sent to instances with at least this share of the largest instance's capacity.
+    /// Callers and the reports that an instance forwards in its zone are sent to instances with at
+    /// least this share of the largest instance's capacity.
     double minCapacityShare = 0.5;
     /// Mean scheduling delay above which the large instances count as overloaded and callers are
     /// sent to all instances: a tenth of the usual target latency of a first event.
@@ -78,7 +79,9 @@
 /// Handles fleets in which a few instances are far larger than the others: callers are sent to the
 /// large ones. A small instance with a link of 10 Mbit/s adds tens of milliseconds to a long
 /// prompt, and the fewer instances place requests, the more accurate is each one's view of the
-/// load. When the large instances are overloaded, callers are sent to all.
+/// load. When the large instances are overloaded, callers are sent to all. Reports are forwarded by
+/// the large ones for the same reason: a small one fans each out to 30 others over a link that is
+/// full of prompts, and reports arrived seconds late.
 class member_table
 {
 public:
@@ -110,8 +113,9 @@
     bool isLarge() const { return otherCount() > m_options.maxDirectPeers; }
     /// Returns the listed instances other than this one.
     std::vector<member_entry> others() const;
-    /// Returns the destinations of the report with @p sequence. The receiver in another zone
-    /// changes with each report, so that the loss of an instance or link affects few reports.
+    /// Returns the destinations of the report with @p sequence. The receiver in another zone is a
+    /// live instance of large capacity and changes with each report, so that the loss of an
+    /// instance or link doesn't affect all reports.
     std::vector<report_target> reportTargets(timestamp now, std::uint64_t sequence) const;
     /// Returns the destinations of a report of @p from that this instance forwards: the other
     /// instances of its zone.
@@ -148,6 +152,11 @@
         duration period {};
     };
 
+    /// Returns those of @p inZone, the instances of another zone, that may forward a report there:
+    /// the live ones with at least minCapacityShare of the largest capacity of these. All live ones
+    /// if no capacity is known.
+    std::vector<const member_state *>
+    forwardersOf(timestamp now, const std::vector<const member_state *> &inZone) const;
     std::vector<const member_state *> preferLarge(timestamp now,
                                                   std::vector<const member_state *> usable);
 
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -81,12 +81,11 @@
             targets.push_back({.to = entry.peers});
     }
     for (auto it = otherZones.begin(); it != otherZones.end(); ++it) {
-        std::vector<const member_state *> live;
-        std::copy_if(it->second.begin(), it->second.end(), std::back_inserter(live),
-                     [&](const member_state *each) { return isAlive(now, each->entry.name); });
+        const std::vector<const member_state *> forwarders = forwardersOf(now, it->second);
         // A zone without live instances still gets reports; otherwise it could never be
         // rediscovered.
-        const std::vector<const member_state *> &candidates = live.empty() ? it->second : live;
+        const std::vector<const member_state *> &candidates =
+            forwarders.empty() ? it->second : forwarders;
         // Each sender starts at a different receiver, so that concurrent reports are spread.
         const member_state &chosen = *candidates[(ownIndex + sequence) % candidates.size()];
         targets.push_back({.to = chosen.entry.peers, .isForwarded = it->second.size() > 1});
@@ -94,6 +93,23 @@
     return targets;
 }
 
+std::vector<const member_table::member_state *>
+member_table::forwardersOf(timestamp now, const std::vector<const member_state *> &inZone) const
+{
+    std::vector<const member_state *> usable;
+    double largest = 0;
+    for (const member_state *each : inZone) {
+        if (!isAlive(now, each->entry.name))
+            continue;
+        usable.push_back(each);
+        largest = std::max(largest, each->entry.capacity);
+    }
+    std::erase_if(usable, [&](const member_state *each) {
+        return each->entry.capacity < largest * m_options.minCapacityShare;
+    });
+    return usable;
+}
+
 std::vector<endpoint> member_table::forwardTargets(std::string_view from) const
 {
     std::vector<endpoint> targets;
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -1,5 +1,6 @@
 #include <dispatch/member_table.h>
 
+#include <array>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -188,6 +189,76 @@
     EXPECT_NE(members.reportTargets(now, 1)[1], members.reportTargets(now, 2)[1]);
 }
 
+namespace {
+
+/// Returns a fleet of a in z1 and of b to e in z2, with the capacities @p inZone of the latter.
+std::vector<member_entry> makeZoneWithCapacities(std::array<double, 4> inZone)
+{
+    std::vector<member_entry> entries {makeEntry("a", "z1", 1), makeEntry("b", "z2", 2),
+                                       makeEntry("c", "z2", 3), makeEntry("d", "z2", 4),
+                                       makeEntry("e", "z2", 5)};
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        entries[i].peers = entries[i].callers;
+        entries[i].capacity = i == 0 ? 0.5 : inZone[i - 1];
+    }
+    return entries;
+}
+
+/// Returns the ports of the receivers of @p count reports after each other.
+std::multiset<std::uint16_t> forwarders(const member_table &members, timestamp now,
+                                        std::uint64_t count)
+{
+    std::multiset<std::uint16_t> ports;
+    for (std::uint64_t sequence = 1; sequence <= count; ++sequence) {
+        for (const report_target &target : members.reportTargets(now, sequence))
+            ports.insert(target.isForwarded ? target.to.port : 0);
+    }
+    return ports;
+}
+
+} // namespace
+
+// Guards against late reports: a small instance forwarded each report to 30 others over a link of
+// 10 Mbit/s that was full of prompts, and the reports arrived seconds late.
+TEST(MemberTable, ReportsAreForwardedByTheLargeInstancesOfAZoneInTurn)
+{
+    member_table members({.self = "a", .zone = "z1", .maxDirectPeers = 2});
+    const double smallCapacity = capacityOf(0.12, 10);
+    const double largeCapacity = capacityOf(0.5, 200);
+    // Half of the largest capacity is large, too.
+    members.setListed(
+        {},
+        makeZoneWithCapacities({smallCapacity, largeCapacity, largeCapacity / 2, smallCapacity}));
+    EXPECT_EQ(forwarders(members, {}, 4), (std::multiset<std::uint16_t> {3, 3, 4, 4}));
+}
+
+TEST(MemberTable, ReportsAreForwardedByAnyLiveInstanceWithoutALargeOne)
+{
+    member_table members({.self = "a", .zone = "z1", .maxDirectPeers = 2});
+    const double smallCapacity = capacityOf(0.12, 10);
+    timestamp now {};
+    members.setListed(now,
+                      makeZoneWithCapacities({smallCapacity, 0.5, smallCapacity, smallCapacity}));
+    EXPECT_EQ(forwarders(members, now, 2), (std::multiset<std::uint16_t> {3, 3}));
+    // The large one falls silent.
+    now += std::chrono::seconds(2);
+    for (const char *name : {"b", "d", "e"})
+        members.recordReport(now, name, 1, 1, false, 0);
+    EXPECT_EQ(forwarders(members, now, 3), (std::multiset<std::uint16_t> {2, 4, 5}));
+    // A large one that is leaving doesn't serve either.
+    members.recordReport(now, "c", 1, 1, true, 0);
+    EXPECT_EQ(forwarders(members, now, 3), (std::multiset<std::uint16_t> {2, 4, 5}));
+    members.recordReport(now, "c", 1, 2, false, 0);
+    EXPECT_EQ(forwarders(members, now, 2), (std::multiset<std::uint16_t> {3, 3}));
+}
+
+TEST(MemberTable, ReportsAreForwardedByAllLiveInstancesInTurnIfCapacitiesAreUnknown)
+{
+    member_table members({.self = "a", .zone = "z1", .maxDirectPeers = 2});
+    members.setListed({}, makeZoneWithCapacities({0, 0, 0, 0}));
+    EXPECT_EQ(forwarders(members, {}, 4), (std::multiset<std::uint16_t> {2, 3, 4, 5}));
+}
+
 TEST(MemberTable, ReportInASmallFleetIsSentDirectlyToAllInstances)
 {
     member_table members({.self = "a", .zone = "z1"});
