Team limits: tests for callers that move below the limit

Cause: a trial of a bound on what other instances can't have heard of refused 1 to 3% of a team at 60% of its rate when its callers moved from 6 instances to 81 and back. No test covered this.

Change: two tests, with punctual reports and with reports up to 600 ms late, for a team of usual and of tenfold size. The bound is the requirement: nothing is refused.

--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -531,4 +531,50 @@
     }
 }
 
+namespace {
+
+/// A team at 60% of its rate, whose callers move from six instances to all 81 at 4 s and back at
+/// 12 s.
+fleet_options fleetWithMovingCallers(double scale, unsigned seed)
+{
+    return {.instances = 81,
+            .load = [](double) { return 0.6 * rate * toSeconds(window) / limitInWindow; },
+            .active = [](double now) { return now >= 4 && now < 12 ? 81 : 6; },
+            .scale = scale,
+            .seed = seed};
+}
+
+} // namespace
+
+// Guards against refusals of an instance that has no part in a team's demand yet, or whose demand
+// the others haven't heard of: a bound on what others can't have heard of, in a trial, refused 1 to
+// 3% of a team that was below its limit.
+TEST(TeamLimitsFleet, DemandBelowTheLimitIsNotRefusedWhenCallersMove)
+{
+    for (const unsigned seed : seeds) {
+        for (const double scale : {1.0, 10.0}) {
+            simulated_fleet fleet(fleetWithMovingCallers(scale, seed));
+            fleet.runUntil(24);
+            EXPECT_EQ(fleet.offeredBetween(0, 24) - fleet.admittedBetween(0, 24), 0)
+                << seed << " " << scale;
+        }
+    }
+}
+
+// The same with reports that arrive up to 600 ms late. The bound is the requirement: a team below
+// its limit is not refused.
+TEST(TeamLimitsFleet, DemandBelowTheLimitIsNotRefusedWhenCallersMoveBesideLateReports)
+{
+    for (const unsigned seed : seeds) {
+        for (const double scale : {1.0, 10.0}) {
+            fleet_options options = fleetWithMovingCallers(scale, seed);
+            options.maxTransit = 0.6;
+            simulated_fleet fleet(options);
+            fleet.runUntil(24);
+            EXPECT_EQ(fleet.offeredBetween(0, 24) - fleet.admittedBetween(0, 24), 0)
+                << seed << " " << scale;
+        }
+    }
+}
+
 } // namespace trefoil
