Team limits: what others can't have heard of is bounded while reports are late

Cause: while reports take a second, each instance admits from the remainder that it knew before a jump in demand, and none hears what the others take. The expected admissions of the others follow the certain growth of the demand on this instance, which lags behind.

Change: while reports of more than a tenth of the others' demand are late and the team is certain to exceed what is refilled, the units admitted in the time that reports take are bounded by this instance's share of what was available before, of what was refilled since and of the tolerance. The share is that of the demand that the others know (unheard_admissions). Whether the team exceeds its refill is estimated from all instances heard without delay, so that callers that move aren't taken for growth (demand_growth). Refunds can be booked at the time of their admission. Strict limits are unchanged.

RefundOfAnOldAdmission fails if refunds are booked at the present.

--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -13,6 +13,7 @@
 #include <core/clock.h>
 #include <dispatch/report_lateness.h>
 #include <dispatch/report_timeout.h>
+#include <dispatch/unheard_admissions.h>
 
 namespace trefoil {
 
@@ -103,11 +104,12 @@
 /// instance keeps a replica of each team's token bucket and takes from it what it admits, what the
 /// others are expected to admit, and the difference to that once they report. What an instance
 /// itself admits is bounded by its share of the rate and of the level, so that instances that learn
-/// late of each other's admissions exceed a limit by little more than its tolerance. Not
-/// thread-safe.
+/// late of each other's admissions exceed a limit by little more than its tolerance. While reports
+/// are late, what it admitted in the time that they take is bounded by its share of what was
+/// available then, was refilled since and is tolerated. Not thread-safe.
 ///
-/// Handles a team that sends several times its usual load, in fleets of any size, beside lost
-/// reports, cut links and restarts: admission stops at the limit, before the requests take a
+/// Handles a team that sends several times its usual load, in fleets of any size, beside lost and
+/// late reports, cut links and restarts: admission stops at the limit, before the requests take a
 /// backend server's memory.
 class team_limits
 {
@@ -132,8 +134,9 @@
     /// Tries to admit @p units of @p team. Returns nothing if they were admitted, otherwise the
     /// time after which to retry. A team without a limit is always admitted.
     std::optional<duration> admit(timestamp now, std::string_view team, double units);
-    /// Refunds the units of a request that never ran.
-    void refund(std::string_view team, double units);
+    /// Refunds the units of a request that never ran and was admitted at @p admittedAt. Without
+    /// that time, they are taken for admitted just now.
+    void refund(std::string_view team, double units, std::optional<timestamp> admittedAt = {});
 
     /// Sets the names of all other listed instances, whether or not they have reported. One that is
     /// no longer listed but reports still counts. Before the first call, this instance keeps to a
@@ -154,19 +157,25 @@
         double share = 1;
         /// Units that this instance may admit at once.
         double allowance = 0;
+        /// Units that this instance admitted and that others can't have heard of, and the bound on
+        /// them. Nothing while reports are punctual or the team is known to be below its limit.
+        std::optional<double> unheard;
+        std::optional<double> unheardBound;
         /// Other instances that reported recently.
         int heardPeers = 0;
         /// Other known instances.
         int knownPeers = 0;
     };
     /// Returns the state of @p team's limit.
-    limit_state limitState(timestamp now, std::string_view team) const;
+    limit_state limitState(timestamp now, std::string_view team);
 
     /// What this instance decided and learned about a team since the last account. All in units.
     struct limit_account
     {
         double admitted = 0;
         double refused = 0;
+        /// Part of refused: due to the bound on what others can't have heard of.
+        double refusedUnheard = 0;
         double refunded = 0;
         /// Taken from the bucket for what other instances reported or are expected to report.
         double chargedForPeers = 0;
@@ -179,6 +188,18 @@
     /// refused since the last call, and resets all accounts.
     std::map<std::string, limit_account, std::less<>> takeAccounts(timestamp now);
 
+    /// Units of all teams.
+    struct limit_units
+    {
+        double admitted = 0;
+        double refused = 0;
+        /// Part of refused: due to the bound on what others can't have heard of.
+        double refusedUnheard = 0;
+        double refunded = 0;
+    };
+    /// Returns the units of all accounts that takeAccounts() has reset since the last call.
+    limit_units takeUnits() { return std::exchange(m_units, {}); }
+
     /// Returns what this instance has admitted since it started.
     const admitted_totals &totals() const { return m_totals; }
     /// Returns the demand on this instance by team, in units per second, for a report that is sent
@@ -197,6 +218,9 @@
         /// Total up to which the bucket was charged.
         double total = 0;
         double demandRate = 0;
+        /// Demand known a second or two ago, and when it was replaced.
+        double previousDemandRate = 0;
+        timestamp previousAt;
         /// Units taken from the bucket in advance for the time since the last report.
         double expected = 0;
     };
@@ -215,6 +239,7 @@
         double demand = 0;
         /// Values of demand some seconds back, the oldest first.
         std::deque<std::pair<timestamp, double>> demandHistory;
+        unheard_admissions unheard;
         /// Demand in units per second as last reported.
         double reportedDemand = 0;
         /// Average units of a request.
@@ -251,6 +276,8 @@
         /// Time since the oldest report was written that the demand of another instance is known
         /// from.
         duration age {};
+        /// Whether the reports of an instance with demand are late.
+        bool isLate = false;
         /// Factor by which the demand on this instance has certainly grown in that time. The others
         /// are expected to see the same.
         double growth = 1;
@@ -281,8 +308,22 @@
     team_demand demandOf(timestamp now, const bucket &teamBucket) const;
     /// Returns the factor by which the demand on this instance has certainly grown in @p age.
     double growthOf(timestamp now, const bucket &teamBucket, duration age) const;
+    /// What an instance admitted that others can't have heard of.
+    struct unheard_units
+    {
+        double units = 0;
+        /// What it may be at most, so that all instances together keep to the limit.
+        double bound = 0;
+    };
+    /// Returns what this instance admitted in the time that reports take at present, and the bound
+    /// on it. Nothing while reports are punctual or the team isn't certain to exceed its limit, and
+    /// for strict limits, which instances don't exceed their share of.
+    std::optional<unheard_units> unheardUnits(timestamp now, const team_demand &demand,
+                                              bucket &teamBucket) const;
+    /// Returns by how much the report after the last one of @p peer, or that one, is late.
+    static duration latenessOf(timestamp now, const peer_state &peer);
     /// Adds the present demand to the history that growthOf() looks at.
-    void keepDemand(timestamp now, bucket &teamBucket) const;
+    void keepDemand(timestamp now, const team_demand &demand, bucket &teamBucket) const;
     /// Returns what an instance with @p demandRate is expected to admit in a second.
     double expectedRate(const team_demand &demand, const bucket &teamBucket, double demandRate,
                         double rate) const;
@@ -311,6 +352,7 @@
     std::size_t m_indexCount = 0;
     std::vector<std::size_t> m_freeIndexes;
     admitted_totals m_totals;
+    limit_units m_units;
     timestamp m_startedAt;
     bool m_hasAdoptedLevels = false;
     bool m_arePeersKnown = false;
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include <dispatch/demand_growth.h>
+
 namespace trefoil {
 
 namespace {
@@ -40,13 +42,15 @@
 /// Least time between charges for what other instances are expected to admit, which look at all of
 /// them. A large fleet reports several times in it.
 constexpr duration minChargeInterval = std::chrono::milliseconds(20);
-/// Interval and time for which an instance remembers the demand on itself, and the greatest growth
-/// that it expects of the others.
+/// Interval and time for which an instance remembers the demand on itself.
 constexpr duration demandInterval = std::chrono::milliseconds(100);
 constexpr duration maxDemandAge = std::chrono::seconds(3);
-constexpr double maxGrowth = 8;
-/// Standard deviations of a demand by which it may differ from its average by chance.
-constexpr double certainDeviations = 3;
+/// Fraction of the others' demand that may be known late. What instances with so little of it admit
+/// unheard is covered by the tolerance, which is a tenth of the limit too. Instances that just
+/// became idle report later than they announced, and have little demand.
+constexpr double maxLateDemand = 0.1;
+/// Least time after which a demand that another instance reported is compared with a newer one.
+constexpr duration previousDemandTime = std::chrono::seconds(1);
 /// Reports that are less late are taken for punctual.
 constexpr duration minLateness = std::chrono::milliseconds(100);
 /// Least demand that is reported, as a fraction of a request of average size.
@@ -85,7 +89,12 @@
     const std::int64_t slot = now.time_since_epoch() / m_slotTime;
     if (m_units.empty() || m_units.back().first < slot)
         m_units.emplace_back(slot, 0);
-    m_units.back().second += units;
+    const auto found =
+        std::lower_bound(m_units.begin(), m_units.end(), slot,
+                         [](const auto &each, std::int64_t wanted) { return each.first < wanted; });
+    if (found->first != slot)
+        return;
+    found->second += units;
     m_sum += units;
 }
 
@@ -184,9 +193,11 @@
             it->second.isHeard ? teamBucket.peers[it->second.index].demandRate : demand.own;
         demand.all += rate;
         demand.requesters += rate > 0 ? 1 : 0;
-        if (rate > 0 && it->second.isHeard)
-            demand.age = std::max<duration>(demand.age,
-                                            now - it->second.seenAt + it->second.lateness.last());
+        if (rate <= 0 || !it->second.isHeard)
+            continue;
+        demand.age =
+            std::max<duration>(demand.age, now - it->second.seenAt + it->second.lateness.last());
+        demand.isLate = demand.isLate || latenessOf(now, it->second) >= minLateness;
     }
     demand.age = std::min(demand.age, maxDemandAge);
     demand.growth = growthOf(now, teamBucket, demand.age);
@@ -206,16 +217,58 @@
     const std::pair<timestamp, double> &known = *std::prev(after);
     const double decay =
         std::exp(-toSeconds(now - age - known.first) / toSeconds(m_options.demandTime));
-    const double before = known.second * decay;
-    const double current = teamBucket.demand;
-    const double least = current - certainDeviations * std::sqrt(current * teamBucket.size);
-    const double most =
-        before + certainDeviations * std::sqrt(std::max(before, teamBucket.size) * teamBucket.size);
-    return std::clamp(least / most, 1.0, maxGrowth);
+    return certainGrowth(known.second * decay, teamBucket.demand, teamBucket.size);
 }
 
-void team_limits::keepDemand(timestamp now, bucket &teamBucket) const
+duration team_limits::latenessOf(timestamp now, const peer_state &peer)
 {
+    return std::max<duration>(peer.lateness.last(), now - peer.seenAt - peer.period);
+}
+
+std::optional<team_limits::unheard_units>
+team_limits::unheardUnits(timestamp now, const team_demand &demand, bucket &teamBucket) const
+{
+    if (!demand.isLate || m_options.isStrict)
+        return std::nullopt;
+    const double time = toSeconds(m_options.demandTime);
+    const duration age = std::min<duration>(demand.age, unheard_admissions::maxTime);
+    const team_knowledge then = teamBucket.unheard.knownAt(now - age);
+    const double demandThen = then.ownDemand + then.othersDemand;
+    demand_estimate estimate(demandThen * time / then.requesters, teamBucket.size);
+    estimate.addKnown(then.ownDemand * time, demand.current * time);
+    double others = 0;
+    double late = 0;
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
+        const peer_state &peer = it->second;
+        const peer_usage &usage = teamBucket.peers[peer.index];
+        if (!peer.isHeard || hasEnded(now, peer))
+            continue;
+        others += usage.demandRate;
+        late += latenessOf(now, peer) >= minLateness ? usage.demandRate : 0;
+        if (now - peer.seenAt + peer.lateness.last() > age / 2)
+            estimate.addLate(usage.demandRate * time);
+        else
+            estimate.addKnown(usage.previousDemandRate * time, usage.demandRate * time);
+    }
+    const double refill = refillRate(now, teamBucket);
+    if (late < maxLateDemand * others || estimate.certain() <= refill * time)
+        return std::nullopt;
+    // The others know the demand on this instance as it was then.
+    team_demand known = demand;
+    known.all = demandThen;
+    const double usable =
+        teamBucket.tolerance + std::max(0.0, then.available) + refill * toSeconds(age);
+    return unheard_units {.units = teamBucket.unheard.since(now - age),
+                          .bound = shareOf(known, teamBucket, then.ownDemand) * usable};
+}
+
+void team_limits::keepDemand(timestamp now, const team_demand &demand, bucket &teamBucket) const
+{
+    teamBucket.unheard.keep(now,
+                            {.ownDemand = demand.current,
+                             .othersDemand = (demand.all - demand.own) / demand.growth,
+                             .requesters = demand.requesters,
+                             .available = available(now, teamBucket)});
     std::deque<std::pair<timestamp, double>> &history = teamBucket.demandHistory;
     if (!history.empty() && now - history.back().first < demandInterval)
         return;
@@ -335,7 +388,7 @@
     chargePeers(now, teamBucket, demand, elapsed);
     teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
     teamBucket.demand *= std::exp(-elapsed / toSeconds(m_options.demandTime));
-    keepDemand(now, teamBucket);
+    keepDemand(now, demand, teamBucket);
     const double level = available(now, teamBucket);
     teamBucket.allowance = std::min(teamBucket.allowance
                                         + admissionRate(now, teamBucket, level)
@@ -381,27 +434,36 @@
     const team_demand demand = demandOf(now, teamBucket);
     teamBucket.allowance = std::min(
         teamBucket.allowance, maxAllowance(now, demand, teamBucket, available(now, teamBucket)));
+    const double rate =
+        std::max(minRate, refillRate(now, teamBucket) * shareOf(demand, teamBucket, demand.own));
+    const std::optional<unheard_units> unheard = unheardUnits(now, demand, teamBucket);
+    if (unheard && unheard->units >= unheard->bound) {
+        teamBucket.account.refused += units;
+        teamBucket.account.refusedUnheard += units;
+        return fromSeconds(units / rate);
+    }
     if (!takeAllowance(now, demand, teamBucket, units)) {
         teamBucket.account.refused += units;
-        const double rate = std::max(
-            minRate, refillRate(now, teamBucket) * shareOf(demand, teamBucket, demand.own));
         return fromSeconds((units - teamBucket.allowance) / rate);
     }
     spend(now, teamBucket, units);
+    teamBucket.unheard.add(now, units);
     teamBucket.account.admitted += units;
     const auto total = m_totals.try_emplace(std::string(team), 0).first;
     total->second += units;
     return std::nullopt;
 }
 
-void team_limits::refund(std::string_view team, double units)
+void team_limits::refund(std::string_view team, double units, std::optional<timestamp> admittedAt)
 {
     const auto found = m_buckets.find(team);
     const auto total = m_totals.find(team);
     if (found == m_buckets.end() || total == m_totals.end())
         return;
     bucket &teamBucket = found->second;
-    spend(teamBucket.filledAt, teamBucket, -units);
+    const timestamp at = std::min(admittedAt.value_or(teamBucket.filledAt), teamBucket.filledAt);
+    spend(at, teamBucket, -units);
+    teamBucket.unheard.add(at, -units);
     teamBucket.level = std::min(teamBucket.level, teamBucket.burst);
     teamBucket.allowance += units;
     teamBucket.account.refunded += units;
@@ -502,6 +564,10 @@
         if (now - teamBucket.filledAt >= minChargeInterval)
             refill(now, teamBucket);
         reconcile(now, teamBucket, usage, total, isNew);
+        if (now - usage.previousAt >= previousDemandTime) {
+            usage.previousDemandRate = usage.demandRate;
+            usage.previousAt = now;
+        }
         usage.demandRate = demandRate;
         chargeLateness(now, teamBucket, state);
     }
@@ -532,7 +598,7 @@
     }
 }
 
-team_limits::limit_state team_limits::limitState(timestamp now, std::string_view team) const
+team_limits::limit_state team_limits::limitState(timestamp now, std::string_view team)
 {
     limit_state state;
     const auto found = m_buckets.find(team);
@@ -542,6 +608,11 @@
         state.level = found->second.level;
         state.share = shareOf(demand, found->second, demand.own);
         state.allowance = found->second.allowance;
+        const std::optional<unheard_units> unheard = unheardUnits(now, demand, found->second);
+        if (unheard) {
+            state.unheard = unheard->units;
+            state.unheardBound = unheard->bound;
+        }
     }
     state.knownPeers = static_cast<int>(m_peers.size());
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
@@ -556,6 +627,10 @@
     for (auto it = m_buckets.begin(); it != m_buckets.end(); ++it) {
         refill(now, it->second);
         const limit_account account = std::exchange(it->second.account, {});
+        m_units.admitted += account.admitted;
+        m_units.refused += account.refused;
+        m_units.refusedUnheard += account.refusedUnheard;
+        m_units.refunded += account.refunded;
         if (account.refused > 0 || it->second.level < it->second.burst / 2)
             accounts.emplace(it->first, account);
     }
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -413,6 +413,26 @@
     }
 }
 
+// A process that starts knows of no admissions and takes late reports for punctual ones. Restarts
+// one with slow links and one without.
+TEST(TeamLimitsFleet, InstanceThatRestartsBesideSlowLinksStaysInTheLimitOfTheWindow)
+{
+    for (const unsigned seed : seeds) {
+        for (const std::size_t restarted : {std::size_t {0}, std::size_t {4}}) {
+            for (const double delay : {0.3, 0.6, 1.0}) {
+                simulated_fleet fleet = fleetWithSlowLinks(delay, seed);
+                for (const double time : {4.0, 7.0}) {
+                    fleet.runUntil(time);
+                    fleet.restart(restarted);
+                }
+                fleet.runUntil(16);
+                EXPECT_LE(fleet.maxInWindow(), allowedInWindowOf(10))
+                    << seed << " " << restarted << " " << delay;
+            }
+        }
+    }
+}
+
 TEST(TeamLimitsFleet, CallersThatMoveToAllInstancesStayInTheLimitOfTheWindow)
 {
     for (const unsigned seed : seeds) {
--- a/libs/dispatch/tests/team_limits_test.cpp
+++ b/libs/dispatch/tests/team_limits_test.cpp
@@ -257,4 +257,49 @@
     EXPECT_NEAR(limits.totals().at("team"), 1, 1e-9);
 }
 
+// Guards against a limit that is exceeded after long requests didn't run: a refund that was booked
+// at the present lowered the sum of a window that had never contained the request.
+TEST(TeamLimits, RefundOfAnOldAdmissionAllowsNoMoreInThePresentWindow)
+{
+    team_limits limits({.window = std::chrono::seconds(8)});
+    limits.setPeers(timestamp {}, {});
+    limits.setLimit(timestamp {}, "team", {.rate = rate, .burst = burst});
+    std::vector<admission> admitted;
+    std::vector<admission> refunded;
+    const timestamp start = timestamp {} + std::chrono::seconds(20);
+    for (timestamp now = start; now < start + std::chrono::seconds(24); now += step) {
+        while (!refunded.empty() && now - refunded.front().at >= std::chrono::seconds(10)) {
+            limits.refund("team", refunded.front().units, refunded.front().at);
+            refunded.erase(refunded.begin());
+        }
+        if (limits.admit(now, "team", requestUnits))
+            continue;
+        // What is admitted in the first four seconds doesn't run.
+        const bool isRefunded = now < start + std::chrono::seconds(4);
+        (isRefunded ? refunded : admitted).push_back({now, requestUnits});
+    }
+    EXPECT_TRUE(refunded.empty());
+    EXPECT_LE(maxInWindow(admitted, std::chrono::seconds(8)), rate * 8 + burst + requestUnits);
+}
+
+TEST(TeamLimits, UnitsOfAllTeamsAreCounted)
+{
+    team_limits limits({});
+    limits.setPeers(timestamp {}, {});
+    limits.setLimit(timestamp {}, "a", {.rate = rate, .burst = burst});
+    limits.setLimit(timestamp {}, "b", {.rate = rate, .burst = burst});
+    EXPECT_FALSE(limits.admit(timestamp {}, "a", burst));
+    EXPECT_TRUE(limits.admit(timestamp {}, "a", 7));
+    EXPECT_FALSE(limits.admit(timestamp {}, "b", 10));
+    limits.refund("b", 4, timestamp {});
+    EXPECT_EQ(limits.takeAccounts(timestamp {}).size(), 1u) << "b has nearly all of its burst left";
+    const team_limits::limit_units units = limits.takeUnits();
+    EXPECT_EQ(units.admitted, burst + 10);
+    EXPECT_EQ(units.refused, 7);
+    EXPECT_EQ(units.refusedUnheard, 0);
+    EXPECT_EQ(units.refunded, 4);
+    limits.takeAccounts(timestamp {});
+    EXPECT_EQ(limits.takeUnits().admitted, 0);
+}
+
 } // namespace trefoil
