--- a/libs/core/include/core/finding.h
+++ b/libs/core/include/core/finding.h
@@ -15,13 +15,17 @@
     /// Counted from 1; 0 if the error has no single location.
     int column = 0;
     std::string message;
+    /// Path of the field within the document, for example routes[2].timeout_ms; empty if the error
+    /// concerns no single field.
+    std::string field;
 
     bool operator==(const finding &) const = default;
 };
 
 using findings = std::vector<finding>;
 
-/// Returns "file:line:column: message". Thread-safe.
+/// Returns "file:line:column: field: message", without the field if the message names it.
+/// Thread-safe.
 std::string toString(const finding &item);
 
 /// Returns one line for each finding, in the order of @p items. Thread-safe.
--- a/libs/core/src/finding.cpp
+++ b/libs/core/src/finding.cpp
@@ -10,6 +10,8 @@
     std::string text = item.file;
     if (item.line > 0)
         text += ":" + std::to_string(item.line) + ":" + std::to_string(item.column);
+    if (!item.field.empty() && item.message.find("\"" + item.field + "\"") == std::string::npos)
+        text += ": " + item.field;
     return text + ": " + item.message;
 }
 
