--- a/libs/configuration/include/configuration/tables.h
+++ b/libs/configuration/include/configuration/tables.h
@@ -129,8 +129,15 @@
 /// Reads the pools table from YAML. @p file names the document in findings. Thread-safe.
 tl::expected<pool_table, findings> readPools(std::string_view text, std::string_view file);
 
+/// Reads what can be read of a routes table that may have errors, which are appended to @p found.
+/// Fields that can't be read have their default value. Thread-safe.
+route_table readRoutesPartially(std::string_view text, std::string_view file, findings &found);
+
+/// Like readRoutesPartially(), for the pools table. Thread-safe.
+pool_table readPoolsPartially(std::string_view text, std::string_view file, findings &found);
+
 /// Checks that the pool of each route exists in @p pools and has the right kind. @p file names the
-/// document in findings, which have no line, because they concern both documents. Thread-safe.
+/// routes table in findings, which have a field, but no line. Thread-safe.
 findings checkPoolReferences(const route_table &routes, const pool_table &pools,
                              std::string_view file);
 
--- a/libs/configuration/src/tables.cpp
+++ b/libs/configuration/src/tables.cpp
@@ -224,14 +224,16 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
-tl::expected<route_table, findings> readRoutes(std::string_view text, std::string_view file)
+route_table readRoutesPartially(std::string_view text, std::string_view file, findings &found)
 {
-    findings found;
-    finding_sink sink(file, found);
-    const std::optional<YAML::Node> document = parseYaml(text, sink);
-    if (!document)
-        return tl::unexpected(found);
+    findings own;
+    finding_sink sink(file, own);
     route_table parsed;
+    const std::optional<YAML::Node> document = parseYaml(text, sink);
+    if (!document) {
+        found.insert(found.end(), own.begin(), own.end());
+        return parsed;
+    }
     std::set<std::string> teamNames;
     std::set<std::string> routeNames;
     std::set<std::string> targets;
@@ -242,20 +244,30 @@
     map.each("routes", true, [&](const YAML::Node &node, const std::string &path) {
         parsed.routes.push_back(readRoute(node, path, routeNames, targets, teamNames, sink));
     });
-    sortByLocation(found);
-    if (!found.empty())
-        return tl::unexpected(found);
+    sortByLocation(own);
+    found.insert(found.end(), own.begin(), own.end());
     return parsed;
 }
 
-tl::expected<pool_table, findings> readPools(std::string_view text, std::string_view file)
+tl::expected<route_table, findings> readRoutes(std::string_view text, std::string_view file)
 {
     findings found;
-    finding_sink sink(file, found);
-    const std::optional<YAML::Node> document = parseYaml(text, sink);
-    if (!document)
+    route_table parsed = readRoutesPartially(text, file, found);
+    if (!found.empty())
         return tl::unexpected(found);
+    return parsed;
+}
+
+pool_table readPoolsPartially(std::string_view text, std::string_view file, findings &found)
+{
+    findings own;
+    finding_sink sink(file, own);
     pool_table parsed;
+    const std::optional<YAML::Node> document = parseYaml(text, sink);
+    if (!document) {
+        found.insert(found.end(), own.begin(), own.end());
+        return parsed;
+    }
     std::set<std::string> poolNames;
     std::set<std::string> serverNames;
     std::set<std::string> addresses;
@@ -263,7 +275,15 @@
     map.each("pools", true, [&](const YAML::Node &node, const std::string &path) {
         parsed.pools.push_back(readPool(node, path, poolNames, serverNames, addresses, sink));
     });
-    sortByLocation(found);
+    sortByLocation(own);
+    found.insert(found.end(), own.begin(), own.end());
+    return parsed;
+}
+
+tl::expected<pool_table, findings> readPools(std::string_view text, std::string_view file)
+{
+    findings found;
+    pool_table parsed = readPoolsPartially(text, file, found);
     if (!found.empty())
         return tl::unexpected(found);
     return parsed;
@@ -273,10 +293,15 @@
                              std::string_view file)
 {
     findings found;
-    const auto add = [&](std::string message) {
-        found.push_back({.file = std::string(file), .message = std::move(message)});
-    };
-    for (const route &each : routes.routes) {
+    for (std::size_t i = 0; i < routes.routes.size(); ++i) {
+        const route &each = routes.routes[i];
+        if (each.pool.empty())
+            continue;
+        const auto add = [&](std::string message) {
+            found.push_back({.file = std::string(file),
+                             .message = std::move(message),
+                             .field = "routes[" + std::to_string(i) + "].pool"});
+        };
         const pool *target = pools.findPool(each.pool);
         if (!target) {
             add("route \"" + each.name + "\": pool \"" + each.pool + "\" does not exist");
--- a/libs/configuration/src/yaml_reader.cpp
+++ b/libs/configuration/src/yaml_reader.cpp
@@ -6,12 +6,13 @@
 
 namespace trefoil {
 
-void finding_sink::add(const YAML::Mark &mark, std::string message)
+void finding_sink::add(const YAML::Mark &mark, std::string message, std::string field)
 {
     m_items.push_back({.file = m_file,
                        .line = mark.line + 1,
                        .column = mark.column + 1,
-                       .message = std::move(message)});
+                       .message = std::move(message),
+                       .field = std::move(field)});
 }
 
 yaml_map::yaml_map(const YAML::Node &node, std::string path,
@@ -20,7 +21,7 @@
 {
     if (!node.IsMap()) {
         const std::string what = m_path.empty() ? "the document" : "\"" + m_path + "\"";
-        m_sink.add(node.Mark(), what + " must be a map of fields");
+        m_sink.add(node.Mark(), what + " must be a map of fields", m_path);
         m_node = YAML::Node(YAML::NodeType::Map);
         return;
     }
@@ -32,9 +33,10 @@
         if (!isNew) {
             m_sink.add(mark,
                        "field \"" + pathOf(name) + "\" stands twice, first on line "
-                           + std::to_string(firstLines[name]));
+                           + std::to_string(firstLines[name]),
+                       pathOf(name));
         } else if (std::find(known.begin(), known.end(), name) == known.end()) {
-            m_sink.add(mark, "unknown field \"" + pathOf(name) + "\"");
+            m_sink.add(mark, "unknown field \"" + pathOf(name) + "\"", pathOf(name));
         }
     }
 }
@@ -63,7 +65,7 @@
 
 void yaml_map::addFinding(const char *name, std::string message)
 {
-    m_sink.add(markOf(name), std::move(message));
+    m_sink.add(markOf(name), std::move(message), pathOf(name));
 }
 
 std::optional<std::string> yaml_map::scalar(const char *name, bool required)
@@ -157,7 +159,7 @@
         if (node.IsScalar())
             values.push_back(node.Scalar());
         else
-            m_sink.add(node.Mark(), "\"" + path + "\" must be a single value");
+            m_sink.add(node.Mark(), "\"" + path + "\" must be a single value", path);
     });
     return values;
 }
--- a/libs/configuration/src/yaml_reader.h
+++ b/libs/configuration/src/yaml_reader.h
@@ -19,8 +19,8 @@
 public:
     finding_sink(std::string_view file, findings &items) : m_file(file), m_items(items) { }
 
-    /// Adds a finding with @p message at the location of @p mark.
-    void add(const YAML::Mark &mark, std::string message);
+    /// Adds a finding with @p message about @p field at the location of @p mark.
+    void add(const YAML::Mark &mark, std::string message, std::string field = "");
 
 private:
     std::string m_file;
--- a/libs/configuration/tests/tables_test.cpp
+++ b/libs/configuration/tests/tables_test.cpp
@@ -18,15 +18,17 @@
                              "  - {name: open, path: ledger, pool: p, open: yes}\n";
     const tl::expected<route_table, findings> read = readRoutes(text, "routes.yaml");
     ASSERT_FALSE(read.has_value());
-    EXPECT_EQ(toString(read.error()),
-              "routes.yaml:2:24: field \"teams[0].rate\" must lie between 1 and 100000000, not 0\n"
-              "routes.yaml:3:12: team \"reef\" stands twice\n"
-              "routes.yaml:7:5: unknown field \"routes[0].modle\"\n"
-              "routes.yaml:9:12: route \"terms\": team \"dune\" does not exist\n"
-              "routes.yaml:10:12: route \"open\" needs \"teams\" or \"open: true\"\n"
-              "routes.yaml:10:24: route \"open\": path \"ledger\" must start with / and name "
-              "something\n"
-              "routes.yaml:10:47: field \"routes[1].open\" must be true or false, not \"yes\"\n");
+    EXPECT_EQ(
+        toString(read.error()),
+        "routes.yaml:2:24: field \"teams[0].rate\" must lie between 1 and 100000000, not 0\n"
+        "routes.yaml:3:12: teams[1].name: team \"reef\" stands twice\n"
+        "routes.yaml:7:5: unknown field \"routes[0].modle\"\n"
+        "routes.yaml:9:12: routes[0].teams: route \"terms\": team \"dune\" does not exist\n"
+        "routes.yaml:10:12: routes[1].name: route \"open\" needs \"teams\" or \"open: true\"\n"
+        "routes.yaml:10:24: routes[1].path: route \"open\": path \"ledger\" must start with / and "
+        "name "
+        "something\n"
+        "routes.yaml:10:47: field \"routes[1].open\" must be true or false, not \"yes\"\n");
 }
 
 TEST(Tables, ReportsADuplicateField)
