check: the platform's configuration, differences, exit status 1 for findings

Cause: the verb checked settings and tables only; a wrong configuration of the platform was noticed by refused requests. Its status for findings was 2, the same as for wrong usage, so scripts couldn't tell findings from a check that did not run.

A file that can't be read is no finding any more, but ends with 2; a folder given as file is an error instead of an empty text. Unknown flags and flags without value end every verb with 2: Abseil ends the program with 1, which means findings here.

--- a/trefoilrouter/src/main.cpp
+++ b/trefoilrouter/src/main.cpp
@@ -4,7 +4,9 @@
 #include <vector>
 
 #include <absl/flags/flag.h>
+#include <absl/flags/marshalling.h>
 #include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
 
 #include "verbs.h"
@@ -12,6 +14,11 @@
 ABSL_FLAG(std::string, settings, "", "settings file of the instance");
 ABSL_FLAG(std::string, routes, "", "file with the routes table");
 ABSL_FLAG(std::string, pools, "", "file with the pools table");
+ABSL_FLAG(std::string, configuration, "",
+          "file or folder with the platform's configuration and tables");
+ABSL_FLAG(std::string, in_force, "", "file with the version in force, to compare with");
+ABSL_FLAG(std::string, store, "", "address:port of the store that holds the version in force");
+ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(std::string, platform, "", "address:port of the platform's object API");
 ABSL_FLAG(std::string, instance, "", "address:port of an instance's operators' listener");
 ABSL_FLAG(std::string, team, "", "name of a team");
@@ -37,9 +44,10 @@
          {"runs an entry instance hosted by an external platform until SIGTERM",
           "trefoilrouter edge [--settings FILE]"}},
         {"check",
-         {"prints every finding in settings, routes and pools; exit 2 on any",
-          "trefoilrouter check [--settings FILE] [--routes FILE] [--pools FILE] [--format "
-          "text|json]"}},
+         {"prints every finding in settings, tables and configuration; exit 1 on any",
+          "trefoilrouter check [--settings FILE] [--routes FILE] [--pools FILE]\n"
+          "       [--configuration FILE|FOLDER] [--in-force FILE | --store ADDRESS:PORT]\n"
+          "       [--json | --format text|json]"}},
         {"apply",
          {"checks tables and writes them to the platform by conditional update",
           "trefoilrouter apply --platform ADDRESS:PORT [--routes FILE] [--pools FILE]"}},
@@ -76,8 +84,52 @@
 
 trefoil::print_format format()
 {
-    return absl::GetFlag(FLAGS_format) == "json" ? trefoil::print_format::Json
-                                                 : trefoil::print_format::Text;
+    return absl::GetFlag(FLAGS_json) || absl::GetFlag(FLAGS_format) == "json"
+        ? trefoil::print_format::Json
+        : trefoil::print_format::Text;
+}
+
+trefoil::check_output checkOutput()
+{
+    if (absl::GetFlag(FLAGS_json))
+        return trefoil::check_output::Report;
+    return format() == trefoil::print_format::Json ? trefoil::check_output::FindingList
+                                                   : trefoil::check_output::Text;
+}
+
+/// Returns what is wrong with the flags among @p words, or "". Abseil would end the program with
+/// status 1, which tells the callers of a verb that its operation failed.
+std::string findWrongFlag(const std::vector<std::string> &words)
+{
+    for (std::size_t i = 0; i < words.size(); ++i) {
+        const std::string &word = words[i];
+        if (word == "--")
+            return "";
+        if (word.size() < 2 || word.front() != '-')
+            continue;
+        const std::size_t start = word.starts_with("--") ? 2 : 1;
+        const std::size_t equals = word.find('=');
+        const bool hasValue = equals != std::string::npos;
+        const std::string name = word.substr(start, hasValue ? equals - start : equals);
+        const absl::CommandLineFlag *flag = absl::FindCommandLineFlag(name);
+        if (flag == nullptr && name.starts_with("no") && !hasValue) {
+            flag = absl::FindCommandLineFlag(name.substr(2));
+            if (flag != nullptr && flag->IsOfType<bool>())
+                continue;
+            flag = nullptr;
+        }
+        if (flag == nullptr)
+            return "unknown flag \"" + word.substr(0, equals) + "\"";
+        if (flag->IsOfType<bool>()) {
+            bool value = false;
+            std::string error;
+            if (hasValue && !absl::ParseFlag(word.substr(equals + 1), &value, &error))
+                return "flag \"--" + name + "\" must be true or false";
+        } else if (!hasValue && ++i == words.size()) {
+            return "flag \"--" + name + "\" needs a value";
+        }
+    }
+    return "";
 }
 
 int runVerb(const std::string &verb, const std::vector<std::string> &rest)
@@ -90,7 +142,10 @@
         return trefoil::runCheck({.settingsFile = absl::GetFlag(FLAGS_settings),
                                   .routesFile = absl::GetFlag(FLAGS_routes),
                                   .poolsFile = absl::GetFlag(FLAGS_pools),
-                                  .format = format()});
+                                  .configuration = absl::GetFlag(FLAGS_configuration),
+                                  .inForceFile = absl::GetFlag(FLAGS_in_force),
+                                  .store = absl::GetFlag(FLAGS_store),
+                                  .output = checkOutput()});
     if (verb == "apply")
         return trefoil::runApply({.platform = absl::GetFlag(FLAGS_platform),
                                   .routesFile = absl::GetFlag(FLAGS_routes),
@@ -125,7 +180,7 @@
 
 int main(int argc, char **argv)
 {
-    const std::vector<std::string> words(argv + 1, argv + argc);
+    std::vector<std::string> words(argv + 1, argv + argc);
     // Abseil's --help would list the flags of all verbs; here each verb prints its own usage.
     for (const std::string &word : words) {
         if (word == "--help" || word == "-h") {
@@ -134,7 +189,20 @@
         }
     }
     absl::SetProgramUsageMessage("trefoilrouter VERB [FLAGS]");
-    const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
+    // Abseil's names of flags have no hyphens.
+    for (std::string &word : words) {
+        if (word == "--in-force" || word.starts_with("--in-force="))
+            word.replace(0, std::string_view("--in-force").size(), "--in_force");
+    }
+    if (const std::string wrong = findWrongFlag(words); !wrong.empty()) {
+        std::cerr << "trefoilrouter: " << wrong << "\n";
+        return exit_status::ExitUsage;
+    }
+    std::vector<char *> commandLine {argv[0]};
+    for (std::string &word : words)
+        commandLine.push_back(word.data());
+    const std::vector<char *> positional =
+        absl::ParseCommandLine(static_cast<int>(commandLine.size()), commandLine.data());
     const std::vector<std::string> arguments(positional.begin() + 1, positional.end());
     if (arguments.empty()) {
         printHelp(std::cerr, "");
--- a/trefoilrouter/src/table_files.cpp
+++ b/trefoilrouter/src/table_files.cpp
@@ -1,5 +1,6 @@
 #include "table_files.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -32,7 +33,9 @@
 result<std::string> readFile(const std::string &name)
 {
     const std::ifstream file(name);
-    if (!file)
+    std::error_code error;
+    // A folder can be opened, but not read.
+    if (!file || std::filesystem::is_directory(name, error))
         return failure("no-file", "can't read \"" + name + "\"");
     std::ostringstream text;
     text << file.rdbuf();
--- a/trefoilrouter/src/verbs.h
+++ b/trefoilrouter/src/verbs.h
@@ -42,14 +42,26 @@
 /// Prints the log records of several instances that concern one request, sorted by time.
 int runExplain(const explain_options &options);
 
+/// What check prints: text, a JSON object with findings and differences, or only a JSON list of the
+/// findings.
+enum class check_output { Text, Report, FindingList };
+
 struct check_options
 {
     std::string settingsFile;
     std::string routesFile;
     std::string poolsFile;
-    print_format format = print_format::Text;
+    /// A document, or a folder with documents.
+    std::string configuration;
+    /// The version in force of one of the documents.
+    std::string inForceFile;
+    /// "address:port" of the store that holds the version in force and the servers.
+    std::string store;
+    check_output output = check_output::Text;
 };
-/// Checks settings and tables and prints all findings. Files with an empty name are skipped.
+/// Checks settings, tables and the platform's configuration, and prints all findings and the
+/// differences from the version in force. Empty names are skipped. Returns 1 if there are findings,
+/// 2 if the check could not run.
 int runCheck(const check_options &options);
 
 struct apply_options
