Team limits: refunds at the time of their admission, counters and log fields

Cause: a refund was booked when the request ended, so that it hid what was admitted since. Nothing counted what team limits admit and refuse, and the log didn't tell the new bound.

Change: request_runner passes the time at which the limit was charged. The counter trefoil_team_limit_units_total counts units admitted, refused, refused because others can't have heard of them, and refunded, once a second. The lines over_limit and account have the unheard units and their bound.

--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -158,9 +158,9 @@
         /// Units that this instance may admit at once.
         double allowance = 0;
         /// Units that this instance admitted and that others can't have heard of, and the bound on
-        /// them. Nothing while reports are punctual or the team is known to be below its limit.
-        std::optional<double> unheard;
-        std::optional<double> unheardBound;
+        /// them. Both are 0 while there is no bound.
+        double unheard = 0;
+        double unheardBound = 0;
         /// Other instances that reported recently.
         int heardPeers = 0;
         /// Other known instances.
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -413,6 +413,39 @@
     }
 }
 
+// Lateness is measured against the most punctual report of the last minute, so that of links that
+// are always slow isn't seen.
+TEST(TeamLimitsFleet, JumpBesideLinksThatAreSlowFromTheStartStaysInTheLimitOfTheWindow)
+{
+    for (const unsigned seed : seeds) {
+        simulated_fleet fleet(
+            {.instances = 81,
+             .load = jumpAt(2, 4.6),
+             .active = always(6),
+             .scale = 10,
+             .linkDelay = [](double, std::size_t index) { return index < 3 ? 1.0 : 0.0; },
+             .seed = seed});
+        fleet.runUntil(14);
+        EXPECT_LE(fleet.maxInWindow(), allowedInWindowOf(10)) << seed;
+    }
+}
+
+// An instance gets so few requests of a small team that a jump is certain only after a second.
+TEST(TeamLimitsFleet, JumpOfASmallTeamBesideVerySlowLinksStaysInTheLimitOfTheWindow)
+{
+    for (const unsigned seed : seeds) {
+        simulated_fleet fleet(
+            {.instances = 81,
+             .load = jumpAt(2, 4.6),
+             .active = always(6),
+             .linkDelay = [](double now,
+                             std::size_t index) { return now > 2 && index < 3 ? 1.0 : 0.0; },
+             .seed = seed});
+        fleet.runUntil(14);
+        EXPECT_LE(fleet.maxInWindow(), allowedInWindow) << seed;
+    }
+}
+
 // A process that starts knows of no admissions and takes late reports for punctual ones. Restarts
 // one with slow links and one without.
 TEST(TeamLimitsFleet, InstanceThatRestartsBesideSlowLinksStaysInTheLimitOfTheWindow)
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "edge/peer_exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <Poco/Net/NetException.h>
@@ -223,9 +224,11 @@
         return;
     m_accountsAt = now;
     std::vector<event_line> lines;
+    team_limits::limit_units units;
     m_state.with([&](routing_state &routing) {
         const std::map<std::string, team_limits::limit_account, std::less<>> accounts =
             routing.limits.takeAccounts(now);
+        units = routing.limits.takeUnits();
         for (auto it = accounts.begin(); it != accounts.end(); ++it) {
             const team_limits::limit_state state = routing.limits.limitState(now, it->first);
             lines.push_back(event_line("limits", "account"));
@@ -236,16 +239,28 @@
                 .add("own_part", state.share)
                 .add("admitted", it->second.admitted)
                 .add("refused", it->second.refused)
+                .add("refused_unheard", it->second.refusedUnheard)
                 .add("refunded", it->second.refunded)
                 .add("charged_for_others", it->second.chargedForPeers)
                 .add("charged_for_silent", it->second.chargedForSilent)
                 .add("not_charged", it->second.notCharged)
+                .add("unheard", state.unheard)
+                .add("unheard_bound", state.unheardBound)
                 .add("instances_heard", state.heardPeers)
                 .add("instances_known", state.knownPeers);
         }
     });
     for (const event_line &line : lines)
         writeEvent(line);
+    const auto count = [this](std::string_view result, double more) {
+        m_state.metrics()
+            .counterOf("trefoil_team_limit_units_total", result)
+            .add(static_cast<std::uint64_t>(std::llround(more)));
+    };
+    count("result=\"admitted\"", units.admitted);
+    count("result=\"refused\"", units.refused - units.refusedUnheard);
+    count("result=\"refused_unheard\"", units.refusedUnheard);
+    count("result=\"refunded\"", units.refunded);
 }
 
 void peer_exchange::sendTo(const endpoint &peer, std::string_view datagram)
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -126,6 +126,7 @@
     if (m_admitted.team->unit == limit_unit::Tokens)
         m_limitCost = m_fields.hasTokenCounts ? m_fields.promptTokens + m_fields.outputTokens
                                               : m_admitted.team->defaultTokens;
+    m_limitChargedAt = now;
     team_limits::limit_state state;
     const std::optional<duration> wait = m_state.with([&](routing_state &routing) {
         state = routing.limits.limitState(now, m_admitted.team->name);
@@ -141,6 +142,8 @@
                    .add("level", state.level)
                    .add("own_part", state.share)
                    .add("allowance", state.allowance)
+                   .add("unheard", state.unheard)
+                   .add("unheard_bound", state.unheardBound)
                    .add("instances_heard", state.heardPeers)
                    .add("instances_known", state.knownPeers)
                    .add("wait_ms", toMilliseconds(*wait)));
@@ -299,7 +302,7 @@
 {
     if (m_limitCost > 0)
         m_state.with([&](routing_state &routing) {
-            routing.limits.refund(m_admitted.team->name, m_limitCost);
+            routing.limits.refund(m_admitted.team->name, m_limitCost, m_limitChargedAt);
         });
 }
 
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -179,6 +179,8 @@
     attempt_terms m_terms;
     caller_fields m_fields;
     double m_limitCost = 0;
+    /// When the team's limit was charged with the cost.
+    timestamp m_limitChargedAt;
     timestamp m_deadline;
     digest128 m_bodyDigest;
     /// Hashes of the prompt's parts but the last, which belongs to this request alone.
