Admission: wait for plain servers that have just rejected, send lifted requests with their rank

Change: such a request waits within its target; X-Request-Priority carries the decided rank. Without the contract nothing changes.

--- a/libs/dispatch/include/dispatch/service_load.h
+++ b/libs/dispatch/include/dispatch/service_load.h
@@ -12,6 +12,8 @@
     /// When the load was summed.
     timestamp at;
     int servers = 0;
+    /// Servers that may take requests again in a moment: they rejected one or load weights.
+    int pausedServers = 0;
     int slots = 0;
     int running = 0;
     /// Prompt tokens to compute for requests that have had no first event yet.
--- a/libs/dispatch/src/service_load.cpp
+++ b/libs/dispatch/src/service_load.cpp
@@ -56,6 +56,8 @@
         sum.callMs = poolCallMs(service);
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         const server_state &state = it->second;
+        const bool isPaused = state.info.service == service && now < state.loadingUntil;
+        sum.pausedServers += isPaused && !state.info.isLeaving && !state.isGone ? 1 : 0;
         if (state.isUnreachable || !mayTake(now, state, {.service = service}))
             continue;
         const server_load load = totalLoad(now, state);
--- a/libs/dispatch/tests/service_load_test.cpp
+++ b/libs/dispatch/tests/service_load_test.cpp
@@ -71,6 +71,7 @@
     balancer.markLoading("llm0", now + 1s);
     EXPECT_EQ(balancer.serviceLoad(now + 10ms, "llm").servers, 2);
     EXPECT_EQ(balancer.serviceLoad(now + 30ms, "llm").servers, 1);
+    EXPECT_EQ(balancer.serviceLoad(now + 30ms, "llm").pausedServers, 1);
     balancer.totalLoad(now + 5s, "llm0");
     EXPECT_EQ(balancer.serviceLoad(now + 5s, "llm").reportingPeers, 0u);
 }
--- a/trefoilrouter/src/edge/request_admission.cpp
+++ b/trefoilrouter/src/edge/request_admission.cpp
@@ -22,8 +22,8 @@
 
 service_state stateOf(const service_load &load, const routing_state &routing)
 {
-    return {.isKnown =
-                load.servers > 0 && (load.reportingPeers > 0 || routing.members.otherCount() == 0),
+    return {.isKnown = load.servers + load.pausedServers > 0
+                && (load.reportingPeers > 0 || routing.members.otherCount() == 0),
             .instances = static_cast<int>(load.busyPeers) + 1,
             .servers = load.servers,
             .slots = load.slots,
@@ -62,21 +62,38 @@
 bool request_admission::decide(timestamp now, routing_state &routing, const subject &request,
                                duration timeLeft, const server_placement &placed)
 {
-    if (!m_waitsSince && !m_wasAdmitted)
-        routing.usualDeadlines.record(now, request.route, request.statedTime);
-    m_request = {.rank = request.rank,
-                 .target = request.target,
-                 .timeLeft = timeLeft,
-                 .team = hashOf(request.team),
-                 .subject = hashOf(request.sharedPart),
+    m_request = {.timeLeft = timeLeft,
                  .uncachedTokens = placed.missingTokens,
                  .memoryTokens = placed.memoryTokens,
                  .expected = fromSeconds(placed.expectedMs / 1000),
                  .queue = fromSeconds(placed.queueMs / 1000),
-                 .fits = placed.fits,
-                 .isRetry = routing.usualDeadlines.isRetry(now, request.route, request.statedTime),
-                 .isContinued = m_wasAdmitted,
-                 .waited = m_waitsSince ? now - *m_waitsSince : duration {}};
+                 .fits = placed.fits};
+    return decide(now, routing, request);
+}
+
+bool request_admission::decideUnplaced(timestamp now, routing_state &routing,
+                                       const subject &request, duration timeLeft)
+{
+    const service_load &load = routing.balancer.serviceLoad(now, request.service);
+    if (load.callMs <= 0 || load.pausedServers == 0)
+        return false;
+    const duration call = fromSeconds(load.callMs / 1000);
+    m_request = {.timeLeft = timeLeft, .expected = call * 2, .queue = call, .fits = false};
+    decide(now, routing, request);
+    return true;
+}
+
+bool request_admission::decide(timestamp now, routing_state &routing, const subject &request)
+{
+    if (!m_waitsSince && !m_wasAdmitted)
+        routing.usualDeadlines.record(now, request.route, request.statedTime);
+    m_request.rank = request.rank;
+    m_request.target = request.target;
+    m_request.team = hashOf(request.team);
+    m_request.subject = hashOf(request.sharedPart);
+    m_request.isRetry = routing.usualDeadlines.isRetry(now, request.route, request.statedTime);
+    m_request.isContinued = m_wasAdmitted;
+    m_request.waited = m_waitsSince ? now - *m_waitsSince : duration {};
     m_service = stateOf(routing.balancer.serviceLoad(now, request.service), routing);
     const std::uint64_t seed = hash64(request.service, hash64(m_state.settings().name));
     admission_control &control =
--- a/trefoilrouter/src/edge/request_admission.h
+++ b/trefoilrouter/src/edge/request_admission.h
@@ -44,6 +44,11 @@
     /// request may be sent.
     bool decide(timestamp now, routing_state &routing, const subject &request, duration timeLeft,
                 const server_placement &placed);
+    /// Decides about a request for which no server may be chosen. It waits if the servers of a
+    /// service without a model have just rejected others because their slots were taken. Returns
+    /// whether a decision was made; isWaiting() and refusal() return it.
+    bool decideUnplaced(timestamp now, routing_state &routing, const subject &request,
+                        duration timeLeft);
     /// Writes the log line and counts the metric of the last decision. Call without the lock.
     void log(const subject &request);
     /// Returns whether the request has to wait.
@@ -53,10 +58,13 @@
     {
         return m_decision.what == admission_decision::kind::Refuse ? &m_decision : nullptr;
     }
+    /// Returns the rank with which the request is to be sent, whose own rank is @p rank.
+    int sentRank(int rank) const { return m_wasAdmitted ? m_decision.rank : rank; }
     /// Waits as decided. Returns false if the caller has left.
     bool wait(const byte_stream &caller);
 
 private:
+    bool decide(timestamp now, routing_state &routing, const subject &request);
     void setWaiting(routing_state &routing, bool waits);
 
     edge_state &m_state;
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -106,7 +106,7 @@
         {.server = placed.server,
          .team = m_admitted.team == nullptr ? std::string_view {} : m_admitted.team->name,
          .timeLeft = m_deadline - boot_clock::now(),
-         .priority = rank(),
+         .priority = m_admission.sentRank(rank()),
          .weights = placed.weights,
          .cacheSalt = placed.cacheSalt,
          .cacheSource = placed.cacheSource,
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -204,6 +204,10 @@
                                         : wouldMissDeadline(now, *placed));
         if (isRefused)
             routing.balancer.cancel(*placed);
+        m_isAdmissionDecided = m_admission.isInForce() && placed;
+        if (m_admission.isInForce() && !placed && !m_limitedFor && m_triedServers.empty())
+            m_isAdmissionDecided =
+                m_admission.decideUnplaced(now, routing, admissionSubject(), m_deadline - now);
         return placed;
     });
 }
@@ -249,9 +253,9 @@
             return giveUp(blocked);
         attempt current;
         const std::optional<server_placement> placed = choosePlacement(now);
-        if (placed && m_admission.isInForce())
+        if (m_isAdmissionDecided)
             m_admission.log(admissionSubject());
-        if (placed && m_admission.isWaiting()) {
+        if (m_isAdmissionDecided && m_admission.isWaiting()) {
             if (m_admission.wait(m_response.connection()))
                 continue;
             endAbandoned();
@@ -296,7 +300,7 @@
     if (!best && m_limitedFor)
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
                         "the backend servers take no requests now", withJitter(*m_limitedFor)};
-    if (best && m_admission.refusal() != nullptr)
+    if (m_isAdmissionDecided && m_admission.refusal() != nullptr)
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "overloaded",
                         m_admission.refusal()->time};
     // Capacity frees up once the expected wait has shrunk to the route's target latency.
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -179,6 +179,8 @@
     caller_response m_response;
 
     request_admission m_admission;
+    /// Whether m_admission decided about the last choice of a server.
+    bool m_isAdmissionDecided = false;
     admitted_terms m_admitted;
     /// Terms of the current attempt.
     attempt_terms m_terms;
