--- a/libs/dispatch/include/dispatch/service_load.h
+++ b/libs/dispatch/include/dispatch/service_load.h
@@ -12,6 +12,8 @@
     /// When the load was summed.
     timestamp at;
     int servers = 0;
+    /// Servers that may take requests again in a moment: they rejected one or load weights.
+    int pausedServers = 0;
     int slots = 0;
     int running = 0;
     /// Prompt tokens to compute for requests that have had no first event yet.
@@ -20,6 +22,8 @@
     double tokensPerMs = 0;
     /// Engine memory that running requests take and may take, in tokens.
     double memoryTokens = 0;
+    /// Memory that the other instances have probably taken since they reported.
+    double unseenMemoryTokens = 0;
     double usableMemoryTokens = 0;
     /// Average duration of a call in milliseconds; 0 for a service with a model.
     double callMs = 0;
