Placement counts what long prompts and short requests cost each other on an engine

Cause: an engine prefills long prompts in chunks beside the tokens of running streams. On machines that other work makes 2 to 2.5 times slower, an event of 7 tokens beside chunks of 1,024 takes 500 to 650 ms, so short questions are late although their first event was early. Placement counted the request's own time only.

Change: long_prompts, in effect for services whose routes have target latencies that differ by a factor of 1.5 or more. A long prompt costs the time that it delays the requests on the server, a short request the pending prefill there, both weighted by the cube of the share of the allowed pause (gap_aim_ms) that a pause beside prefill takes at the server's rate, slowness and pace. The cost only orders servers; expectedMs is as before. The line "placed" has long_prompt_ms, and a counter has the placements that the cost moved to another server. With equal targets the choices are those recorded before.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -12,6 +12,7 @@
 
 #include <core/clock.h>
 #include <dispatch/call_time.h>
+#include <dispatch/long_prompts.h>
 #include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_pace.h>
@@ -42,6 +43,8 @@
     std::span<const std::string> tried;
     /// Software releases whose servers must not serve the request.
     std::span<const std::string> excludedReleases;
+    /// Target latency of the request's route, see long_prompts.
+    duration targetLatency {};
 };
 
 /// Server chosen for a request, with the expected cost.
@@ -81,6 +84,10 @@
     double paceFactor = 1;
     /// Part of an engine's expectedMs that paceFactor adds.
     double paceMs = 0;
+    /// Cost in milliseconds from long_prompts, not included in expectedMs.
+    double longPromptMs = 0;
+    /// Whether another server would have been chosen without this cost.
+    bool isMovedByLongPrompts = false;
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -162,7 +169,8 @@
     /// Replaces the list of servers. The state of servers that stay listed is kept unless they have
     /// restarted.
     void setServers(std::span<const registered_server> servers);
-    /// Sets the engine traits of the services and the KV cache stores.
+    /// Sets the engine traits of the services, the KV cache stores and the routes' target
+    /// latencies.
     void setTables(const serving_tables &tables);
     /// Records that the operator set the target weights of @p model to @p version at @p since or
     /// earlier.
@@ -426,6 +434,7 @@
     std::map<std::string, prefill_rate, std::less<>> m_prefillRates;
     /// Measurements for the next report.
     std::map<std::string, double, std::less<>> m_measuredRates;
+    long_prompts m_longPrompts;
     std::vector<store_state> m_stores;
     std::map<std::string, std::map<std::uint64_t, timestamp>, std::less<>> m_targetWeights;
     /// Holders by part, cached during one choice: the estimates of all servers need the same few
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -44,6 +44,8 @@
     duration targetLatency = std::chrono::seconds(1);
     /// Pause between events of a stream after which its caller disconnects.
     duration callerPatience = std::chrono::seconds(2);
+    /// Pause between events of a stream that the target allows, 0 if not stated.
+    duration targetPause {};
     /// 0 is the highest priority.
     int priority = 0;
     std::vector<route_target> targets;
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -102,6 +102,7 @@
         if (it->second.engine)
             m_engines[it->first] = *it->second.engine;
     }
+    m_longPrompts.setRoutes(tables.routes);
     std::vector<store_state> stores;
     for (const cache_store &info : tables.cacheStores()) {
         store_state state {.info = info, .name = toString(info.address)};
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -187,6 +187,12 @@
     placed.paceMs = measuredMs * (placed.paceFactor - 1);
     placed.expectedMs = measuredMs * placed.paceFactor + copyTimeMs;
     placed.uncachedMs = (queueMs + promptTokens / tokensPerMs) * state.slowness * placed.paceFactor;
+    placed.longPromptMs =
+        m_longPrompts.costMs(request.service, request.targetLatency,
+                             {.running = load.running,
+                              .pendingTokens = load.pendingTokens,
+                              .ownTokens = placed.missingTokens,
+                              .tokensPerMs = tokensPerMs / (state.slowness * placed.paceFactor)});
     const double usableTokens = engine.memoryTokens * m_options.memoryShare;
     const double excessTokens = load.memoryTokens + placed.memoryTokens - usableTokens;
     if (excessTokens > 0 && engine.memoryTokens > 0)
@@ -327,7 +333,7 @@
         cost += isEngine ? m_options.crossZoneCostMs : m_options.crossZoneCallCostMs;
     if (now < state.suspectUntil)
         cost += m_options.suspectCostMs;
-    return cost;
+    return cost + placed.longPromptMs;
 }
 
 std::optional<server_placement>
@@ -340,6 +346,9 @@
     const prompt_affinity affinity = isEngine ? affinityOf(now, request) : prompt_affinity {};
     std::optional<server_placement> best;
     double bestCost = std::numeric_limits<double>::infinity();
+    // Server that would be chosen without the cost of long prompts.
+    const server_state *otherwise = nullptr;
+    double otherwiseCost = std::numeric_limits<double>::infinity();
     // Spreads requests over servers of equal cost by a random fraction of a millisecond.
     std::uniform_real_distribution<double> tieBreak(0, 1);
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
@@ -348,11 +357,17 @@
             continue;
         server_placement placed = estimate(now, state, request, engine, affinity);
         const double cost = costOf(now, state, request, placed, affinity.home) + tieBreak(m_random);
+        if (cost - placed.longPromptMs < otherwiseCost) {
+            otherwiseCost = cost - placed.longPromptMs;
+            otherwise = &state;
+        }
         if (cost < bestCost) {
             bestCost = cost;
             best = std::move(placed);
         }
     }
+    if (best)
+        best->isMovedByLongPrompts = otherwise->info.id != best->server;
     return best;
 }
 
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -17,6 +17,8 @@
     event_line line("proxy", "placed");
     if (placed.paceFactor != 1)
         line.add("pace_factor", placed.paceFactor);
+    if (placed.longPromptMs >= 1)
+        line.add("long_prompt_ms", placed.longPromptMs);
     return line;
 }
 
@@ -39,6 +41,8 @@
     const server_placement &placed = current.placed;
     const std::vector<prompt_part> &prompt = m_fields.prompt;
     const bool hasSharedPart = prompt.size() > 1;
+    if (placed.isMovedByLongPrompts)
+        m_state.metrics().counterOf("trefoil_placements_moved_by_long_prompts_total").add();
     writeEvent(placedLine(placed)
                    .add("request", m_fields.requestId)
                    .add("route", m_admitted.route->name)
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -172,7 +172,8 @@
             .prompt = m_fields.prompt,
             .outputTokens = m_fields.outputTokens,
             .tried = m_triedServers,
-            .excludedReleases = m_excludedReleases};
+            .excludedReleases = m_excludedReleases,
+            .targetLatency = m_admitted.route->targetLatency};
 }
 
 attempt_terms request_runner::termsInForce(timestamp now) const
