--- a/libs/dispatch/tests/long_prompts_replay_test.cpp
+++ b/libs/dispatch/tests/long_prompts_replay_test.cpp
@@ -35,7 +35,7 @@
 constexpr int instanceCount = 4;
 constexpr duration reportInterval = 200ms;
 /// The replays of these seeds are evaluated together.
-constexpr std::uint64_t seedCount = 8;
+constexpr std::uint64_t seedCount = 24;
 constexpr duration runTime = 40s;
 constexpr duration warmUp = 5s;
 constexpr duration changeStart = 15s;
