Cold servers: the fleet stays within the allowance of each in any second

Cause: a server that has just started, or that returns from an evacuation, crashes well above cold_per_s requests a second, and idle servers attract the requests of all instances.

Change: cold_servers knows which servers are cold (entries, X-Cold-Ms, start, zones that return) and divides cold_per_s by the demand on each service, which reports carry as cold_asked_rates. Instances with large shares save up whole requests, the others admit at random and together no more than certainly fits. Own rises wait 3 s, silent instances are charged, one without contact keeps to an equal share. Only with the contract "places" and cold_per_s above 0.

PeerReport.RoundTripsThroughText got the new field.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -12,6 +12,7 @@
 
 #include <core/clock.h>
 #include <dispatch/call_time.h>
+#include <dispatch/cold_servers.h>
 #include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_statements.h>
@@ -142,6 +143,9 @@
     double suspectCostMs = 400;
     /// Load reported by other instances expires after this time.
     duration reportLifetime = std::chrono::milliseconds(1500);
+    /// Whether requests to cold servers are limited, and how.
+    bool limitsColdServers = false;
+    cold_server_options cold;
 };
 
 /// Tracks the estimated load, weights, KV cache and health of all backend servers and chooses the
@@ -197,6 +201,8 @@
     /// in a zone that is evacuated now.
     bool usesEvacuatedZone(const server_placement &placed) const;
 
+    /// Returns what is known of cold servers.
+    cold_servers &coldServers() { return m_coldServers; }
     /// Returns what servers have stated about themselves.
     server_statements &statements() { return m_statements; }
 
@@ -364,6 +370,9 @@
     bool mayTake(timestamp now, const server_state &state, const request_profile &request) const;
     std::optional<server_placement> chooseAmong(timestamp now, const request_profile &request,
                                                 bool includesUnreachable);
+    /// Excludes the cold servers of @p service that this instance must send nothing to now. Returns
+    /// the others, from whose allowances a request was taken.
+    std::vector<std::string> admitToColdServers(timestamp now, std::string_view service);
     /// Applies the pauses of the servers of @p service to m_limitedFor.
     void addPauses(timestamp now, std::string_view service);
     std::optional<server_placement> chooseAdmitted(timestamp now, const request_profile &request,
@@ -431,6 +440,7 @@
     std::vector<cache_placement> m_placed;
     server_statements m_statements;
     zone_evacuations m_evacuations;
+    cold_servers m_coldServers;
     /// Servers that the choice in progress must not use because of their limits.
     std::vector<std::string> m_limitedServers;
     /// See limitedFor().
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -126,6 +126,8 @@
     admitted_totals serverRequests;
     admitted_totals serverDemandRates;
     admitted_totals serverLevels;
+    /// Requests per second by service, for the allowances of cold servers. See cold_servers.
+    std::map<std::string, double, std::less<>> coldDemandRates;
     /// Servers that have stated that they are leaving.
     std::vector<std::string> leavingServers;
     /// Boot epochs of the KV cache stores by address, 0 for a store that doesn't answer. Filled by
--- a/libs/dispatch/include/dispatch/serving_tables.h
+++ b/libs/dispatch/include/dispatch/serving_tables.h
@@ -93,6 +93,10 @@
     std::optional<engine_traits> engine;
     /// Set if the service is a KV cache store.
     std::optional<cache_store> cacheStore;
+    /// How long a server is assumed cold after its start, and the requests per second that a cold
+    /// server takes; 0 for no limit.
+    duration coldStartTime {};
+    double coldRequestsPerSecond = 0;
 };
 
 /// Unit in which a team's limit is counted.
@@ -176,6 +180,12 @@
     std::map<std::string, std::uint64_t, std::less<>> weights;
     /// Start time in milliseconds since 1970; distinguishes a restart under the same id.
     std::uint64_t startedAtMs = 0;
+    /// How long the server stays cold, from when the entry was written; empty if it doesn't say.
+    std::optional<duration> coldLeft;
+    /// Whether the entry has such a time that is not valid.
+    bool isColdLeftInvalid = false;
+    /// Number of the entry among those that the server has written.
+    std::uint64_t heartbeat = 0;
 
     bool operator==(const registered_server &) const = default;
 };
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -59,10 +59,15 @@
 
 load_balancer::load_balancer(const load_balancer_options &options)
     : m_options(options), m_random(options.randomSeed), m_peerLoads(options.reportLifetime),
-      m_statements({.randomSeed = static_cast<std::uint32_t>(options.randomSeed)})
+      m_statements({.randomSeed = static_cast<std::uint32_t>(options.randomSeed)}),
+      m_coldServers(options.cold)
 { }
 
-void load_balancer::cancel(const server_placement &placed) { m_statements.refund(placed.server); }
+void load_balancer::cancel(const server_placement &placed)
+{
+    m_statements.refund(placed.server);
+    m_coldServers.refund(placed.server);
+}
 
 void load_balancer::setServers(std::span<const registered_server> servers)
 {
@@ -98,7 +103,10 @@
 zone_evacuations::changes load_balancer::setEvacuatedZones(timestamp now,
                                                            std::span<const std::string> zones)
 {
-    return m_evacuations.setZones(now, zones);
+    zone_evacuations::changes changed = m_evacuations.setZones(now, zones);
+    for (const std::string &zone : changed.ended)
+        m_coldServers.onZoneReturned(now, zone);
+    return changed;
 }
 
 bool load_balancer::usesEvacuatedZone(const server_placement &placed) const
@@ -111,6 +119,14 @@
 void load_balancer::setTables(const serving_tables &tables)
 {
     m_engines.clear();
+    std::map<std::string, cold_rule, std::less<>> coldRules;
+    for (auto it = tables.services.begin(); it != tables.services.end(); ++it) {
+        const served_service &service = it->second;
+        if (m_options.limitsColdServers && service.coldRequestsPerSecond > 0)
+            coldRules[it->first] = {.startTime = service.coldStartTime,
+                                    .requestsPerSecond = service.coldRequestsPerSecond};
+    }
+    m_coldServers.setRules(std::move(coldRules));
     for (auto it = tables.services.begin(); it != tables.services.end(); ++it) {
         if (it->second.engine)
             m_engines[it->first] = *it->second.engine;
@@ -559,8 +575,10 @@
     if (server == nullptr)
         return;
     // The request did not reach the server.
-    if (outcome == attempt_outcome::Unreachable)
+    if (outcome == attempt_outcome::Unreachable) {
         m_statements.refund(state.server);
+        m_coldServers.refund(state.server);
+    }
     server_state &target = *server;
     target.own.running -= 1;
     target.own.memoryTokens -= state.memoryTokens;
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -228,6 +228,7 @@
     addNonEmpty(value, "server_limits", serverLimitsToJson(report.serverLimits));
     addNonEmpty(value, "server_requests", numbersToJson(report.serverRequests));
     addNonEmpty(value, "server_asked_rates", numbersToJson(report.serverDemandRates));
+    addNonEmpty(value, "cold_asked_rates", numbersToJson(report.coldDemandRates));
     addNonEmpty(value, "leaving_servers", namesToJson(report.leavingServers));
     addNonEmpty(value, "server_levels", numbersToJson(report.serverLevels));
     return writeJson(value);
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -248,6 +248,7 @@
     readNumbers(fields, "server_requests", report.serverRequests);
     readNumbers(fields, "server_asked_rates", report.serverDemandRates);
     readNumbers(fields, "server_levels", report.serverLevels);
+    readNumbers(fields, "cold_asked_rates", report.coldDemandRates);
     return report;
 }
 
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -261,6 +261,7 @@
     m_peerLoads.removeExpired(now);
     m_limitedServers.clear();
     m_limitedFor = std::nullopt;
+    const std::vector<std::string> admitted = admitToColdServers(now, request.service);
     std::optional<server_placement> best = chooseAdmitted(now, request, false);
     // If no server is reachable, wrong reachability data is more likely than the loss of all
     // servers.
@@ -268,9 +269,31 @@
         best = chooseAdmitted(now, request, true);
     if (!best)
         addPauses(now, request.service);
+    for (const std::string &server : admitted) {
+        if (!best || best->server != server)
+            m_coldServers.refund(server);
+    }
     return best;
 }
 
+std::vector<std::string> load_balancer::admitToColdServers(timestamp now, std::string_view service)
+{
+    m_coldServers.recordDemand(now, service);
+    // All of them are decided on first. They are idle and often the cheapest, so that trying one
+    // after the other would repeat the choice for each.
+    std::vector<std::string> admitted;
+    for (std::string &server : m_coldServers.coldServersOf(now, service)) {
+        const std::optional<duration> wait = m_coldServers.admit(now, server);
+        if (!wait) {
+            admitted.push_back(std::move(server));
+            continue;
+        }
+        m_limitedServers.push_back(std::move(server));
+        m_limitedFor = std::min(m_limitedFor.value_or(*wait), *wait);
+    }
+    return admitted;
+}
+
 void load_balancer::addPauses(timestamp now, std::string_view service)
 {
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -39,6 +39,7 @@
         .serverRequests = {{"s1", 4}},
         .serverDemandRates = {{"s1", 2.5}},
         .serverLevels = {{"s1", -1}},
+        .coldDemandRates = {{"llm", 6.25}},
         .leavingServers = {"s3"},
         .storeEpochs = {{"10.0.0.9:1", 77}}};
     const std::optional<peer_report> read = parsePeerReport(toText(report));
@@ -64,6 +65,7 @@
     EXPECT_EQ(read->serverRequests, report.serverRequests);
     EXPECT_EQ(read->serverDemandRates, report.serverDemandRates);
     EXPECT_EQ(read->serverLevels, report.serverLevels);
+    EXPECT_EQ(read->coldDemandRates, report.coldDemandRates);
     EXPECT_EQ(read->leavingServers, report.leavingServers);
     EXPECT_EQ(read->crashes[0].request, report.crashes[0].request);
     EXPECT_EQ(read->crashes[0].ageMs, 40u);
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -42,7 +42,12 @@
 routing_state::routing_state(const platform_settings &settings)
     : balancer({.zone = settings.zone,
                 .randomSeed = hash64(settings.name),
-                .staleWeightsLimit = settings.weightsDeadline - maxServerWait}),
+                .staleWeightsLimit = settings.weightsDeadline - maxServerWait,
+                .limitsColdServers = settings.hasContract(contract_names::places),
+                .cold = {.overage = settings.coldOverage,
+                         .slack = settings.coldSlack,
+                         .maxStatementAge = settings.maxSkew,
+                         .randomSeed = static_cast<std::uint32_t>(hash64(settings.name))}}),
       limits({.window = settings.limitWindow,
               .randomSeed = static_cast<std::uint32_t>(hash64(settings.name))},
              boot_clock::now()),
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -178,6 +178,7 @@
         report.serverRequests = statements.requests().totals();
         report.serverDemandRates = statements.requests().takeDemandRates(now);
         report.serverLevels = statements.requests().takeLevels(now);
+        report.coldDemandRates = routing.balancer.coldServers().takeDemandRates(now);
         report.gone = routing.balancer.goneServers();
         report.unreachable = routing.balancer.unreachableServers();
         report.placed = routing.balancer.takeCachePlacements();
@@ -244,6 +245,40 @@
                 .add("instances_known", state.knownPeers);
         }
     });
+    logColdAccounts(now);
+    for (const event_line &line : lines)
+        writeEvent(line);
+}
+
+void peer_exchange::logColdAccounts(timestamp now)
+{
+    std::vector<event_line> lines;
+    m_state.with([&](routing_state &routing) {
+        cold_servers &cold = routing.balancer.coldServers();
+        const std::map<std::string, cold_servers::cold_account, std::less<>> accounts =
+            cold.takeAccounts(now);
+        for (auto it = accounts.begin(); it != accounts.end(); ++it) {
+            lines.push_back(event_line("places", "cold_account"));
+            lines.back()
+                .add("server", it->first)
+                .add("cold_ms", toMilliseconds(it->second.coldFor))
+                .add("own_rate", it->second.rate)
+                .add("admitted", it->second.admitted)
+                .add("refused", it->second.refused)
+                .add("instances_heard", std::uint64_t {cold.heardPeers(now)})
+                .add("instances_known", std::uint64_t {cold.knownPeers()});
+            m_state.metrics()
+                .counterOf("trefoil_cold_requests_total", "result=\"admitted\"")
+                .add(it->second.admitted);
+            m_state.metrics()
+                .counterOf("trefoil_cold_requests_total", "result=\"refused\"")
+                .add(it->second.refused);
+        }
+        if (m_state.settings().hasContract(contract_names::places))
+            m_state.metrics()
+                .gaugeOf("trefoil_servers_cold")
+                .set(static_cast<std::int64_t>(cold.count(now)));
+    });
     for (const event_line &line : lines)
         writeEvent(line);
 }
@@ -369,6 +404,13 @@
     statements.applyLeaving(report.leavingServers);
     apply(statements.requests(), report.serverRequests, report.serverDemandRates,
           report.serverLevels);
+    routing.balancer.coldServers().applyReport(now,
+                                               {.peer = report.from,
+                                                .incarnation = report.incarnation,
+                                                .sequence = report.sequence,
+                                                .isLeaving = report.isLeaving,
+                                                .period = fromSeconds(report.periodMs / 1000),
+                                                .demandRates = report.coldDemandRates});
 }
 
 void peer_exchange::applyCrashes(timestamp now, const peer_report &report, routing_state &routing)
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -48,6 +48,8 @@
     void applyOutcomes(timestamp now, const peer_report &report, routing_state &routing);
     /// Writes what was admitted and charged of the teams near their limits to the log.
     void logLimitAccounts(timestamp now);
+    /// Logs what was decided about cold servers since the last call.
+    void logColdAccounts(timestamp now);
     /// Returns the interval between reports, which is shorter for the leader and for an instance
     /// with callers.
     duration reportInterval(bool isLeader) const;
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -25,12 +25,14 @@
     // Another server may answer at the address.
     if (fields.isMisdirected || (!fields.server.empty() && fields.server != server))
         return;
-    if (!fields.invalidField.empty()) {
+    const bool isColdInvalid =
+        fields.isColdForInvalid && m_state.settings().hasContract(contract_names::places);
+    if (!fields.invalidField.empty() || isColdInvalid) {
         m_state.metrics().counterOf("trefoil_invalid_server_statements_total").add();
         writeEvent(event_line("servers", "statement_invalid")
                        .add("request", m_fields.requestId)
                        .add("server", server)
-                       .add("field", fields.invalidField));
+                       .add("field", isColdInvalid ? "X-Cold-Ms" : fields.invalidField));
     }
     const timestamp now = boot_clock::now();
     server_statements::changes changed;
@@ -39,6 +41,9 @@
         server_statements &statements = routing.balancer.statements();
         changed = statements.record(now, current.sentAt, server, fields.stated);
         counts = statements.count(now);
+        if (fields.coldFor)
+            routing.balancer.coldServers().recordStatement(now, current.sentAt, server,
+                                                           *fields.coldFor);
     });
     if (changed == server_statements::changes {})
         return;
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -491,6 +491,16 @@
     if (known != m_decodedServers.end() && known->second.value == value)
         return known->second.server;
     decoded_server decoded {.value = value, .server = decodeServer(id, value)};
+    if (decoded.server && !m_state.settings().hasContract(contract_names::places)) {
+        // Heartbeats change nothing.
+        decoded.server->coldLeft.reset();
+        decoded.server->heartbeat = 0;
+        decoded.server->isColdLeftInvalid = false;
+    }
+    if (decoded.server && decoded.server->isColdLeftInvalid)
+        writeEvent(event_line("servers", "statement_invalid")
+                       .add("server", id)
+                       .add("field", "cold_left_ms"));
     return m_decodedServers.insert_or_assign(id, std::move(decoded)).first->second.server;
 }
 
@@ -528,7 +538,11 @@
     if (servers == m_appliedServers)
         return;
     m_appliedServers = std::move(servers);
-    m_state.with([this](routing_state &routing) { routing.balancer.setServers(m_appliedServers); });
+    const timestamp now = boot_clock::now();
+    m_state.with([&](routing_state &routing) {
+        routing.balancer.setServers(m_appliedServers);
+        routing.balancer.coldServers().setServers(now, wallMilliseconds(), m_appliedServers);
+    });
     logUnknownZones();
 }
 
@@ -636,6 +650,7 @@
         routing.members.setListed(now, entries);
         routing.limits.setPeers(now, names);
         routing.balancer.statements().requests().setPeers(now, names);
+        routing.balancer.coldServers().setPeers(now, names);
         routing.divideExtraRetries(m_state.settings(), entries.size());
     });
     writeEvent(event_line("members", "listed").add("instances", std::uint64_t {entries.size()}));
