Team limits: growth of a small team is measured against the usual demand of all

Cause: an instance gets 5 requests of a small team in the time of its average, and its growth, with three standard deviations on both sides, was certain only after a second. The growth on this instance counted beside that of others heard in time, although callers may have moved here.

Change: the growth on this instance is compared with the mean demand of an instance and counts only if less than two usual instances are heard in time. The total has two standard deviations. A team without requests has no bound.

--- a/libs/dispatch/include/dispatch/demand_growth.h
+++ b/libs/dispatch/include/dispatch/demand_growth.h
@@ -20,21 +20,32 @@
     /// request.
     demand_estimate(double usual, double size) : m_usual(usual), m_size(size) { }
 
-    /// Adds an instance whose present demand is known.
+    /// Sets the demand on this instance.
+    void setOwn(double before, double current) { m_own = {.before = before, .current = current}; }
+    /// Adds another instance whose present demand is known.
     void addKnown(double before, double current);
-    /// Adds an instance of which only an earlier demand is known.
+    /// Adds another instance of which only an earlier demand is known.
     void addLate(double before) { m_late += before; }
 
     /// Returns what is certain of the present demand.
     double certain() const;
 
 private:
+    struct sample
+    {
+        double before = 0;
+        double current = 0;
+    };
+
+    bool isUsual(double before) const;
+
     double m_usual;
     double m_size;
-    /// Instances that already had a usual demand, before and at present.
-    double m_before = 0;
-    double m_current = 0;
-    /// Instances that had little or no demand before. Their growth says nothing about others.
+    sample m_own;
+    /// Other instances that already had a usual demand.
+    sample m_known;
+    /// Present demand of other instances that had little or none before. Their growth says nothing
+    /// about others.
     double m_arrived = 0;
     double m_late = 0;
 };
--- a/libs/dispatch/src/demand_growth.cpp
+++ b/libs/dispatch/src/demand_growth.cpp
@@ -11,11 +11,14 @@
 constexpr double maxGrowth = 8;
 /// Standard deviations of a demand by which it may differ from its average by chance.
 constexpr double growthDeviations = 3;
-/// The same for a total. With 1, a team at 0.96 of its rate was refused 0.05% of its units beside
-/// links that are a second late, with 0 up to 0.3%.
+/// The same for a total. With 2.5, a small team exceeded its limit by 5% beside links that are a
+/// second late. With 2, a team at 0.96 of its rate is refused up to 0.03% of its units there.
 constexpr double totalDeviations = 2;
 /// An instance with at least this fraction of the usual demand tells how that of others grows.
 constexpr double minSample = 0.5;
+/// With other instances of this multiple of the usual demand, their growth is taken for that of
+/// all, without that of this instance, to which callers may have moved.
+constexpr double minKnown = 2;
 
 } // namespace
 
@@ -26,21 +29,37 @@
     return std::clamp(least / most, 1.0, maxGrowth);
 }
 
+bool demand_estimate::isUsual(double before) const
+{
+    return before > 0 && before >= minSample * m_usual;
+}
+
 void demand_estimate::addKnown(double before, double current)
 {
-    if (before <= 0 || before < minSample * m_usual) {
+    if (!isUsual(before)) {
         m_arrived += current;
         return;
     }
-    m_before += before;
-    m_current += current;
+    m_known.before += before;
+    m_known.current += current;
 }
 
 double demand_estimate::certain() const
 {
-    const double late = m_late * certainGrowth(m_before, m_current, m_size);
-    const double all = m_current + m_arrived + late;
-    return all - totalDeviations * std::sqrt(all * m_size);
+    const double known = m_own.current + m_known.current + m_arrived;
+    const bool isOwnSample = m_known.before < minKnown * m_usual && isUsual(m_own.before);
+    if (!isOwnSample) {
+        const double all = known + m_late * certainGrowth(m_known.before, m_known.current, m_size);
+        return all - totalDeviations * std::sqrt(all * m_size);
+    }
+    // By chance, this instance may have had less than the usual demand just before.
+    const double before = std::max(m_own.before + m_known.before, m_usual);
+    const double current = m_own.current + m_known.current;
+    const double growth = std::clamp(current / before, 1.0, maxGrowth);
+    const double late = m_late * growth;
+    const double relative = m_size / std::max(current, m_size) + m_size / (before + m_late);
+    const double variance = m_size * known + late * late * relative;
+    return known + late - totalDeviations * std::sqrt(variance);
 }
 
 } // namespace trefoil
--- a/libs/dispatch/src/team_limits.cpp
+++ b/libs/dispatch/src/team_limits.cpp
@@ -228,14 +228,14 @@
 std::optional<team_limits::unheard_units>
 team_limits::unheardUnits(timestamp now, const team_demand &demand, bucket &teamBucket) const
 {
-    if (!demand.isLate || m_options.isStrict)
+    if (!demand.isLate || m_options.isStrict || teamBucket.size <= 0)
         return std::nullopt;
     const double time = toSeconds(m_options.demandTime);
     const duration age = std::min<duration>(demand.age, unheard_admissions::maxTime);
     const team_knowledge then = teamBucket.unheard.knownAt(now - age);
     const double demandThen = then.ownDemand + then.othersDemand;
     demand_estimate estimate(demandThen * time / then.requesters, teamBucket.size);
-    estimate.addKnown(then.ownDemand * time, demand.current * time);
+    estimate.setOwn(then.ownDemand * time, demand.current * time);
     double others = 0;
     double late = 0;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
--- a/libs/dispatch/tests/demand_growth_test.cpp
+++ b/libs/dispatch/tests/demand_growth_test.cpp
@@ -26,7 +26,7 @@
 TEST(DemandGrowth, DemandOfLateInstancesGrowsLikeTheKnownOne)
 {
     demand_estimate estimate(100, size);
-    estimate.addKnown(100, 700);
+    estimate.setOwn(100, 700);
     for (int i = 0; i < 5; ++i)
         estimate.addLate(100);
     EXPECT_GT(estimate.certain(), 2500);
@@ -38,7 +38,7 @@
 TEST(DemandGrowth, CallersThatMoveHereAreNotTakenForGrowth)
 {
     demand_estimate estimate(10, size);
-    estimate.addKnown(10, 130);
+    estimate.setOwn(10, 130);
     for (int i = 0; i < 40; ++i)
         estimate.addKnown(10, 8);
     for (int i = 0; i < 40; ++i)
@@ -51,7 +51,7 @@
 TEST(DemandGrowth, InstancesWithoutEarlierDemandDoNotTellTheGrowthOfOthers)
 {
     demand_estimate estimate(130, size);
-    estimate.addKnown(0, 8);
+    estimate.setOwn(0, 8);
     estimate.addKnown(1, 8);
     for (int i = 0; i < 6; ++i)
         estimate.addLate(130);
@@ -59,4 +59,29 @@
     EXPECT_GE(estimate.certain(), 0.9 * (6 * 130 + 2 * 8));
 }
 
+// An instance of a small team gets 5 requests in the time of the average. A jump to 20 says little
+// beside what it had itself, but much beside what each of all had.
+TEST(DemandGrowth, GrowthIsComparedWithTheUsualDemandOfAll)
+{
+    demand_estimate jumped(5, size);
+    jumped.setOwn(4, 20);
+    demand_estimate steady(5, size);
+    steady.setOwn(3, 7);
+    for (demand_estimate *each : {&jumped, &steady}) {
+        for (int i = 0; i < 5; ++i)
+            each->addLate(5);
+    }
+    EXPECT_GT(jumped.certain(), 50);
+    EXPECT_LT(steady.certain(), 32);
+}
+
+TEST(DemandGrowth, TeamWithoutDemandHasNone)
+{
+    EXPECT_EQ(demand_estimate(0, size).certain(), 0);
+    demand_estimate started(0, size);
+    started.setOwn(0, 9);
+    EXPECT_GE(started.certain(), 0);
+    EXPECT_LE(started.certain(), 9);
+}
+
 } // namespace trefoil
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -430,7 +430,7 @@
     }
 }
 
-// An instance gets so few requests of a small team that a jump is certain only after a second.
+// An instance gets so few requests of a small team that a jump was not certain within a second.
 TEST(TeamLimitsFleet, JumpOfASmallTeamBesideVerySlowLinksStaysInTheLimitOfTheWindow)
 {
     for (const unsigned seed : seeds) {
