--- a/libs/admission/src/admission_control.cpp
+++ b/libs/admission/src/admission_control.cpp
@@ -44,9 +44,10 @@
 constexpr double maxFavour = 1.8;
 constexpr double favourOccupancy = 0.08;
 /// A rank is favoured if its share of admitted requests is below the first of these fractions of
-/// the mean, and always so below the second; no rank may be served less than a quarter as often.
-constexpr double starvedShare = 0.28;
-constexpr double fullyStarvedShare = 0.18;
+/// the mean, and always so below the second. No rank may be served less than a quarter as often,
+/// counted by callers; the shares count attempts, of which refused callers make several.
+constexpr double starvedShare = 0.25;
+constexpr double fullyStarvedShare = 0.15;
 /// Ranks with less than this part of the requests are ignored when others are compared with them.
 constexpr double minRankShare = 0.01;
 /// Engines compute urgent prompts first. Bounds of the part of a queue that urgent requests wait
--- a/libs/admission/tests/admission_control_test.cpp
+++ b/libs/admission/tests/admission_control_test.cpp
@@ -193,6 +193,30 @@
     EXPECT_EQ(control.decide({}, request, busyEngines()).what, kind::Admit);
 }
 
+// Engines that compute urgent requests first did not reach the others as long as there were any.
+TEST(AdmissionControl, RankThatIsStarvedGetsAShareThatIsSentAsTheMostUrgent)
+{
+    admission_control control(1);
+    int admitted[2] = {};
+    int lifted = 0;
+    for (int i = 0; i < 8000; ++i) {
+        admission_request request = makeRequest();
+        request.rank = i % 4 == 3 ? 6 : 0;
+        request.queue = 210ms;
+        request.expected = 270ms;
+        const admission_decision decision =
+            control.decide(timestamp {} + i * 2ms, request, busyEngines());
+        if (decision.what != kind::Admit)
+            continue;
+        admitted[request.rank / 6] += 1;
+        EXPECT_LE(decision.rank, request.rank);
+        lifted += decision.rank < request.rank ? 1 : 0;
+    }
+    EXPECT_GT(admitted[1] * 3, admitted[0] / 10);
+    EXPECT_GT(admitted[0], admitted[1] * 6);
+    EXPECT_EQ(lifted, admitted[1]);
+}
+
 TEST(UsualDeadlines, ShorterTimeThanUsualTellsARetry)
 {
     usual_deadlines deadlines;
