Event line: pace_factor only if it differs from 1 by a hundredth or more

Cause: as readings age the factor approaches 1 without reaching it, so every placement on a server that once stated a pace had the field. Change: threshold of 0.01. daemon_tests: 65 pass.

--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -2,6 +2,7 @@
 // behind them.
 
 #include <array>
+#include <cmath>
 
 #include <telemetry/event_log.h>
 
@@ -15,7 +16,8 @@
 event_line placedLine(const server_placement &placed)
 {
     event_line line("proxy", "placed");
-    if (placed.paceFactor != 1)
+    constexpr double minPaceChange = 0.01;
+    if (std::abs(placed.paceFactor - 1) >= minPaceChange)
         line.add("pace_factor", placed.paceFactor);
     if (placed.longPromptMs >= 1)
         line.add("long_prompt_ms", placed.longPromptMs);
