Core: a finding's text is one line

Cause: a trial with a service called "a<newline>b" printed a finding on two lines, the second of which could look like a finding of its own.

--- a/libs/core/include/core/finding.h
+++ b/libs/core/include/core/finding.h
@@ -24,8 +24,8 @@
 
 using findings = std::vector<finding>;
 
-/// Returns "file:line:column: field: message", without the field if the message names it.
-/// Thread-safe.
+/// Returns "file:line:column: field: message", without the field if the message names it,
+/// on one line. Thread-safe.
 std::string toString(const finding &item);
 
 /// Returns one line for each finding, in the order of @p items. Thread-safe.
--- a/libs/core/tests/finding_test.cpp
+++ b/libs/core/tests/finding_test.cpp
@@ -14,4 +14,11 @@
     EXPECT_EQ(toString({.file = "f", .line = 1, .column = 1, .message = "m"}), "f:1:1: m");
 }
 
+// Guards against a name in a document that looks like a finding of its own.
+TEST(Finding, TextIsOneLine)
+{
+    EXPECT_EQ(toString({.file = "f", .line = 1, .column = 1, .message = "team \"a\nb\x7f\""}),
+              "f:1:1: team \"a\\x0ab\\x7f\"");
+}
+
 } // namespace trefoil
