--- a/libs/admission/tests/admission_overload_test.cpp
+++ b/libs/admission/tests/admission_overload_test.cpp
@@ -300,16 +300,16 @@
         EXPECT_GT(team.servedShare(), 0.9 * all.servedShare()) << what;
 }
 
-class AdmissionOverload : public testing::TestWithParam<unsigned>
+class admission_overload : public testing::TestWithParam<unsigned>
 { };
 
-INSTANTIATE_TEST_SUITE_P(Seeds, AdmissionOverload, testing::Range(1U, 6U));
+INSTANTIATE_TEST_SUITE_P(Seeds, admission_overload, testing::Range(1U, 6U));
 
 } // namespace
 
 // Each request was judged by its own wait alone: queues of four seconds, urgent requests behind
 // less urgent ones.
-TEST_P(AdmissionOverload, UrgentRequestsAreOnTimeAndNoneAreStarvedAtAnyLoad)
+TEST_P(admission_overload, UrgentRequestsAreOnTimeAndNoneAreStarvedAtAnyLoad)
 {
     for (const double factor : {1.0, 1.5, 2.5, 4.0}) {
         simulation fleet {.demand = [factor](int) { return factor; },
@@ -321,7 +321,7 @@
     }
 }
 
-TEST_P(AdmissionOverload, NothingIsRefusedWhileTheServiceIsNotShortOfCapacity)
+TEST_P(admission_overload, NothingIsRefusedWhileTheServiceIsNotShortOfCapacity)
 {
     simulation fleet {.demand = [](int) { return 0.5; }, .random = std::mt19937(GetParam())};
     fleet.run(30000);
@@ -331,7 +331,7 @@
     }
 }
 
-TEST_P(AdmissionOverload, BurstOfThreeSecondsRefusesNoMoreThanExceedsTheCapacity)
+TEST_P(admission_overload, BurstOfThreeSecondsRefusesNoMoreThanExceedsTheCapacity)
 {
     simulation fleet {.demand = [](int now) { return now >= 5000 && now < 8000 ? 2.5 : 0.6; },
                       .random = std::mt19937(GetParam())};
@@ -342,7 +342,7 @@
     EXPECT_GT(fleet.byKind[1].servedShare(), 0.62);
 }
 
-TEST_P(AdmissionOverload, TeamWithHighDemandIsServedAsOftenAsOthers)
+TEST_P(admission_overload, TeamWithHighDemandIsServedAsOftenAsOthers)
 {
     simulation fleet {
         .demand = [](int) { return 1.7; }, .hotTeamShare = 0.6, .random = std::mt19937(GetParam())};
@@ -351,7 +351,7 @@
     EXPECT_GT(fleet.byKind[0].servedShare(), 0.95);
 }
 
-TEST_P(AdmissionOverload, LossOfAThirdOfTheServersKeepsUrgentRequestsOnTime)
+TEST_P(admission_overload, LossOfAThirdOfTheServersKeepsUrgentRequestsOnTime)
 {
     simulation fleet {
         .demand = [](int) { return 0.9; }, .lossAt = 10000, .random = std::mt19937(GetParam())};
@@ -362,7 +362,7 @@
 
 // Memory, not computing, limits the engines: requests that don't fit would wait inside the
 // engine.
-TEST_P(AdmissionOverload, MemoryIsTheLimitingResource)
+TEST_P(admission_overload, MemoryIsTheLimitingResource)
 {
     simulation fleet {
         .demand = [](int) { return 1.5; }, .holdFactor = 2, .random = std::mt19937(GetParam())};
