--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -144,7 +144,7 @@
     /// Fraction of an engine's memory that requests may take before further ones queue.
     double memoryShare = 0.9;
     /// Part of an engine's usable memory that one instance alone may use if avoidsFullServers is
-    /// set. With 0.2, five times as many requests overcommitted an engine's memory.
+    /// set. With 0.2, seven times as many requests overcommitted an engine's memory.
     double memoryShareOfOne = 0.4;
     /// Whether a request is placed on a full server only if all are full. A model engine is full if
     /// the memory of running requests, each with its whole prompt, leaves no room for the request;
