Cold servers: more of the allowance is used, and listed again isn't started again

Servers whose entries expired in an outage of the store counted as just started when they were listed again.

Change: the demand average takes 3 s instead of 1.5.

--- a/libs/core/include/core/clock.h
+++ b/libs/core/include/core/clock.h
@@ -43,7 +43,8 @@
 }
 
 /// Returns the wall-clock time in milliseconds since 1970 (Unix time). For incarnation numbers
-/// and log lines only; never compare it with another machine's clock. Thread-safe.
+/// and log lines; never compare it with another machine's clock without allowing for what the
+/// platform states they may differ by. Thread-safe.
 std::uint64_t wallMilliseconds();
 
 } // namespace trefoil
--- a/libs/dispatch/include/dispatch/cold_servers.h
+++ b/libs/dispatch/include/dispatch/cold_servers.h
@@ -45,8 +45,9 @@
     duration maxColdTime = std::chrono::hours(1);
     /// An instance that does not report for longer is charged with its share.
     report_timeout reportTimeout;
-    /// Time constant of the demand average.
-    duration demandTime = std::chrono::milliseconds(1500);
+    /// Time constant of the demand average. The smallest average of riseTime counts, so with a
+    /// shorter one much of the allowance is lost where instances have few requests.
+    duration demandTime = std::chrono::seconds(3);
     /// How long this instance waits until it uses a larger share for a demand that it has reported,
     /// so that the others have made room for it.
     duration riseTime = std::chrono::seconds(3);
@@ -80,7 +81,8 @@
 
     /// Sets the rules by service. Services without a rule have no cold servers.
     void setRules(std::map<std::string, cold_rule, std::less<>> rules);
-    /// Takes the list of servers. @p wallMs is the time in milliseconds since 1970.
+    /// Takes the list of servers. @p wallMs is the time in milliseconds since 1970. It may differ
+    /// from the servers' clocks by maxStatementAge.
     void setServers(timestamp now, std::uint64_t wallMs,
                     std::span<const registered_server> servers);
     /// Records that @p server stated, in its answer to a request that was sent at @p sentAt, that
@@ -200,7 +202,6 @@
     std::map<std::string, service_demand, std::less<>> m_demand;
     std::map<std::string, allowance, std::less<>> m_allowances;
     bool m_arePeersKnown = false;
-    bool m_areServersKnown = false;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/cold_servers.cpp
+++ b/libs/dispatch/src/cold_servers.cpp
@@ -90,8 +90,10 @@
             || state.heartbeat != server.heartbeat;
         if (!isSame) {
             state.assumedFrom = now;
-            // Servers of the first list may have started long ago.
-            if (!m_areServersKnown && server.startedAtMs != 0 && server.startedAtMs < wallMs) {
+            // A server that is listed for the first time, or again after an outage of the store,
+            // may have started long ago.
+            const bool isRestarted = known != m_servers.end();
+            if (!isRestarted && server.startedAtMs != 0 && server.startedAtMs < wallMs) {
                 const duration age = std::chrono::milliseconds(std::min<std::uint64_t>(
                     wallMs - server.startedAtMs, toMilliseconds(m_options.maxColdTime)));
                 state.assumedFrom = std::min(now, now - age + m_options.maxStatementAge);
@@ -112,7 +114,6 @@
         next.emplace(server.id, std::move(state));
     }
     m_servers = std::move(next);
-    m_areServersKnown = true;
 }
 
 void cold_servers::recordStatement(timestamp now, timestamp sentAt, std::string_view server,
--- a/libs/dispatch/tests/cold_servers_test.cpp
+++ b/libs/dispatch/tests/cold_servers_test.cpp
@@ -455,8 +455,9 @@
     std::vector<registered_server> servers {makeServer(0)};
     cold.setServers(at(100), bornMs + 3'600'000, servers);
     EXPECT_FALSE(cold.isCold(at(100), "s0"));
+    // By its clock, which may be wrong, the first one restarted long ago.
     servers[0].startedAtMs += 1000;
-    servers.push_back(makeServer(1));
+    servers.push_back(makeServer(1, bornMs + 3'600'000));
     cold.setServers(at(200), bornMs + 3'600'000, servers);
     for (const char *server : {"s0", "s1"}) {
         EXPECT_TRUE(cold.isCold(at(229), server));
@@ -464,6 +465,18 @@
     }
 }
 
+// Entries that expire in an outage of the store made the whole service cold when they came back.
+TEST(ColdServers, ServerThatIsListedAgainAfterAnOutageIsNotColdForIt)
+{
+    cold_servers cold({});
+    cold.setRules(rules);
+    const std::vector<registered_server> servers {makeServer(0)};
+    cold.setServers(at(100), bornMs + 3'600'000, servers);
+    cold.setServers(at(200), bornMs + 3'700'000, {});
+    cold.setServers(at(210), bornMs + 3'710'000, servers);
+    EXPECT_FALSE(cold.isCold(at(210), "s0"));
+}
+
 // The entry that was written before the zone was evacuated says 0 and may arrive late.
 TEST(ColdServers, ZoneThatReturnsIsColdUnlessANewerStatementSaysOtherwise)
 {
