--- a/libs/dispatch/include/dispatch/leader_lease.h
+++ b/libs/dispatch/include/dispatch/leader_lease.h
@@ -104,9 +104,9 @@
     /// Returns whether this instance may act as the leader at @p now: send orders, report rollouts
     /// and remove dead instances.
     bool mayAct(timestamp now) const;
-    /// Returns for how long from @p now this instance may act if no renewal succeeds, zero if it may
-    /// not act. An action that can't be taken back, such as an order to a server, must have ended by
-    /// then: it would reach the server after an order of a later epoch otherwise.
+    /// Returns for how long from @p now this instance may act if no renewal succeeds, zero if it
+    /// may not act. An action that can't be taken back, such as an order to a server, must have
+    /// ended by then: it would reach the server after an order of a later epoch otherwise.
     duration actingTimeLeft(timestamp now) const;
     /// Returns whether the lease is held at @p now, whether or not the instance may act yet.
     bool holds(timestamp now) const;
