Admission: engine memory is not divided among the instances

Cause: the division keeps the last 0.4 of each engine's usable memory for one instance. Requests count with their whole prompts, two thirds of which are shared parts that engines keep once; so most of the memory stayed unused.

Change: a request fits if its whole prompt fits into the usable memory by the sum of the reports.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -134,8 +134,6 @@
 {
     /// Availability zone of this instance.
     std::string zone;
-    /// Name of this instance in the reports of load.
-    std::string self;
     std::uint64_t randomSeed = 1;
     /// Estimate of the engines' prefill rate.
     prefill_rate_options prefill;
@@ -159,9 +157,6 @@
     duration staleWeightsLimit = std::chrono::milliseconds(10500);
     /// Fraction of an engine's memory that requests may take before further ones queue.
     double memoryShare = 0.9;
-    /// Part of an engine's usable memory that one instance alone may use if avoidsFullServers is
-    /// set. With 0.2, seven times as many requests overcommitted an engine's memory.
-    double memoryShareOfOne = 0.4;
     /// Whether a request is placed on a full server only if all are full. A model engine is full if
     /// the memory of running requests, each with its whole prompt, leaves no room for the request;
     /// another server if its slots and its short queue are taken.
@@ -339,8 +334,6 @@
         bool needsProbe = false;
         /// Whether a probe is in progress.
         bool isProbing = false;
-        /// Whether this instance may use all of the engine's usable memory.
-        bool isFilledHere = true;
         timestamp probedAt;
         /// Weights version assumed after a refusal; 0 to use the known one.
         std::uint64_t assumedWeights = 0;
@@ -392,13 +385,6 @@
         double storeWaitMs = 0;
     };
 
-    struct summed_load
-    {
-        service_load load;
-        /// Moving average of the memory that this instance's requests take.
-        double averageOwnTokens = 0;
-    };
-
     struct ticket_state
     {
         std::string server;
@@ -464,12 +450,7 @@
     static void forgetParts(server_state &server, const ticket_state &ticket);
     double prefillTokensPerMs(std::string_view service) const;
     prefill_rate &prefillRateOf(std::string_view service);
-    service_load sumLoad(timestamp now, std::string_view service, double &ownMemoryTokens) const;
-    /// Divides the engines among the instances that put load on servers.
-    void assignFullEngines(timestamp now);
-    /// Returns whether a request fits into the memory of an engine with @p load.
-    bool fitsMemory(const server_state &state, const engine_traits &engine, const server_load &load,
-                    double memoryTokens) const;
+    service_load sumLoad(timestamp now, std::string_view service) const;
     void measurePrefill(const server_state &server, const ticket_state &ticket, double measuredMs);
     void touchParts(timestamp now, server_state &state, std::span<const std::uint64_t> parts);
     double poolFailureShare(std::string_view service) const;
@@ -507,11 +488,7 @@
     /// See limitedFor().
     std::optional<duration> m_limitedFor;
     /// Results of serviceLoad(), by service.
-    std::map<std::string, summed_load, std::less<>> m_serviceLoads;
-    timestamp m_fullEnginesAssignedAt;
-    std::size_t m_busyPeers = 0;
-    /// Memory of each engine that the others have probably taken unseen, cached during one choice.
-    double m_unseenTokens = 0;
+    std::map<std::string, service_load, std::less<>> m_serviceLoads;
 };
 
 /// Returns the salt under which engines share KV cache of @p model at version @p weights among the
--- a/libs/dispatch/include/dispatch/peer_load_table.h
+++ b/libs/dispatch/include/dispatch/peer_load_table.h
@@ -56,8 +56,8 @@
 
     /// Returns the number of instances whose reports count.
     std::size_t peerCount() const { return m_peers.size(); }
-    /// Returns the names of the instances that report load on any server.
-    std::vector<std::string> busyPeers() const;
+    /// Returns the number of instances that report load on any server.
+    std::size_t busyPeerCount() const;
 
 private:
     struct server_total
--- a/libs/dispatch/include/dispatch/service_load.h
+++ b/libs/dispatch/include/dispatch/service_load.h
@@ -22,8 +22,6 @@
     double tokensPerMs = 0;
     /// Engine memory that running requests take and may take, in tokens.
     double memoryTokens = 0;
-    /// Memory that the other instances have probably taken since they reported.
-    double unseenMemoryTokens = 0;
     double usableMemoryTokens = 0;
     /// Average duration of a call in milliseconds; 0 for a service with a model.
     double callMs = 0;
--- a/libs/dispatch/src/peer_load_table.cpp
+++ b/libs/dispatch/src/peer_load_table.cpp
@@ -67,14 +67,12 @@
     removeExpired(now);
 }
 
-std::vector<std::string> peer_load_table::busyPeers() const
+std::size_t peer_load_table::busyPeerCount() const
 {
-    std::vector<std::string> names;
-    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
-        if (!it->second.entries.empty())
-            names.push_back(it->first);
-    }
-    return names;
+    std::size_t count = 0;
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it)
+        count += it->second.entries.empty() ? 0 : 1;
+    return count;
 }
 
 void peer_load_table::removeExpired(timestamp now)
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -204,8 +204,8 @@
                               .tokensPerMs = tokensPerMs / (state.slowness * placed.paceFactor)});
     const double usableTokens = engine.memoryTokens * m_options.memoryShare;
     const double excessTokens = load.memoryTokens + placed.memoryTokens - usableTokens;
-    placed.fits =
-        !m_options.avoidsFullServers || fitsMemory(state, engine, load, placed.memoryTokens);
+    // A request that is larger than the usable memory fits on an idle engine only.
+    placed.fits = !m_options.avoidsFullServers || excessTokens <= 0 || load.running <= 0;
     if (excessTokens > 0 && engine.memoryTokens > 0)
         placed.expectedMs += overloadCostMs * excessTokens / engine.memoryTokens;
     if (load.running >= engine.slots)
@@ -275,11 +275,6 @@
     m_peerLoads.removeExpired(now);
     m_limitedServers.clear();
     m_limitedFor = std::nullopt;
-    if (m_options.avoidsFullServers) {
-        assignFullEngines(now);
-        const service_load &load = serviceLoad(now, request.service);
-        m_unseenTokens = load.unseenMemoryTokens / std::max(1, load.servers);
-    }
     const std::vector<std::string> admitted = admitToColdServers(now, request.service);
     std::optional<server_placement> best = chooseAdmitted(now, request, false);
     // If no server is reachable, wrong reachability data is more likely than the loss of all
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -41,7 +41,6 @@
 
 routing_state::routing_state(const platform_settings &settings)
     : balancer({.zone = settings.zone,
-                .self = settings.name,
                 .randomSeed = hash64(settings.name),
                 .staleWeightsLimit = settings.weightsDeadline - maxServerWait,
                 .avoidsFullServers = settings.hasContract(contracts::pressure),
--- a/trefoilrouter/src/edge/request_admission.cpp
+++ b/trefoilrouter/src/edge/request_admission.cpp
@@ -30,7 +30,7 @@
             .running = load.running,
             .pendingTokens = load.pendingTokens,
             .tokensPerMs = load.tokensPerMs,
-            .memoryUsed = load.memoryTokens + load.unseenMemoryTokens,
+            .memoryUsed = load.memoryTokens,
             .memoryUsable = load.usableMemoryTokens,
             .callTime = fromSeconds(load.callMs / 1000),
             .waitingHere = routing.waitingRequests,
