Store: the first read after a lost connection hardly waits

Cause: a store that drops its connections and its history just after a change tells of the change only when the next poll ends, which was 2.2 s later; instances that learn of it from reports were later still, and one handled requests by an old configuration more than three seconds after the new one was acknowledged.

Change: a read that follows a failed one waits 0.1 s.

Result: ReadAfterALostConnectionHardlyWaits fails without the change (2.2 s); 20 tests of platform and 4 of store_watch pass.

--- a/libs/platform/src/watch_pacer.cpp
+++ b/libs/platform/src/watch_pacer.cpp
@@ -23,11 +23,13 @@
         return {.isSnapshot = true, .answerTime = m_options.answerTime};
     const bool isFresh = freshness == read_freshness::Newest;
     const duration limit = m_options.maxSilence * (isFresh ? 1 : m_options.staleFactor);
-    // A read after a failed one uses a new connection.
-    const duration silence = m_hasAnswer ? now - m_answeredAt : duration::zero();
+    // A read after a failed one uses a new connection. It hardly waits: a change may have been made
+    // while the old connection was lost, and a store that has dropped its history may tell of it
+    // only when the poll ends.
+    const duration waitTime =
+        m_hasAnswer ? limit - (now - m_answeredAt) - m_options.answerTime : minWaitTime;
     return {.freshness = freshness,
-            .waitTime = std::clamp<duration>(limit - silence - m_options.answerTime, minWaitTime,
-                                             maxWaitTime),
+            .waitTime = std::clamp<duration>(waitTime, minWaitTime, maxWaitTime),
             .answerTime = m_options.answerTime};
 }
 
--- a/libs/platform/tests/watch_pacer_test.cpp
+++ b/libs/platform/tests/watch_pacer_test.cpp
@@ -75,6 +75,22 @@
     EXPECT_TRUE(pacer.nextRead(start + 5s, read_freshness::Newest).isSnapshot);
 }
 
+// A store dropped its connections and its history just after a change, and told of it only at the
+// end of the next poll, 2.2 s later: configurations came into force too late.
+TEST(WatchPacer, ReadAfterALostConnectionHardlyWaits)
+{
+    for (const read_freshness freshness : {read_freshness::Newest, read_freshness::MayBeStale}) {
+        watch_pacer pacer({.maxSilence = 2800ms});
+        pacer.nextRead(start, freshness);
+        pacer.onAnswered(start, true, 90);
+        pacer.nextRead(start, freshness);
+        pacer.onFailed(start + 1s);
+        EXPECT_LE(pacer.nextRead(start + 1s, freshness).waitTime, 100ms);
+        pacer.onAnswered(start + 1100ms, false, 90);
+        EXPECT_GE(pacer.nextRead(start + 1100ms, freshness).waitTime, 2s);
+    }
+}
+
 TEST(WatchPacer, StaleReadsWaitLonger)
 {
     watch_pacer pacer({.maxSilence = 2100ms});
