Names, comments and one long function after a second reading

Comments state the reason of a constant instead of the values that were compared; the contracts and the events of evacuations have the project's words; a request that arrives before the evacuated zones are known gets its own reason; the division of a cold server's rate and the choice of rounding are functions of their own. No change of behaviour but that reason and the event part zones.

--- a/libs/admission/src/admission_control.cpp
+++ b/libs/admission/src/admission_control.cpp
@@ -15,9 +15,9 @@
 /// requests wait for longer than the given time at the best server.
 constexpr double freeOccupancy = 0.5;
 constexpr double freeQueueMs = 50;
-/// Longest admitted wait behind other requests, in milliseconds. With the width of the ramp and
-/// what instances haven't heard of each other, queues reach about a second; with 600 one in six
-/// runs of the tests had a longer one, with 350 more requests were refused at just the capacity.
+/// Longest admitted wait behind other requests, in milliseconds. The ramp and what instances
+/// haven't heard of each other about double it, and a queue of more than a second uses up most
+/// targets.
 constexpr double maxQueueMs = 450;
 /// Part of its target, less the request's own work, that a request of the most urgent rank may wait
 /// behind others; the rest is for those that are favoured. The part of the target for the least
--- a/libs/dispatch/include/dispatch/cold_servers.h
+++ b/libs/dispatch/include/dispatch/cold_servers.h
@@ -183,16 +183,37 @@
         timestamp computedAt;
     };
 
+    /// Demand on another instance in requests per second.
+    struct known_demand
+    {
+        double rate = 0;
+        bool isHeard = false;
+    };
+    /// Requests per second that each instance may send to a cold server, the largest first.
+    struct fleet_rates
+    {
+        std::vector<double> all;
+        double own = 0;
+    };
+
     bool isSilent(timestamp now, const peer_state &peer) const;
     bool hasEnded(timestamp now, const peer_state &peer) const;
     timestamp coldUntil(const server_state &state) const;
     const cold_rule *ruleOf(std::string_view service) const;
-    static void takeStatement(timestamp now, server_state &state, duration coldFor);
+    static void setStatement(timestamp now, server_state &state, duration coldFor);
     /// Returns the demand on this instance by which its share is computed.
     double ownDemand(timestamp now, std::string_view service) const;
     const allowance &allowanceOf(timestamp now, const std::string &service, const cold_rule &rule);
     allowance computeAllowance(timestamp now, std::string_view service,
                                const cold_rule &rule) const;
+    /// Returns the demand on the other instances.
+    std::vector<known_demand> otherDemands(timestamp now, std::string_view service) const;
+    /// Divides the rate of a cold server among all instances.
+    fleet_rates divide(const cold_rule &rule, double ownDemand,
+                       std::span<const known_demand> others) const;
+    /// Decides whether this instance saves up its allowance or admits at random, so that all
+    /// instances together send no more than @p allowed in a second.
+    static allowance chooseRounding(timestamp now, const fleet_rates &rates, double allowed);
 
     cold_server_options m_options;
     std::minstd_rand m_random;
--- a/libs/dispatch/include/dispatch/long_prompts.h
+++ b/libs/dispatch/include/dispatch/long_prompts.h
@@ -19,13 +19,11 @@
     /// Prompt tokens that an engine may prefill between two events of a stream: chunks of 1,024
     /// tokens beside each of the 7 tokens of an event.
     double tokensPerEvent = 7 * 1024;
-    /// Exponent of the share of its allowed pause that a stream's pause reaches. In trials with 2,
-    /// 13% of the long prompts of a burst were late instead of 11%; with 4, short requests gained
-    /// less.
+    /// Exponent of the share of its allowed pause that a stream's pause reaches. A lower one makes
+    /// long prompts avoid servers where pauses do no harm yet; see docs/design/long-prompts.md.
     double pauseExponent = 3;
     /// Part of the requests on a server for which the delay by a long prompt counts: most have
-    /// slack. With all of them, long prompts were placed away from their cached parts so often that
-    /// 9.5% of them were late on a quiet day instead of 6.1%.
+    /// slack. If all counted, long prompts would leave their cached parts and be late themselves.
     double delayedShare = 0.25;
 };
 
@@ -47,7 +45,7 @@
 /// routes with the longer targets carry long prompts. Not thread-safe.
 ///
 /// Handles engines that prefill long prompts between the events of short answers: when other work
-/// slowed them down, 14% of the short questions had a pause beyond their target on a quiet day,
+/// slowed them down, 14% of the short requests had a pause beyond their target at usual load,
 /// although their first event was early.
 class long_prompts
 {
--- a/libs/dispatch/src/cold_servers.cpp
+++ b/libs/dispatch/src/cold_servers.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <iterator>
 #include <limits>
+#include <numeric>
 
 namespace trefoil {
 
@@ -72,7 +73,7 @@
     return rule == nullptr ? timestamp {} : state.assumedFrom + rule->startTime;
 }
 
-void cold_servers::takeStatement(timestamp now, server_state &state, duration coldFor)
+void cold_servers::setStatement(timestamp now, server_state &state, duration coldFor)
 {
     state.statedUntil = now + coldFor;
 }
@@ -109,7 +110,7 @@
             const bool mayBeOlder =
                 state.raisedAt && now - *state.raisedAt < m_options.maxStatementAge;
             if (!mayBeOlder || now + left > coldUntil(state))
-                takeStatement(now, state, left);
+                setStatement(now, state, left);
         }
         next.emplace(server.id, std::move(state));
     }
@@ -131,7 +132,7 @@
     // A registration from before may still arrive.
     if (!isCold(now, server) && left > duration::zero())
         state.raisedAt = now;
-    takeStatement(now, state, left);
+    setStatement(now, state, left);
 }
 
 void cold_servers::onZoneReturned(timestamp now, std::string_view zone)
@@ -239,46 +240,40 @@
                       [this, now](const auto &each) { return !isSilent(now, each.second); }));
 }
 
-cold_servers::allowance cold_servers::computeAllowance(timestamp now, std::string_view service,
-                                                       const cold_rule &rule) const
+std::vector<cold_servers::known_demand> cold_servers::otherDemands(timestamp now,
+                                                                   std::string_view service) const
 {
-    // Demand of each other instance, with whether it is heard.
-    std::vector<std::pair<double, bool>> others;
-    double heard = 1;
-    const double own = ownDemand(now, service);
-    double heardDemand = own;
-    double allDemand = own;
+    std::vector<known_demand> demands;
     for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
         if (hasEnded(now, it->second))
             continue;
         const auto rate = it->second.rates.find(service);
-        const double demand = rate == it->second.rates.end() ? 0 : rate->second;
-        const bool isHeard = !isSilent(now, it->second);
-        others.emplace_back(demand, isHeard);
-        heard += isHeard ? 1 : 0;
-        heardDemand += isHeard ? demand : 0;
-        allDemand += demand;
+        demands.push_back({.rate = rate == it->second.rates.end() ? 0 : rate->second,
+                           .isHeard = !isSilent(now, it->second)});
     }
-    const double instances =
-        m_arePeersKnown ? static_cast<double>(others.size() + 1) : unknownFleetSize;
-    const double equal = 1 / instances;
-    const double allowed =
-        std::floor(std::max(rule.requestsPerSecond * std::max(m_options.overage, 1.0), 1.0)
-                   + std::max(m_options.slack, 0.0));
-    // An instance without contact doesn't know the shares of the others. They charge it at least
-    // an equal one.
-    if (!m_arePeersKnown || 2 * heard < instances) {
-        const double most = std::min(rule.requestsPerSecond, meanBelow(allowed));
-        return {.rate = most * equal, .computedAt = now};
+    return demands;
+}
+
+cold_servers::fleet_rates cold_servers::divide(const cold_rule &rule, double ownDemand,
+                                               std::span<const known_demand> others) const
+{
+    const double equal = 1 / static_cast<double>(others.size() + 1);
+    double heard = 1;
+    double heardDemand = ownDemand;
+    double allDemand = ownDemand;
+    for (const known_demand &each : others) {
+        heard += each.isHeard ? 1 : 0;
+        heardDemand += each.isHeard ? each.rate : 0;
+        allDemand += each.rate;
     }
+    fleet_rates rates;
     double silentShare = 0;
-    std::vector<double> rates;
-    for (const std::pair<double, bool> &each : others) {
-        if (each.second)
+    for (const known_demand &each : others) {
+        if (each.isHeard)
             continue;
-        const double share = std::max(allDemand > 0 ? each.first / allDemand : 0, equal);
+        const double share = std::max(allDemand > 0 ? each.rate / allDemand : 0, equal);
         silentShare += share;
-        rates.push_back(share * rule.requestsPerSecond);
+        rates.all.push_back(share * rule.requestsPerSecond);
     }
     const double divided = std::max(0.0, 1 - silentShare);
     const auto rateOf = [&](double demand) {
@@ -286,42 +281,68 @@
         return rule.requestsPerSecond * divided
             * (m_options.equalShare / heard + (1 - m_options.equalShare) * part);
     };
-    for (const std::pair<double, bool> &each : others) {
-        if (each.second)
-            rates.push_back(rateOf(each.first));
+    for (const known_demand &each : others) {
+        if (each.isHeard)
+            rates.all.push_back(rateOf(each.rate));
     }
-    const double ownRate = rateOf(own);
-    rates.push_back(ownRate);
-    std::sort(rates.begin(), rates.end(), std::greater<>());
+    rates.own = rateOf(ownDemand);
+    rates.all.push_back(rates.own);
+    std::sort(rates.all.begin(), rates.all.end(), std::greater<>());
+    return rates;
+}
+
+cold_servers::allowance cold_servers::chooseRounding(timestamp now, const fleet_rates &rates,
+                                                     double allowed)
+{
     // The instances with the largest shares save up their allowance, so that what they send in a
     // second is certain. As many as fit in the bound beside the random arrivals from the others.
     double saved = 0;
     double most = 0;
-    double rest = 0;
-    for (const double rate : rates)
-        rest += rate;
+    double rest = std::accumulate(rates.all.begin(), rates.all.end(), 0.0);
     double bestTotal = -1;
     double leastSavedRate = 0;
     double randomFactor = 0;
-    for (std::size_t i = 0; i <= rates.size(); ++i) {
+    for (std::size_t i = 0; i <= rates.all.size(); ++i) {
         const double random = std::min(std::max(rest, 0.0), meanBelow(allowed - most));
         // Instances with almost the same share must not differ about who is among the largest.
         const bool isClear =
-            i == 0 || i == rates.size() || rates[i] <= rates[i - 1] * clearlySmaller;
+            i == 0 || i == rates.all.size() || rates.all[i] <= rates.all[i - 1] * clearlySmaller;
         if (isClear && most <= allowed && saved + random >= bestTotal) {
             bestTotal = saved + random;
-            leastSavedRate = i == 0 ? std::numeric_limits<double>::infinity() : rates[i - 1];
+            leastSavedRate = i == 0 ? std::numeric_limits<double>::infinity() : rates.all[i - 1];
             randomFactor = rest > 0 ? std::min(1.0, random / rest) : 1;
         }
-        if (i < rates.size()) {
-            saved += rates[i];
-            most += mostSaved(rates[i]);
-            rest -= rates[i];
+        if (i < rates.all.size()) {
+            saved += rates.all[i];
+            most += mostSaved(rates.all[i]);
+            rest -= rates.all[i];
         }
     }
-    const bool isSaved = ownRate >= leastSavedRate;
-    return {
-        .rate = isSaved ? ownRate : ownRate * randomFactor, .isSaved = isSaved, .computedAt = now};
+    const bool isSaved = rates.own >= leastSavedRate;
+    return {.rate = isSaved ? rates.own : rates.own * randomFactor,
+            .isSaved = isSaved,
+            .computedAt = now};
+}
+
+cold_servers::allowance cold_servers::computeAllowance(timestamp now, std::string_view service,
+                                                       const cold_rule &rule) const
+{
+    const std::vector<known_demand> others = otherDemands(now, service);
+    const double instances =
+        m_arePeersKnown ? static_cast<double>(others.size() + 1) : unknownFleetSize;
+    const auto heard = 1
+        + std::count_if(others.begin(), others.end(),
+                        [](const known_demand &each) { return each.isHeard; });
+    const double allowed =
+        std::floor(std::max(rule.requestsPerSecond * std::max(m_options.overage, 1.0), 1.0)
+                   + std::max(m_options.slack, 0.0));
+    // An instance without contact doesn't know the shares of the others. They charge it at least
+    // an equal one.
+    if (!m_arePeersKnown || 2 * static_cast<double>(heard) < instances) {
+        const double most = std::min(rule.requestsPerSecond, meanBelow(allowed));
+        return {.rate = most / instances, .computedAt = now};
+    }
+    return chooseRounding(now, divide(rule, ownDemand(now, service), others), allowed);
 }
 
 const cold_servers::allowance &cold_servers::allowanceOf(timestamp now, const std::string &service,
--- a/libs/dispatch/src/demand_growth.cpp
+++ b/libs/dispatch/src/demand_growth.cpp
@@ -11,8 +11,8 @@
 constexpr double maxGrowth = 8;
 /// Standard deviations of a demand by which it may differ from its average by chance.
 constexpr double growthDeviations = 3;
-/// The same for a total. With 2.5, a small team exceeded its limit by 5% beside links that are a
-/// second late. With 2, a team at 0.96 of its rate is refused up to 0.03% of its units there.
+/// The same for a total. More miss the jump of a small team, whose demand varies most; fewer take
+/// the chance variation of a team just below its rate for a jump.
 constexpr double totalDeviations = 2;
 /// An instance with at least this fraction of the usual demand tells how that of others grows.
 constexpr double minSample = 0.5;
--- a/libs/dispatch/tests/long_prompts_replay_test.cpp
+++ b/libs/dispatch/tests/long_prompts_replay_test.cpp
@@ -1,6 +1,6 @@
-// Replays long prompts beside short questions and guards against the failure seen on a customer's
-// quiet day: 14% of the short questions were late although their first event came after 80 ms,
-// because engines slowed down by other work prefilled long prompts between their events.
+// Replays long prompts beside short requests and guards against late streams at usual load: 14% of
+// the short requests were late although their first event came after 80 ms, because engines that
+// other work slowed down prefilled long prompts between their events.
 
 #include <dispatch/load_balancer.h>
 
--- a/libs/dispatch/tests/team_limits_fleet_test.cpp
+++ b/libs/dispatch/tests/team_limits_fleet_test.cpp
@@ -600,8 +600,8 @@
 } // namespace
 
 // Guards against refusals of an instance that has no part in a team's demand yet, or whose demand
-// the others haven't heard of: a bound on what others can't have heard of, in a trial, refused 1 to
-// 3% of a team that was below its limit.
+// the others haven't heard of: a bound on what others can't have heard of can take callers that
+// move for a jump in demand, and refuse 1 to 3% of a team that is below its limit.
 TEST(TeamLimitsFleet, DemandBelowTheLimitIsNotRefusedWhenCallersMove)
 {
     for (const unsigned seed : seeds) {
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -43,8 +43,8 @@
     : balancer({.zone = settings.zone,
                 .randomSeed = hash64(settings.name),
                 .staleWeightsLimit = settings.weightsDeadline - maxServerWait,
-                .avoidsFullServers = settings.hasContract(contracts::pressure),
-                .limitsColdServers = settings.hasContract(contracts::places),
+                .avoidsFullServers = settings.hasContract(contracts::admissionControl),
+                .limitsColdServers = settings.hasContract(contracts::zoneEvacuation),
                 .cold = {.overage = settings.coldOverage,
                          .slack = settings.coldSlack,
                          .maxStatementAge = settings.maxSkew,
@@ -68,7 +68,7 @@
 edge_state::edge_state(const platform_settings &settings)
     : m_settings(settings), m_incarnation(wallMilliseconds()), m_routing(settings),
       m_serveTimeAfterStop(fromSeconds(toSeconds(settings.stopGrace) * serveShareOfGrace)),
-      m_areEvacuationsKnown(!settings.hasContract(contracts::places)),
+      m_areEvacuationsKnown(!settings.hasContract(contracts::zoneEvacuation)),
       m_readBudget({.totalBytes = settings.memoryBytes / readShareOfMemory})
 { }
 
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -273,7 +273,7 @@
         const std::map<std::string, cold_servers::cold_account, std::less<>> accounts =
             cold.takeAccounts(now);
         for (auto it = accounts.begin(); it != accounts.end(); ++it) {
-            lines.push_back(event_line("places", "cold_account"));
+            lines.push_back(event_line("zones", "cold_account"));
             lines.back()
                 .add("server", it->first)
                 .add("cold_ms", toMilliseconds(it->second.coldFor))
@@ -289,7 +289,7 @@
                 .counterOf("trefoil_cold_requests_total", "result=\"refused\"")
                 .add(it->second.refused);
         }
-        if (m_state.settings().hasContract(contracts::places))
+        if (m_state.settings().hasContract(contracts::zoneEvacuation))
             m_state.metrics()
                 .gaugeOf("trefoil_servers_cold")
                 .set(static_cast<std::int64_t>(cold.count(now)));
--- a/trefoilrouter/src/edge/request_admission.cpp
+++ b/trefoilrouter/src/edge/request_admission.cpp
@@ -47,7 +47,7 @@
 
 bool request_admission::isInForce() const
 {
-    return m_state.settings().hasContract(contracts::pressure);
+    return m_state.settings().hasContract(contracts::admissionControl);
 }
 
 void request_admission::setWaiting(routing_state &routing, bool waits)
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -152,7 +152,7 @@
     });
     if (isEvacuated) {
         m_state.metrics().counterOf("trefoil_evacuated_placements_total").add();
-        writeEvent(event_line("places", "placement_evacuated")
+        writeEvent(event_line("zones", "placement_evacuated")
                        .add("request", m_fields.requestId)
                        .add("server", current.placed.server)
                        .add("zone", current.placed.zone));
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -26,7 +26,7 @@
     if (fields.isMisdirected || (!fields.server.empty() && fields.server != server))
         return;
     const bool isColdInvalid =
-        fields.isColdForInvalid && m_state.settings().hasContract(contracts::places);
+        fields.isColdForInvalid && m_state.settings().hasContract(contracts::zoneEvacuation);
     if (!fields.invalidField.empty() || isColdInvalid) {
         m_state.metrics().counterOf("trefoil_invalid_server_statements_total").add();
         writeEvent(event_line("servers", "statement_invalid")
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -65,9 +65,12 @@
 std::optional<request_runner::refusal> request_runner::admit()
 {
     const timestamp now = boot_clock::now();
-    if (!m_admitted.tables || !m_state.areEvacuationsKnown())
+    if (!m_admitted.tables)
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet",
                         withJitter(minRetryAfter * 2)};
+    if (!m_state.areEvacuationsKnown())
+        return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "evacuated zones not known yet",
+                        withJitter(minRetryAfter * 2)};
     if (m_state.isTooLateToServe())
         return refusal {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the instance is stopping",
                         minRetryAfter};
@@ -205,7 +208,7 @@
         const bool isRefused = placed
             && (m_admission.isInForce() ? !m_admission.decide(now, routing, admissionSubject(),
                                                               m_deadline - now, *placed)
-                                        : wouldMissDeadline(now, *placed));
+                                        : mustRefuse(now, *placed));
         if (isRefused)
             routing.balancer.cancel(*placed);
         m_isAdmissionDecided = m_admission.isInForce() && placed;
@@ -238,7 +241,7 @@
             .statedTime = m_deadline - m_request.receivedAt};
 }
 
-bool request_runner::wouldMissDeadline(timestamp now, const server_placement &placed) const
+bool request_runner::mustRefuse(timestamp now, const server_placement &placed) const
 {
     if (m_admission.isInForce())
         return m_admission.refusal() != nullptr;
@@ -265,7 +268,7 @@
             endAbandoned();
             return std::nullopt;
         }
-        if (!placed || wouldMissDeadline(now, *placed)) {
+        if (!placed || mustRefuse(now, *placed)) {
             logUnplaced(now, placed);
             return giveUp(unplacedRefusal(placed));
         }
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -124,7 +124,7 @@
     request_admission::subject admissionSubject() const;
     /// Returns the urgency that servers and the admission are told; 0 is the most urgent.
     int rank() const;
-    bool wouldMissDeadline(timestamp now, const server_placement &placed) const;
+    bool mustRefuse(timestamp now, const server_placement &placed) const;
     bool mayRetryElsewhere(attempt_end end, const attempt &last);
 
     attempt_end runAttempt(attempt &current);
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -84,7 +84,7 @@
         {store_kinds::instances,
          kindOf(std::max(urgent, maxInstancesSilence), reducedFreshReaders, {},
                 instanceRestoreTime)}};
-    if (state.settings().hasContract(contracts::places)) {
+    if (state.settings().hasContract(contracts::zoneEvacuation)) {
         const duration evacuation =
             fromSeconds(toSeconds(state.settings().evacuateTime) * silenceShare);
         m_kinds.emplace(
@@ -491,7 +491,7 @@
     if (known != m_decodedServers.end() && known->second.value == value)
         return known->second.server;
     decoded_server decoded {.value = value, .server = decodeServer(id, value)};
-    if (decoded.server && !m_state.settings().hasContract(contracts::places)) {
+    if (decoded.server && !m_state.settings().hasContract(contracts::zoneEvacuation)) {
         // Heartbeats change nothing.
         decoded.server->coldLeft.reset();
         decoded.server->heartbeat = 0;
@@ -603,12 +603,12 @@
     m_state.metrics().gaugeOf("trefoil_zones_evacuated").set(static_cast<double>(zones.size()));
     for (const std::string &zone : changed.started) {
         const auto found = objects.find(store_kinds::evacuations + zone);
-        writeEvent(event_line("places", "evacuation_started")
+        writeEvent(event_line("zones", "evacuation_started")
                        .add("zone", zone)
                        .add("revision", store_version::revision(found->second.version)));
     }
     for (const std::string &zone : changed.ended)
-        writeEvent(event_line("places", "evacuation_ended").add("zone", zone));
+        writeEvent(event_line("zones", "evacuation_ended").add("zone", zone));
     logUnknownZones();
 }
 
@@ -626,7 +626,7 @@
         return routing.balancer.evacuations().takeUnknown(known);
     });
     for (const std::string &zone : unknown)
-        writeEvent(event_line("places", "evacuation_of_unknown_zone").add("zone", zone));
+        writeEvent(event_line("zones", "evacuation_of_unknown_zone").add("zone", zone));
 }
 
 void store_watch::applyInstances(const std::map<std::string, object, std::less<>> &objects)
