--- a/libs/dispatch/include/dispatch/team_limits.h
+++ b/libs/dispatch/include/dispatch/team_limits.h
@@ -14,6 +14,7 @@
 #include <dispatch/report_lateness.h>
 #include <dispatch/report_timeout.h>
 #include <dispatch/unheard_admissions.h>
+#include <dispatch/windowed_sum.h>
 
 namespace trefoil {
 
@@ -33,32 +34,6 @@
     double tolerance = 0;
 };
 
-/// Sum of the units of a sliding window, kept in slots. Not thread-safe.
-class windowed_sum
-{
-public:
-    explicit windowed_sum(duration window = {}) : m_slotTime(window / slots) { }
-
-    /// Adds @p units, which may be negative, at @p now.
-    void add(timestamp now, double units);
-    /// Returns the sum of the window that ends at @p now.
-    double sum(timestamp now);
-    /// Replaces the contents by @p units, spread evenly over the window that ends at @p now.
-    void fill(timestamp now, double units);
-    /// Multiplies all units by @p factor.
-    void scale(double factor);
-
-private:
-    static constexpr int slots = 32;
-
-    void removeOld(timestamp now);
-
-    duration m_slotTime;
-    /// Units by slot, the oldest first.
-    std::deque<std::pair<std::int64_t, double>> m_units;
-    double m_sum = 0;
-};
-
 /// Options of team_limits.
 struct team_limit_options
 {
@@ -210,6 +185,11 @@
     admitted_totals takeLevels(timestamp now);
 
 private:
+    /// Reports that are less late are taken for punctual.
+    static constexpr duration minLateness = std::chrono::milliseconds(100);
+    /// How long an instance remembers the demand on itself.
+    static constexpr duration maxDemandAge = std::chrono::seconds(3);
+
     /// What is known of one team on another instance.
     struct peer_usage
     {
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -16,13 +16,6 @@
 constexpr double suspectShare = 0.3;
 /// Consecutive lost requests that make a server suspect.
 constexpr int lossesToSuspect = 2;
-/// Time for which a server stays suspect; doubled with each suspicion up to the maximum.
-constexpr duration minSuspicionTime = std::chrono::milliseconds(700);
-constexpr duration maxSuspicionTime = std::chrono::seconds(6);
-/// Time between probes of a server that can't be reached.
-constexpr duration probeInterval = std::chrono::milliseconds(500);
-/// Minimum time between probes that other instances cause.
-constexpr duration requestedProbeInterval = std::chrono::milliseconds(1500);
 /// Weight of the newest measurement in a server's average latency.
 constexpr double latencyWeight = 0.1;
 /// The same for all servers of a service.
@@ -34,9 +27,6 @@
 constexpr std::size_t maxCachePlacements = 256;
 /// Upper bound of the time that one prompt is assumed to occupy a store's link.
 constexpr duration maxStoreTransferTime = std::chrono::milliseconds(500);
-/// Time for which a server gets no requests after it refused a weights version, if no newer target
-/// version is known.
-constexpr duration weightsMismatchBackoff = std::chrono::milliseconds(400);
 
 template <typename Parts>
 void evictExpired(Parts &parts, std::size_t maxCount, timestamp now)
@@ -195,57 +185,6 @@
     store->epoch = epoch;
 }
 
-void load_balancer::addTargetWeights(std::string_view model, std::uint64_t version, timestamp since)
-{
-    timestamp &known =
-        m_targetWeights[std::string(model)].try_emplace(version, since).first->second;
-    known = std::min(known, since);
-}
-
-void load_balancer::onWeightsObserved(timestamp now, std::string_view server,
-                                      std::string_view model, std::uint64_t version)
-{
-    server_state *state = findServer(server);
-    if (state == nullptr)
-        return;
-    if (version > state->info.weights[std::string(model)])
-        state->weightsObservedAt = now;
-    onWeightsReported(server, model, version);
-}
-
-void load_balancer::onWeightsReported(std::string_view server, std::string_view model,
-                                      std::uint64_t version)
-{
-    server_state *state = findServer(server);
-    if (state == nullptr)
-        return;
-    std::uint64_t &known = state->info.weights[std::string(model)];
-    if (version >= state->assumedWeights)
-        state->assumedWeights = 0;
-    if (version <= known)
-        return;
-    known = version;
-    state->loadingUntil = timestamp {};
-    state->parts.clear();
-}
-
-void load_balancer::onWeightsMismatch(timestamp now, std::string_view server,
-                                      std::string_view model, std::uint64_t tried)
-{
-    server_state *state = findServer(server);
-    if (state == nullptr)
-        return;
-    state->assumedWeights = 0;
-    const auto targets = m_targetWeights.find(model);
-    if (targets != m_targetWeights.end()) {
-        const auto next = targets->second.upper_bound(tried);
-        if (next != targets->second.end())
-            state->assumedWeights = next->first;
-    }
-    if (state->assumedWeights == 0)
-        state->loadingUntil = std::max(state->loadingUntil, now + weightsMismatchBackoff);
-}
-
 void load_balancer::markGone(std::string_view server)
 {
     if (server_state *state = findServer(server))
@@ -257,32 +196,6 @@
     return serversWithFlag(&server_state::isGone);
 }
 
-std::uint64_t load_balancer::weightsOf(const server_state &state, std::string_view model)
-{
-    if (state.assumedWeights != 0)
-        return state.assumedWeights;
-    const auto runs = state.info.weights.find(model);
-    return runs == state.info.weights.end() ? 0 : runs->second;
-}
-
-std::map<std::string, std::uint64_t, std::less<>> load_balancer::newestTargetWeights() const
-{
-    std::map<std::string, std::uint64_t, std::less<>> newest;
-    for (auto it = m_targetWeights.begin(); it != m_targetWeights.end(); ++it)
-        newest[it->first] = it->second.rbegin()->first;
-    return newest;
-}
-
-std::vector<registered_server> load_balancer::serversWithNewWeights(timestamp since) const
-{
-    std::vector<registered_server> changed;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (it->second.weightsObservedAt > since)
-            changed.push_back(it->second.info);
-    }
-    return changed;
-}
-
 std::vector<std::string> load_balancer::releasesOf(std::string_view service) const
 {
     std::vector<std::string> releases;
@@ -319,12 +232,6 @@
     return total;
 }
 
-bool load_balancer::isSuspect(timestamp now, std::string_view server) const
-{
-    const server_state *state = findServer(server);
-    return state != nullptr && now < state->suspectUntil;
-}
-
 std::uint64_t load_balancer::begin(timestamp now, const server_placement &placed,
                                    const request_profile &request)
 {
@@ -475,85 +382,6 @@
     }
 }
 
-void load_balancer::onServerSilent(timestamp now, std::uint64_t ticket)
-{
-    const auto found = m_tickets.find(ticket);
-    if (found == m_tickets.end() || found->second.wasSilent)
-        return;
-    found->second.wasSilent = true;
-    if (server_state *server = findServer(found->second.server))
-        markSuspect(now, *server);
-}
-
-void load_balancer::markSuspect(timestamp now, server_state &state)
-{
-    if (now < state.suspectUntil)
-        return;
-    const duration time =
-        std::min(minSuspicionTime * (1 << std::min(state.suspicionCount, 4)), maxSuspicionTime);
-    state.suspectUntil = now + time;
-    state.suspicionCount += 1;
-    state.needsProbe = true;
-}
-
-std::vector<registered_server> load_balancer::serversToProbe(timestamp now)
-{
-    std::vector<registered_server> due;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        server_state &state = it->second;
-        if (!state.needsProbe || state.isProbing || state.isGone
-            || now - state.probedAt < probeInterval)
-            continue;
-        state.probedAt = now;
-        state.isProbing = true;
-        due.push_back(state.info);
-    }
-    return due;
-}
-
-void load_balancer::onProbeResult(std::string_view server, bool isReachable)
-{
-    server_state *state = findServer(server);
-    if (state == nullptr)
-        return;
-    state->isProbing = false;
-    state->isUnreachable = !isReachable;
-    state->needsProbe = !isReachable;
-    if (isReachable)
-        state->consecutiveLosses = 0;
-}
-
-void load_balancer::requestProbe(timestamp now, std::string_view server)
-{
-    server_state *state = findServer(server);
-    if (state != nullptr && now - state->probedAt > requestedProbeInterval)
-        state->needsProbe = true;
-}
-
-std::vector<std::string> load_balancer::unreachableServers() const
-{
-    return serversWithFlag(&server_state::isUnreachable);
-}
-
-bool load_balancer::isUnreachable(std::string_view server) const
-{
-    const server_state *state = findServer(server);
-    return state != nullptr && state->isUnreachable;
-}
-
-double load_balancer::poolFailureShare(std::string_view service) const
-{
-    double sum = 0;
-    int count = 0;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (it->second.info.service != service)
-            continue;
-        sum += it->second.failureShare;
-        count += 1;
-    }
-    return count > 0 ? sum / count : 0;
-}
-
 double load_balancer::poolCallMs(std::string_view service) const
 {
     const auto found = m_poolCallMs.find(service);
