--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -264,10 +264,21 @@
             Poco::Net::TCPServer server(new caller_connection_factory(state, connections, reserve),
                                         threads, listenOn(address, backlog), params);
             server.start();
+            bool isLogged = false;
             while (!stop.stop_requested()) {
+                const int open = server.currentConnections();
                 const int waiting = server.queuedConnections();
-                reserve.update(server.currentConnections(), waiting);
-                state.recordConnectionWait(reserve.recordWaiting(boot_clock::now(), waiting));
+                reserve.update(open, waiting);
+                const duration wait = reserve.recordWaiting(boot_clock::now(), waiting);
+                state.recordConnectionWait(wait);
+                const bool isOverloaded = wait > duration::zero();
+                if (isOverloaded && !isLogged) {
+                    state.metrics().counterOf("trefoil_connection_waits_total").add();
+                    writeEvent(event_line("callers", "connections_wait")
+                                   .add("open", open)
+                                   .add("waiting", waiting));
+                }
+                isLogged = isOverloaded;
                 std::this_thread::sleep_for(reserveUpdateInterval);
             }
             server.stop();
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -321,6 +321,7 @@
         return;
     }
     if (isForwarded) {
+        m_state.metrics().counterOf("trefoil_reports_forwarded_total").add();
         const std::vector<endpoint> targets = m_state.with(
             [&](routing_state &routing) { return routing.members.forwardTargets(report->from); });
         for (const endpoint &target : targets)
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -74,6 +74,8 @@
             routing.balancer.onPaceReported(boot_clock::now(), current.placed.server,
                                             *current.fields.pace);
     });
+    if (current.fields.pace)
+        m_state.metrics().counterOf("trefoil_server_paces_total").add();
     recordStatement(current);
     if (current.fields.wasNotRun)
         return handleRejection(current);
