--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -190,8 +190,10 @@
         // A server that never stops sending must not hold the request past its deadline.
         if (now >= m_deadline || now >= current.readUntil)
             return read_outcome::TimedOut;
-        if (m_held->wasRevoked())
+        if (m_held->wasRevoked()) {
+            current.abandonedFor = "memory";
             return read_outcome::Broken;
+        }
         const bool mayGiveUpUnreachable = isOver(limits.abandonUnreachableAfter, now);
         const bool isUnreachable = m_state.with([&](routing_state &routing) {
             if (isOver(limits.suspectAfter, now))
@@ -200,11 +202,15 @@
                 !current.hasEvents && routing.partCrashes.isExpectedToCrash(m_sharedParts);
             return mayGiveUpUnreachable && routing.balancer.isUnreachable(current.placed.server);
         });
-        if (current.isWithdrawn)
+        if (current.isWithdrawn) {
+            current.abandonedFor = "expected_crash";
             return read_outcome::Broken;
+        }
         recordSpeed(now, current);
-        if (isUnreachable || isOver(limits.abandonAfter, now))
+        if (isUnreachable || isOver(limits.abandonAfter, now)) {
+            current.abandonedFor = isUnreachable ? "unreachable" : "silent";
             return read_outcome::Broken;
+        }
         const timestamp end = std::min(m_deadline, current.readUntil);
         timestamp next = std::min(end, now + silenceCheckInterval);
         if (limits.abandonAfter != duration::max())
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -70,6 +70,8 @@
     });
     if (end == attempt_end::Delivered && !isInRollout)
         return;
+    const timestamp now = boot_clock::now();
+    const std::int64_t silentMs = current.wasSent ? toMilliseconds(now - current.progressAt) : 0;
     const std::optional<duration> firstEventTime =
         current.timer ? current.timer->firstEventTime() : std::nullopt;
     constexpr std::array<const char *, 8> words {"delivered",     "not_run",     "failed",
@@ -86,7 +88,10 @@
                    .add("weights", current.placed.weights)
                    .add("answered_weights", current.fields.weights.value_or(0))
                    .add("runs", m_runs)
-                   .add("ms", toMilliseconds(boot_clock::now() - current.sentAt)));
+                   .add("cause", current.abandonedFor)
+                   .add("silent_ms", silentMs)
+                   .add("leaving", m_state.isLeaving())
+                   .add("ms", current.wasSent ? toMilliseconds(now - current.sentAt) : 0));
 }
 
 void request_runner::logBrokenOff(const attempt &current, const response_body &body,
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -87,6 +87,8 @@
         bool hasEvents = false;
         /// Whether the attempt was given up since it is expected to crash the server.
         bool isWithdrawn = false;
+        /// Why the router ended the attempt while its connection was open, for the log.
+        const char *abandonedFor = "";
         /// Whether the attempt is included in m_runs: the server may have started the request.
         bool isCounted = false;
         timestamp sentAt;
