End the attempt at a silent server only once another server is certain to take it

Callers saw streams reset, and calls answered with 502, although their server was sound and silent for a second or two only: the attempt was ended first, and only then was the retry budget asked, the last event's id looked at and another server looked for. A leaving instance gets no new requests, so its budget shrinks.

The retry is now taken, and another server found, before the attempt ends; otherwise it goes on to the limits of a last attempt.

--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -1,6 +1,7 @@
 // Sends a request to a backend server and passes its answer on.
 
 #include <algorithm>
+#include <utility>
 
 #include <Poco/Net/HTTPResponse.h>
 #include <adapter/headers.h>
@@ -168,23 +169,66 @@
     current.isCounted = true;
 }
 
-silence_limits request_runner::silenceLimitsOf(const attempt &current) const
+bool request_runner::mayRunAgain(const attempt &current) const
 {
     const int runs = m_runs + (current.isCounted ? 0 : 1);
+    return mayRepeat() && runs < m_admitted.route->maxAttempts;
+}
+
+silence_limits request_runner::silenceLimitsOf(const attempt &current, bool canRetry) const
+{
     return silenceLimits({.isStream = m_admitted.route->repeats == repeat_rule::Stream,
                           .hasEvents = current.hasEvents,
-                          .canRetry = mayRepeat() && runs < m_admitted.route->maxAttempts,
+                          .canRetry = canRetry,
                           .expected = fromSeconds(current.placed.expectedMs / 1000),
                           .expectedUncached = fromSeconds(current.placed.uncachedMs / 1000),
                           .callerPatience = m_admitted.route->callerPatience});
 }
 
-read_outcome request_runner::waitForBytes(attempt &current)
+bool request_runner::mustAbandon(timestamp now, attempt &current)
 {
-    const silence_limits limits = silenceLimitsOf(current);
-    const auto isOver = [&current](duration limit, timestamp now) {
-        return limit != duration::max() && now - current.progressAt >= limit;
+    const duration silence = now - current.progressAt;
+    const bool isUnreachable = m_state.with([&current](const routing_state &routing) {
+        return routing.balancer.isUnreachable(current.placed.server);
+    });
+    const auto isOver = [&](bool canRetry) {
+        const silence_limits limits = silenceLimitsOf(current, canRetry);
+        return silence >= limits.abandonAfter
+            || (isUnreachable && silence >= limits.abandonUnreachableAfter);
     };
+    bool isAbandoned = isOver(false);
+    if (!isAbandoned && mayRunAgain(current) && isOver(true)) {
+        const std::string_view obstacle = takeRetry(now, current);
+        isAbandoned = obstacle.empty();
+        if (!isAbandoned && !std::exchange(current.isKeptLogged, true))
+            logKept(current, obstacle);
+    }
+    if (isAbandoned)
+        current.abandonedFor = isUnreachable ? "unreachable" : "silent";
+    return isAbandoned;
+}
+
+std::string_view request_runner::takeRetry(timestamp now, attempt &current)
+{
+    if (!m_progress.canContinue())
+        return "not_resumable";
+    m_triedServers.push_back(current.placed.server);
+    const std::string_view obstacle = m_state.with([&](routing_state &routing) -> std::string_view {
+        const std::optional<server_placement> other = findServer(now, routing);
+        if (!other)
+            return "no_server";
+        routing.balancer.cancel(*other);
+        if (!other->fits || isTooSlow(now, *other) || routing.balancer.isUnreachable(other->server))
+            return "no_server";
+        return retryBudget(routing).takeRetry(now) ? "" : "retry_budget";
+    });
+    m_triedServers.pop_back();
+    current.isRetryTaken = obstacle.empty();
+    return obstacle;
+}
+
+read_outcome request_runner::waitForBytes(attempt &current)
+{
     while (true) {
         const timestamp now = boot_clock::now();
         // A server that never stops sending must not hold the request past its deadline.
@@ -194,26 +238,24 @@
             current.abandonedFor = "memory";
             return read_outcome::Broken;
         }
-        const bool mayGiveUpUnreachable = isOver(limits.abandonUnreachableAfter, now);
-        const bool isUnreachable = m_state.with([&](routing_state &routing) {
-            if (isOver(limits.suspectAfter, now))
+        const duration silence = now - current.progressAt;
+        const silence_limits limits = silenceLimitsOf(current, mayRunAgain(current));
+        m_state.with([&](routing_state &routing) {
+            if (silence >= limits.suspectAfter)
                 routing.balancer.onServerSilent(now, current.ticket);
             current.isWithdrawn =
                 !current.hasEvents && routing.partCrashes.isExpectedToCrash(m_sharedParts);
-            return mayGiveUpUnreachable && routing.balancer.isUnreachable(current.placed.server);
         });
         if (current.isWithdrawn) {
             current.abandonedFor = "expected_crash";
             return read_outcome::Broken;
         }
         recordSpeed(now, current);
-        if (isUnreachable || isOver(limits.abandonAfter, now)) {
-            current.abandonedFor = isUnreachable ? "unreachable" : "silent";
+        if (mustAbandon(now, current))
             return read_outcome::Broken;
-        }
         const timestamp end = std::min(m_deadline, current.readUntil);
         timestamp next = std::min(end, now + silenceCheckInterval);
-        if (limits.abandonAfter != duration::max())
+        if (limits.abandonAfter != duration::max() && silence < limits.abandonAfter)
             next = std::min(next, current.progressAt + limits.abandonAfter);
         const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
         if (outcome != read_outcome::TimedOut || next >= end)
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -62,6 +62,16 @@
                    .add("left_ms", toMilliseconds(m_deadline - boot_clock::now())));
 }
 
+void request_runner::logKept(const attempt &current, std::string_view obstacle) const
+{
+    m_state.metrics().counterOf("trefoil_silent_attempts_kept_total").add();
+    writeEvent(event_line("proxy", "attempt_kept")
+                   .add("request", m_fields.requestId)
+                   .add("server", current.placed.server)
+                   .add("reason", obstacle)
+                   .add("silent_ms", toMilliseconds(boot_clock::now() - current.progressAt)));
+}
+
 void request_runner::logAttemptEnd(const attempt &current, attempt_end end) const
 {
     // Successful attempts are logged only where a rollout depends on them.
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -94,8 +94,7 @@
     for (std::size_t i = 0; i + 1 < m_fields.prompt.size(); ++i)
         m_sharedParts.push_back(hash64(m_fields.prompt[i].id, hash64(m_fields.model)));
     const bool isCrashSuspect = m_state.with([&](routing_state &routing) {
-        routing.retryBudgets.try_emplace(m_admitted.service, routing.retryBudgetOptions)
-            .first->second.recordRequest(now);
+        retryBudget(routing).recordRequest(now);
         return routing.crashes.isRefused(now, m_bodyDigest);
     });
     if (isCrashSuspect)
@@ -191,19 +190,24 @@
     return attemptTerms(m_admitted, *inForce, isConfirmed);
 }
 
+std::optional<server_placement> request_runner::findServer(timestamp now, routing_state &routing)
+{
+    m_excludedReleases.clear();
+    if (routing.releases.request(m_admitted.service)) {
+        const std::uint64_t bits = hash64(m_fields.requestId);
+        for (std::string &release : routing.balancer.releasesOf(m_admitted.service)) {
+            if (!routing.releases.allows(now, m_admitted.service, release, bits))
+                m_excludedReleases.push_back(std::move(release));
+        }
+    }
+    return routing.balancer.choose(now, requestProfile());
+}
+
 std::optional<server_placement> request_runner::choosePlacement(timestamp now)
 {
     m_terms = termsInForce(now);
     return m_state.with([&](routing_state &routing) -> std::optional<server_placement> {
-        m_excludedReleases.clear();
-        if (routing.releases.request(m_admitted.service)) {
-            const std::uint64_t bits = hash64(m_fields.requestId);
-            for (std::string &release : routing.balancer.releasesOf(m_admitted.service)) {
-                if (!routing.releases.allows(now, m_admitted.service, release, bits))
-                    m_excludedReleases.push_back(std::move(release));
-            }
-        }
-        std::optional<server_placement> placed = routing.balancer.choose(now, requestProfile());
+        std::optional<server_placement> placed = findServer(now, routing);
         m_limitedFor = routing.balancer.limitedFor();
         const bool isRefused = placed
             && (m_admission.isInForce() ? !m_admission.decide(now, routing, admissionSubject(),
@@ -245,8 +249,12 @@
 {
     if (m_admission.isInForce())
         return m_admission.refusal() != nullptr;
-    const double leftMs = toSeconds(m_deadline - now) * 1000;
-    return placed.expectedMs > leftMs * maxWaitFraction;
+    return isTooSlow(now, placed);
+}
+
+bool request_runner::isTooSlow(timestamp now, const server_placement &placed) const
+{
+    return placed.expectedMs > toSeconds(m_deadline - now) * 1000 * maxWaitFraction;
 }
 
 std::optional<request_runner::refusal> request_runner::serve()
@@ -333,18 +341,23 @@
 bool request_runner::mayRetryElsewhere(attempt_end end, const attempt &last)
 {
     m_triedServers.push_back(last.placed.server);
-    if (end != attempt_end::NotRun && (!mayRepeat() || m_runs >= m_admitted.route->maxAttempts))
+    if (end != attempt_end::NotRun && !mayRunAgain(last))
         return false;
     if (!m_progress.canContinue())
         return false;
     if (!last.wasSent)
         return true;
-    return m_state.with([this](routing_state &routing) {
-        return routing.retryBudgets.try_emplace(m_admitted.service, routing.retryBudgetOptions)
-            .first->second.takeRetry(boot_clock::now());
+    return last.isRetryTaken || m_state.with([this](routing_state &routing) {
+        return retryBudget(routing).takeRetry(boot_clock::now());
     });
 }
 
+windowed_retry_budget &request_runner::retryBudget(routing_state &routing) const
+{
+    return routing.retryBudgets.try_emplace(m_admitted.service, routing.retryBudgetOptions)
+        .first->second;
+}
+
 void request_runner::refundLimit()
 {
     if (m_limitCost > 0)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -87,6 +87,11 @@
         bool hasEvents = false;
         /// Whether the attempt was given up since it is expected to crash the server.
         bool isWithdrawn = false;
+        /// Whether the request's retry on another server was taken from the budget already.
+        bool isRetryTaken = false;
+        /// Whether it was logged that the attempt goes on because no other server takes the
+        /// request.
+        bool isKeptLogged = false;
         /// Why the router ended the attempt while its connection was open, for the log.
         const char *abandonedFor = "";
         /// Whether the attempt is included in m_runs: the server may have started the request.
@@ -121,12 +126,16 @@
     /// caller has received nothing yet, else with @p refused.
     std::optional<refusal> giveUp(const std::optional<refusal> &refused);
     std::optional<server_placement> choosePlacement(timestamp now);
+    /// Returns the server of least cost that may take the request and was not tried.
+    std::optional<server_placement> findServer(timestamp now, routing_state &routing);
     /// Returns the terms of an attempt that starts at @p now.
     attempt_terms termsInForce(timestamp now) const;
     request_admission::subject admissionSubject() const;
     /// Returns the urgency that servers and the admission are told; 0 is the most urgent.
     int rank() const;
     bool mustRefuse(timestamp now, const server_placement &placed) const;
+    /// Returns whether the request would probably time out in the queue of @p placed.
+    bool isTooSlow(timestamp now, const server_placement &placed) const;
     bool mayRetryElsewhere(attempt_end end, const attempt &last);
 
     attempt_end runAttempt(attempt &current);
@@ -148,7 +157,14 @@
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
     void recordEvents(attempt &current, const std::string &events);
-    silence_limits silenceLimitsOf(const attempt &current) const;
+    silence_limits silenceLimitsOf(const attempt &current, bool canRetry) const;
+    /// Returns whether the attempt ends because its server has been silent for too long. If another
+    /// server takes the request, it ends sooner and its retry has been taken from the budget.
+    bool mustAbandon(timestamp now, attempt &current);
+    /// Takes a retry from the budget for @p current, whose server is silent. Returns why that isn't
+    /// possible, or "".
+    std::string_view takeRetry(timestamp now, attempt &current);
+    windowed_retry_budget &retryBudget(routing_state &routing) const;
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
     static attempt_end attemptEndOf(read_outcome outcome);
@@ -168,9 +184,12 @@
     void refundLimit();
     bool writeAnswer();
     request_profile requestProfile() const;
+    /// Returns whether the route allows a further run after @p current.
+    bool mayRunAgain(const attempt &current) const;
     bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
     void logUnplaced(timestamp now, const std::optional<server_placement> &best) const;
     void logPlaced(const attempt &current) const;
+    void logKept(const attempt &current, std::string_view obstacle) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
     void logBrokenOff(const attempt &current, const response_body &body, const char *reason) const;
     void logEnd(std::string_view outcome, int status) const;
