Instances that are cut off from all backend servers reach them through others

Reachability was kept for each server by itself, and with all of them unreachable the instance went on trying.

server_reach decides from the outcomes of new connections that the instance is cut off. Its requests then go through another instance's relayed connections, callers are sent to the others, and a leader releases its lease. A refused connection after a reset counts as a crash only if another server accepts one.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -17,6 +17,7 @@
 #include <dispatch/peer_load_table.h>
 #include <dispatch/prefill_rate.h>
 #include <dispatch/server_pace.h>
+#include <dispatch/server_reach.h>
 #include <dispatch/server_statements.h>
 #include <dispatch/service_load.h>
 #include <dispatch/serving_tables.h>
@@ -98,6 +99,9 @@
     double longPromptMs = 0;
     /// Whether another server would have been chosen without this cost.
     bool isMovedByLongPrompts = false;
+    /// Whether this instance is cut off from the servers, so that another one must relay the
+    /// connection.
+    bool isRelayed = false;
 };
 
 /// Outcome of an attempt to run a request on a backend server.
@@ -229,6 +233,11 @@
 
     /// Returns what is known of cold servers.
     cold_servers &coldServers() { return m_coldServers; }
+    /// Returns whether this instance reaches the servers as a whole.
+    server_reach &reach() { return m_reach; }
+    const server_reach &reach() const { return m_reach; }
+    /// Returns whether a listed server has @p address.
+    bool isServerAddress(const endpoint &address) const;
     /// Returns what servers have stated about themselves.
     server_statements &statements() { return m_statements; }
 
@@ -288,6 +297,8 @@
 
     /// Returns the addresses of the KV cache stores.
     std::vector<endpoint> cacheStores() const;
+    /// Returns up to @p count random servers other than @p server that count as reachable.
+    std::vector<registered_server> otherServers(std::string_view server, std::size_t count);
     /// Returns the listed servers with the weights that they are known to run.
     std::vector<registered_server> servers() const;
     /// Returns the servers on which newer weights were observed after @p since, with all weights
@@ -480,6 +491,7 @@
     std::map<std::uint64_t, ticket_state> m_tickets;
     std::uint64_t m_nextTicket = 1;
     std::vector<cache_placement> m_placed;
+    server_reach m_reach;
     server_statements m_statements;
     zone_evacuations m_evacuations;
     cold_servers m_coldServers;
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -102,6 +102,15 @@
     /// threads wait for a processor, or its callers' connections for a thread.
     void recordSchedulingDelay(std::string_view name, duration delay);
 
+    /// Records whether @p name, which may be this instance, is cut off from the backend servers.
+    void recordCutOff(std::string_view name, bool isCutOff);
+    /// Returns whether any listed instance is cut off from the backend servers.
+    bool isAnyCutOff() const;
+    /// Returns the addresses for calls of the other instances that may relay connections to backend
+    /// servers: the live ones that are not cut off, with at least minCapacityShare of the largest
+    /// capacity of these. All live ones if no capacity is known.
+    std::vector<endpoint> relays(timestamp now) const;
+
     /// Returns whether the other instance @p name is alive and not leaving.
     bool isAlive(timestamp now, std::string_view name) const;
     /// Returns the address for reports and calls of other instances to @p name, or an empty
@@ -135,7 +144,8 @@
     bool reportedLeadership(std::string_view name, std::uint64_t epoch) const;
 
     /// Returns the addresses of the instances that a caller in @p zone should use. @p isSelfUsable
-    /// says whether this instance accepts callers.
+    /// says whether this instance accepts callers. Instances that are cut off from the backend
+    /// servers are left out unless all are.
     std::vector<endpoint> callerAddresses(timestamp now, std::string_view zone, bool isSelfUsable);
 
 private:
@@ -148,13 +158,14 @@
         bool isLeaving = false;
         std::uint64_t leaderEpoch = 0;
         duration delay {};
+        bool isCutOff = false;
         /// Announced time until the next report.
         duration period {};
     };
 
-    /// Returns those of @p inZone, the instances of another zone, that may forward a report there:
-    /// the live ones with at least minCapacityShare of the largest capacity of these. All live ones
-    /// if no capacity is known.
+    /// Returns those of @p inZone, other instances, that may forward a report or relay a
+    /// connection: the live ones with at least minCapacityShare of the largest capacity of these.
+    /// All live ones if no capacity is known.
     std::vector<const member_state *>
     forwardersOf(timestamp now, const std::vector<const member_state *> &inZone) const;
     std::vector<const member_state *> preferLarge(timestamp now,
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -80,6 +80,8 @@
     std::uint64_t uptimeMs = 0;
     std::uint64_t sequence = 0;
     bool isLeaving = false;
+    /// Whether the instance is cut off from the backend servers, see server_reach.
+    bool isCutOff = false;
     /// Time until the next report in milliseconds.
     double periodMs = 0;
     /// Scheduling delay in milliseconds: time that the instance's threads wait for a processor, or
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -87,6 +87,7 @@
             m_peerLoads.removeServer(it->first);
     }
     m_servers = std::move(next);
+    m_reach.setServerCount(m_servers.size());
     m_statements.setServers(servers);
 }
 
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -41,6 +41,32 @@
     return true;
 }
 
+void member_table::recordCutOff(std::string_view name, bool isCutOff)
+{
+    const auto found = m_members.find(name);
+    if (found != m_members.end())
+        found->second.isCutOff = isCutOff;
+}
+
+bool member_table::isAnyCutOff() const
+{
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [](const auto &each) { return each.second.isCutOff; });
+}
+
+std::vector<endpoint> member_table::relays(timestamp now) const
+{
+    std::vector<const member_state *> usable;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        if (it->first != m_options.self && !it->second.isCutOff)
+            usable.push_back(&it->second);
+    }
+    std::vector<endpoint> addresses;
+    for (const member_state *each : forwardersOf(now, usable))
+        addresses.push_back(each->entry.peers);
+    return addresses;
+}
+
 bool member_table::isAlive(timestamp now, std::string_view name) const
 {
     const auto found = m_members.find(name);
@@ -164,11 +190,16 @@
 std::vector<endpoint> member_table::callerAddresses(timestamp now, std::string_view zone,
                                                     bool isSelfUsable)
 {
+    const bool areAllCutOff =
+        std::all_of(m_members.begin(), m_members.end(), [&](const auto &each) {
+            return each.second.isCutOff
+                || !(each.first == m_options.self ? isSelfUsable : isAlive(now, each.first));
+        });
     std::vector<const member_state *> inZone;
     std::vector<const member_state *> all;
     for (auto it = m_members.begin(); it != m_members.end(); ++it) {
         const bool isUsable = it->first == m_options.self ? isSelfUsable : isAlive(now, it->first);
-        if (!isUsable)
+        if (!isUsable || (it->second.isCutOff && !areAllCutOff))
             continue;
         all.push_back(&it->second);
         if (it->second.entry.zone == zone)
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -198,6 +198,8 @@
     value["sequence"] = Json::UInt64(report.sequence);
     if (report.isLeaving)
         value["leaving"] = true;
+    if (report.isCutOff)
+        value["cut_off"] = true;
     value["period_ms"] = Json::Int64(std::lround(report.periodMs));
     if (report.delayMs > 0)
         value["delay_ms"] = Json::Int64(std::lround(report.delayMs));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -218,6 +218,7 @@
                         .uptimeMs = integerField(fields, "uptime_ms"),
                         .sequence = integerField(fields, "sequence"),
                         .isLeaving = as<bool>(fields["leaving"]).value_or(false),
+                        .isCutOff = as<bool>(fields["cut_off"]).value_or(false),
                         .periodMs = as<double>(fields["period_ms"]).value_or(0),
                         .delayMs = as<double>(fields["delay_ms"]).value_or(0),
                         .storeHeardAgoMs = as<std::uint64_t>(fields["store_heard_ago_ms"]),
--- a/libs/dispatch/src/server_health.cpp
+++ b/libs/dispatch/src/server_health.cpp
@@ -13,6 +13,9 @@
 constexpr duration maxSuspicionTime = std::chrono::seconds(6);
 /// Time between probes of a server that can't be reached.
 constexpr duration probeInterval = std::chrono::milliseconds(500);
+/// Servers that are probed at once when this instance may be cut off: as many as are probed side by
+/// side.
+constexpr int reachProbes = 6;
 /// Minimum time between probes that other instances cause.
 constexpr duration requestedProbeInterval = std::chrono::milliseconds(1500);
 
@@ -47,12 +50,14 @@
 
 std::vector<registered_server> load_balancer::serversToProbe(timestamp now)
 {
+    int reachProbesLeft = m_reach.isSuspected(now) ? reachProbes : 0;
     std::vector<registered_server> due;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         server_state &state = it->second;
-        if (!state.needsProbe || state.isProbing || state.isGone
-            || now - state.probedAt < probeInterval)
+        if (state.isProbing || state.isGone || now - state.probedAt < probeInterval
+            || (!state.needsProbe && reachProbesLeft == 0))
             continue;
+        reachProbesLeft -= state.needsProbe ? 0 : 1;
         state.probedAt = now;
         state.isProbing = true;
         due.push_back(state.info);
@@ -84,6 +89,25 @@
     return serversWithFlag(&server_state::isUnreachable);
 }
 
+std::vector<registered_server> load_balancer::otherServers(std::string_view server,
+                                                           std::size_t count)
+{
+    std::vector<registered_server> others;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        if (it->first != server && !it->second.isUnreachable && !it->second.isGone)
+            others.push_back(it->second.info);
+    }
+    std::shuffle(others.begin(), others.end(), m_random);
+    others.resize(std::min(count, others.size()));
+    return others;
+}
+
+bool load_balancer::isServerAddress(const endpoint &address) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(),
+                       [&](const auto &each) { return each.second.info.address == address; });
+}
+
 bool load_balancer::isUnreachable(std::string_view server) const
 {
     const server_state *state = findServer(server);
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -276,12 +276,16 @@
     m_limitedServers.clear();
     m_limitedFor = std::nullopt;
     const std::vector<std::string> admitted = admitToColdServers(now, request.service);
-    std::optional<server_placement> best = chooseAdmitted(now, request, false);
+    // Another instance may reach the servers that this one doesn't.
+    const bool isCutOff = m_reach.isCutOff();
+    std::optional<server_placement> best = chooseAdmitted(now, request, isCutOff);
     // If no server is reachable, wrong reachability data is more likely than the loss of all
     // servers.
-    if (!best)
+    if (!best && !isCutOff)
         best = chooseAdmitted(now, request, true);
-    if (!best)
+    if (best)
+        best->isRelayed = isCutOff;
+    else
         addPauses(now, request.service);
     for (const std::string &server : admitted) {
         if (!best || best->server != server)
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -63,6 +63,46 @@
     EXPECT_EQ(members.callerAddresses(now + std::chrono::seconds(11), "z1", true).size(), 3u);
 }
 
+// Callers were sent to instances that had lost their links to the servers, since these were alive.
+TEST(MemberTable, CallersAreNotSentToInstancesThatAreCutOffUnlessAllAre)
+{
+    member_table members({.self = "a", .zone = "z1"});
+    const timestamp now {};
+    const std::vector<member_entry> entries {makeEntry("a", "z1", 1), makeEntry("b", "z1", 2),
+                                             makeEntry("c", "z1", 3), makeEntry("d", "z2", 4)};
+    members.setListed(now, entries);
+    EXPECT_FALSE(members.isAnyCutOff());
+    members.recordCutOff("b", true);
+    EXPECT_TRUE(members.isAnyCutOff());
+    EXPECT_EQ(members.callerAddresses(now, "z1", true),
+              (std::vector<endpoint> {entries[0].callers, entries[2].callers}));
+    members.recordCutOff("a", true);
+    members.recordCutOff("c", true);
+    EXPECT_EQ(members.callerAddresses(now, "z1", true),
+              (std::vector<endpoint> {entries[3].callers}));
+    members.recordCutOff("d", true);
+    EXPECT_EQ(members.callerAddresses(now, "z1", true).size(), 3u);
+}
+
+TEST(MemberTable, RelaysAreLiveLargeInstancesThatReachTheServers)
+{
+    member_table members({.self = "a", .zone = "z1"});
+    const timestamp now {};
+    std::vector<member_entry> entries {makeEntry("a", "z1", 1), makeEntry("b", "z1", 2),
+                                       makeEntry("c", "z2", 3), makeEntry("d", "z2", 4),
+                                       makeEntry("e", "z2", 5)};
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        entries[i].peers = {.host = "10.0.0.2", .port = static_cast<std::uint16_t>(i + 1)};
+        entries[i].capacity = i == 3 ? 0.1 : 0.5;
+    }
+    members.setListed(now, entries);
+    EXPECT_EQ(members.relays(now),
+              (std::vector<endpoint> {entries[1].peers, entries[2].peers, entries[4].peers}));
+    members.recordCutOff("b", true);
+    members.recordReport(now, "c", 1, 1, true, 0);
+    EXPECT_EQ(members.relays(now), (std::vector<endpoint> {entries[4].peers}));
+}
+
 TEST(MemberTable, CallersAreNotSentToLeavingOrSilentInstances)
 {
     member_table members({.self = "a", .zone = "z1"});
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -12,6 +12,7 @@
         .uptimeMs = 7300,
         .sequence = 9,
         .isLeaving = true,
+        .isCutOff = true,
         .revisions = {{"config/", 77}},
         .load = {{"s1", {.running = 3, .pendingTokens = 900, .memoryTokens = 4000}}},
         .admitted = {{"reef", 12.5}},
@@ -47,6 +48,7 @@
     EXPECT_EQ(read->incarnation, report.incarnation);
     EXPECT_EQ(read->uptimeMs, report.uptimeMs);
     EXPECT_TRUE(read->isLeaving);
+    EXPECT_TRUE(read->isCutOff);
     EXPECT_EQ(read->revisions, report.revisions);
     EXPECT_EQ(read->load.at("s1").memoryTokens, 4000);
     EXPECT_EQ(read->admitted, report.admitted);
--- a/trefoilrouter/src/edge/edge_handlers.cpp
+++ b/trefoilrouter/src/edge/edge_handlers.cpp
@@ -30,7 +30,7 @@
     state.with([&](routing_state &routing) {
         const std::size_t otherCount = routing.members.otherCount();
         const std::size_t liveCount = routing.members.liveOtherCount(now);
-        isDegraded = liveCount < otherCount;
+        isDegraded = liveCount < otherCount || routing.members.isAnyCutOff();
         isIsolated = otherCount > 0 && liveCount == 0 && !state.isStoreReachable();
         instances = routing.members.callerAddresses(now, zone, state.isReady());
     });
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -8,6 +8,7 @@
 
 #include "edge/caller_session.h"
 #include "edge/edge_handlers.h"
+#include "edge/server_relay.h"
 #include "http_util.h"
 #include "table_files.h"
 
@@ -27,6 +28,8 @@
 /// Concurrent discovery and readiness requests.
 constexpr int discoveryThreads = 48;
 constexpr int peerThreads = 8;
+/// Threads of the listener for other instances: for pages, and one for each relayed connection.
+constexpr int peerListenerThreads = peerThreads + maxRelayedConnections;
 constexpr duration maintenanceInterval = std::chrono::milliseconds(100);
 /// Connect timeout for a server that may be gone; the network latency is a few milliseconds.
 constexpr duration probeTimeout = std::chrono::milliseconds(350);
@@ -76,8 +79,9 @@
         all.push_back(std::move(each));
     all.push_back({.name = "peer-listener",
                    .body = makePageListener({.address = m_settings.peers,
-                                             .threads = peerThreads,
-                                             .makePage = peerPages(m_state, m_watch)})});
+                                             .threads = peerListenerThreads,
+                                             .makePage = peerPages(m_state, m_watch),
+                                             .takeConnection = relayRequests(m_state)})});
     all.push_back(
         {.name = "callers", .body = callerListener(m_state, m_connections, m_settings.callers)});
     all.push_back({.name = "entry",
@@ -244,6 +248,7 @@
 void edge_instance::probe(const registered_server &server)
 {
     result<byte_stream> stream = byte_stream::connect(server.address, probeTimeout);
+    recordServerReach(m_state, server.id, stream.has_value());
     m_state.with([&](routing_state &routing) {
         routing.balancer.onProbeResult(server.id, stream.has_value());
     });
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -8,6 +8,8 @@
 #include <platform/store_version.h>
 #include <telemetry/event_log.h>
 
+#include "edge/server_relay.h"
+
 namespace trefoil {
 
 namespace {
@@ -154,6 +156,10 @@
 {
     const timestamp now = boot_clock::now();
     store_call call = store_call::None;
+    // A leader that doesn't reach the servers can't have them load weights.
+    const bool isResigning = m_state.isLeaving() || m_state.with([](const routing_state &routing) {
+        return routing.balancer.reach().isCutOff();
+    });
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const leader_record record = m_lease.record();
@@ -169,14 +175,14 @@
                 : routing.members.isAnyLeaderHeard(now);
         });
         // The lease can't be given up while an order is in flight.
-        const bool mayLead = !m_state.isLeaving() || m_ordersInFlight > 0;
+        const bool mayLead = !isResigning || m_ordersInFlight > 0;
         const bool isReady = m_state.tables() && (isListed || m_lease.isKnown());
         call = isReady ? m_lease.next(now, rank, isLeaderAlive, mayLead) : store_call::None;
     }
     if (call == store_call::Read)
         readLease();
     else if (call == store_call::Write)
-        writeLease(m_state.isLeaving());
+        writeLease(isResigning);
     const std::lock_guard<std::mutex> lock(m_mutex);
     const bool isLeader = m_lease.holds(boot_clock::now());
     const bool hasChanged = isLeader != m_wasLeader;
@@ -351,6 +357,11 @@
 {
     const result<order_state> state = readServerState(server, stateQueryTimeout);
     const timestamp now = boot_clock::now();
+    const bool isUnreachable = !state
+        && (state.error().code == connect_errors::refused
+            || state.error().code == connect_errors::unreachable);
+    if (state || isUnreachable)
+        recordServerReach(m_state, server.id, state.has_value());
     if (state) {
         m_state.with([&](routing_state &routing) {
             for (auto it = state->weights.begin(); it != state->weights.end(); ++it)
--- a/trefoilrouter/src/edge/page_listener.cpp
+++ b/trefoilrouter/src/edge/page_listener.cpp
@@ -53,7 +53,8 @@
     }
 
 private:
-    /// Returns the answer to the next request, or nothing if none arrives.
+    /// Returns the answer to the next request, or nothing if none arrives or the connection was
+    /// taken over.
     std::optional<page> respond(byte_stream &stream) const
     {
         const timestamp deadline = boot_clock::now() + requestTimeout;
@@ -71,7 +72,10 @@
         if (!head)
             return page {.status = HTTPResponse::HTTP_BAD_REQUEST,
                          .body = head.error().message + "\n"};
-        return m_options.makePage(Poco::URI(head->target));
+        const Poco::URI uri(head->target);
+        if (m_options.takeConnection && m_options.takeConnection(uri, stream))
+            return std::nullopt;
+        return m_options.makePage(uri);
     }
 
     const page_listener_options &m_options;
--- a/trefoilrouter/src/edge/page_listener.h
+++ b/trefoilrouter/src/edge/page_listener.h
@@ -6,6 +6,7 @@
 #include <Poco/URI.h>
 #include <configuration/settings.h>
 #include <core/supervisor.h>
+#include <http/byte_stream.h>
 
 namespace trefoil {
 
@@ -25,6 +26,9 @@
     int threads = 8;
     /// Returns the page at a path and query. Called by several threads at once.
     std::function<page(const Poco::URI &)> makePage;
+    /// Takes over the connection of a request for a path and query, instead of makePage(), if it
+    /// returns true. May be empty. Called by several threads at once.
+    std::function<bool(const Poco::URI &, byte_stream &)> takeConnection = {};
 };
 
 /// Returns a supervised body that serves one request on each connection until it is stopped. A
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -168,6 +168,7 @@
         if (routing.storeAnsweredAt != timestamp {})
             report.storeHeardAgoMs =
                 static_cast<std::uint64_t>(toMilliseconds(now - routing.storeAnsweredAt));
+        report.isCutOff = routing.balancer.reach().isCutOff();
         report.delayMs = toSeconds(routing.schedulingDelay) * 1000;
         report.load = routing.balancer.ownLoad();
         report.admitted = routing.limits.totals();
@@ -344,6 +345,7 @@
             return false;
         peer = routing.members.peerAddress(report.from);
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
+        routing.members.recordCutOff(report.from, report.isCutOff);
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
         applyOutcomes(now, report, routing);
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -9,6 +9,7 @@
 #include <telemetry/event_log.h>
 
 #include "edge/request_runner.h"
+#include "edge/server_relay.h"
 
 namespace trefoil {
 
@@ -18,6 +19,8 @@
 
 /// Connect timeout for a backend server: thirty times the network latency between zones.
 constexpr duration connectTimeout = std::chrono::milliseconds(300);
+/// Other instances through which a connection to one server is tried.
+constexpr std::size_t maxRelays = 2;
 /// Longest idle time of a connection that may carry a non-repeatable request: after a reset it
 /// would be unknown whether the request ran.
 constexpr duration maxIdleNonRepeatable = std::chrono::milliseconds(800);
@@ -93,13 +96,45 @@
     return forwardBuffered(current);
 }
 
+result<server_connection_pool::pooled_connection> request_runner::connect(timestamp now,
+                                                                          attempt &current)
+{
+    const server_placement &placed = current.placed;
+    const duration maxIdle = mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable;
+    std::vector<endpoint> relays;
+    if (placed.isRelayed)
+        relays = m_state.with(
+            [now](const routing_state &routing) { return routing.members.relays(now); });
+    // The connections to one server go through the same instance, so that they can be used again.
+    const std::size_t first = relays.empty() ? 0 : hash64(placed.server) % relays.size();
+    for (std::size_t i = 0; i < std::min(relays.size(), maxRelays); ++i) {
+        const endpoint &relay = relays[(first + i) % relays.size()];
+        current.connectionName = toString(relay) + "/" + placed.server;
+        result<server_connection_pool::pooled_connection> acquired =
+            m_connections.acquire(current.connectionName, maxIdle, [&] {
+                return connectThrough(relay, placed.address, connectTimeout);
+            });
+        if (acquired) {
+            m_state.metrics().counterOf("trefoil_relayed_requests_total").add();
+            return acquired;
+        }
+    }
+    current.connectionName = placed.server;
+    result<server_connection_pool::pooled_connection> acquired =
+        m_connections.acquire(placed.server, maxIdle, [&] {
+            return byte_stream::connect(placed.address,
+                                        std::min<duration>(connectTimeout, m_deadline - now));
+        });
+    if (!acquired || !acquired->isReused)
+        recordServerReach(m_state, placed.server, acquired.has_value());
+    return acquired;
+}
+
 request_runner::attempt_end request_runner::send(attempt &current)
 {
     const server_placement &placed = current.placed;
     const timestamp now = boot_clock::now();
-    result<server_connection_pool::pooled_connection> acquired = m_connections.acquire(
-        placed.server, placed.address, mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable,
-        std::min<duration>(connectTimeout, m_deadline - now));
+    result<server_connection_pool::pooled_connection> acquired = connect(now, current);
     if (!acquired)
         return attempt_end::NotRun;
     current.stream = std::move(acquired->stream);
@@ -123,7 +158,8 @@
     // to open, or the process may have been paused, since the server was chosen.
     if (termsInForce(boot_clock::now()) != m_terms || usesEvacuatedZone(current)) {
         if (current.isReused)
-            m_connections.release(placed.server, std::move(*current.stream), defaultIdleTimeout);
+            m_connections.release(current.connectionName, std::move(*current.stream),
+                                  defaultIdleTimeout);
         current.stream.reset();
         return attempt_end::Outdated;
     }
@@ -188,9 +224,10 @@
 bool request_runner::mustAbandon(timestamp now, attempt &current)
 {
     const duration silence = now - current.progressAt;
-    const bool isUnreachable = m_state.with([&current](const routing_state &routing) {
-        return routing.balancer.isUnreachable(current.placed.server);
-    });
+    const bool isUnreachable =
+        !current.placed.isRelayed && m_state.with([&current](const routing_state &routing) {
+            return routing.balancer.isUnreachable(current.placed.server);
+        });
     const auto isOver = [&](bool canRetry) {
         const silence_limits limits = silenceLimitsOf(current, canRetry);
         return silence >= limits.abandonAfter
@@ -218,7 +255,8 @@
         if (!other)
             return "no_server";
         routing.balancer.cancel(*other);
-        if (!other->fits || isTooSlow(now, *other) || routing.balancer.isUnreachable(other->server))
+        if (!other->fits || isTooSlow(now, *other)
+            || (!other->isRelayed && routing.balancer.isUnreachable(other->server)))
             return "no_server";
         return retryBudget(routing).takeRetry(now) ? "" : "retry_budget";
     });
@@ -371,7 +409,7 @@
     if (!mayKeep)
         return;
     const duration idle = current.fields.idleTimeout.value_or(defaultIdleTimeout * 2) / 2;
-    m_connections.release(current.placed.server, std::move(*current.stream), idle);
+    m_connections.release(current.connectionName, std::move(*current.stream), idle);
     current.stream.reset();
 }
 
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -6,6 +6,7 @@
 #include <telemetry/event_log.h>
 
 #include "edge/request_runner.h"
+#include "edge/server_relay.h"
 
 namespace trefoil {
 
@@ -15,6 +16,8 @@
 constexpr std::size_t maxLocalCrashes = 64;
 /// Timeout of the probe after a broken connection: the host of a crashed server refuses at once.
 constexpr duration crashProbeTimeout = std::chrono::milliseconds(100);
+/// Other servers that are tried before a refused connection is taken for a crash.
+constexpr std::size_t maxCrashComparisons = 3;
 
 } // namespace
 
@@ -172,6 +175,21 @@
     });
 }
 
+bool request_runner::reachesOtherServer(const attempt &current)
+{
+    recordServerReach(m_state, current.placed.server, false);
+    const std::vector<registered_server> others = m_state.with([&current](routing_state &routing) {
+        return routing.balancer.otherServers(current.placed.server, maxCrashComparisons);
+    });
+    for (const registered_server &other : others) {
+        const bool isConnected = byte_stream::connect(other.address, crashProbeTimeout).has_value();
+        recordServerReach(m_state, other.id, isConnected);
+        if (isConnected)
+            return true;
+    }
+    return others.empty();
+}
+
 void request_runner::recordCrash(const attempt &current)
 {
     // A request that had begun to be answered did not crash the server.
@@ -179,7 +197,7 @@
         return;
     const result<byte_stream> probe =
         byte_stream::connect(current.placed.address, crashProbeTimeout);
-    if (probe || probe.error().code != connect_errors::refused)
+    if (probe || probe.error().code != connect_errors::refused || !reachesOtherServer(current))
         return;
     const timestamp now = boot_clock::now();
     const crash_record crash {.request = m_bodyDigest,
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -76,6 +76,8 @@
         server_placement placed;
         std::uint64_t ticket = 0;
         std::optional<byte_stream> stream;
+        /// Name of the connection in the pool.
+        std::string connectionName;
         response_head head;
         server_answer_fields fields;
         body_framing framing;
@@ -140,6 +142,9 @@
 
     attempt_end runAttempt(attempt &current);
     attempt_end send(attempt &current);
+    /// Takes or opens a connection to the server of @p current, through another instance if this
+    /// one is cut off from the servers and another takes it.
+    result<server_connection_pool::pooled_connection> connect(timestamp now, attempt &current);
     /// Returns whether the attempt must not be sent since a zone that it uses has been evacuated.
     bool usesEvacuatedZone(const attempt &current);
     attempt_end readHead(attempt &current);
@@ -171,6 +176,10 @@
     void returnConnection(attempt &current);
     void finish(attempt &current, attempt_end end);
     void recordCrash(const attempt &current);
+    /// Returns whether a server other than that of @p current accepts connections, or none is
+    /// listed. If none does, the server of @p current needn't have crashed: this instance may be
+    /// cut off.
+    bool reachesOtherServer(const attempt &current);
     /// Records whether the response is slow, as soon as that is known.
     void recordSpeed(timestamp now, attempt &current);
     void recordReleaseEnd(const attempt &current, attempt_end end);
--- a/trefoilrouter/src/edge/server_connection_pool.cpp
+++ b/trefoilrouter/src/edge/server_connection_pool.cpp
@@ -12,15 +12,15 @@
 } // namespace
 
 result<server_connection_pool::pooled_connection>
-server_connection_pool::acquire(std::string_view server, const endpoint &address, duration maxIdle,
-                                duration connectTimeout)
+server_connection_pool::acquire(std::string_view name, duration maxIdle,
+                                const std::function<result<byte_stream>()> &connect)
 {
     const timestamp now = boot_clock::now();
     while (true) {
         std::optional<idle_connection> found;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            const auto idle = m_idle.find(server);
+            const auto idle = m_idle.find(name);
             if (idle != m_idle.end() && !idle->second.empty()) {
                 // The most recently used connection is the least likely to have been closed by the
                 // server.
@@ -33,18 +33,18 @@
         if (now < found->expiresAt && now - found->idleSince <= maxIdle && found->stream.isIdle())
             return pooled_connection {.stream = std::move(found->stream), .isReused = true};
     }
-    result<byte_stream> opened = byte_stream::connect(address, connectTimeout);
+    result<byte_stream> opened = connect();
     if (!opened)
         return tl::unexpected(opened.error());
     return pooled_connection {.stream = std::move(*opened)};
 }
 
-void server_connection_pool::release(std::string_view server, byte_stream stream,
+void server_connection_pool::release(std::string_view name, byte_stream stream,
                                      duration idleTimeout)
 {
     const timestamp now = boot_clock::now();
     const std::lock_guard<std::mutex> lock(m_mutex);
-    std::vector<idle_connection> &idle = m_idle[std::string(server)];
+    std::vector<idle_connection> &idle = m_idle[std::string(name)];
     if (idle.size() < maxIdleConnections)
         idle.push_back(
             {.stream = std::move(stream), .idleSince = now, .expiresAt = now + idleTimeout});
--- a/trefoilrouter/src/edge/server_connection_pool.h
+++ b/trefoilrouter/src/edge/server_connection_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -26,12 +27,12 @@
         bool isReused = false;
     };
 
-    /// Returns a connection to @p server that has been idle for at most @p maxIdle, or a new one to
-    /// @p address. Errors: those of byte_stream::connect(); nothing was sent then.
-    result<pooled_connection> acquire(std::string_view server, const endpoint &address,
-                                      duration maxIdle, duration connectTimeout);
-    /// Keeps a connection that carried a complete answer for at most @p idleTimeout.
-    void release(std::string_view server, byte_stream stream, duration idleTimeout);
+    /// Returns a connection of @p name that has been idle for at most @p maxIdle, or one that
+    /// @p connect opens, with its errors.
+    result<pooled_connection> acquire(std::string_view name, duration maxIdle,
+                                      const std::function<result<byte_stream>()> &connect);
+    /// Keeps a connection of @p name that carried a complete answer for at most @p idleTimeout.
+    void release(std::string_view name, byte_stream stream, duration idleTimeout);
     /// Closes connections whose idle timeout has expired.
     void prune(timestamp now);
 
