Brittle servers are sent no more than they have room for

A server that states Server-Brittle falls over if it has to reject too many requests in a second. Each instance now sends such a server at most its part of the slots, unless half of them have been free for a second; what is too much waits for up to half of its target latency and is then refused.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <core/clock.h>
+#include <dispatch/brittle_services.h>
 #include <dispatch/call_time.h>
 #include <dispatch/cold_servers.h>
 #include <dispatch/long_prompts.h>
@@ -238,6 +239,9 @@
     const server_reach &reach() const { return m_reach; }
     /// Returns whether a listed server has @p address.
     bool isServerAddress(const endpoint &address) const;
+    /// Records whether @p server stated in its answer to a request that was sent at @p sentAt that
+    /// it is brittle. Returns whether that changed for its service.
+    bool onBrittleStated(timestamp sentAt, std::string_view server, bool isBrittle);
     /// Returns what servers have stated about themselves.
     server_statements &statements() { return m_statements; }
 
@@ -246,6 +250,8 @@
     std::optional<server_placement> choose(timestamp now, const request_profile &request);
     /// Takes back a choice for which begin() is not called.
     void cancel(const server_placement &placed);
+    /// Returns whether the last choose() passed over servers that are brittle and full.
+    bool isHeldBack() const { return m_isHeldBack; }
     /// Returns the time until one of the servers takes requests again that the last choose() passed
     /// over because of their limits or pauses, or nothing if there was none.
     std::optional<duration> limitedFor() const { return m_limitedFor; }
@@ -421,6 +427,8 @@
     /// Excludes the cold servers of @p service that this instance must send nothing to now. Returns
     /// the others, from whose allowances a request was taken.
     std::vector<std::string> admitToColdServers(timestamp now, std::string_view service);
+    /// Returns whether @p state is brittle and has no room that is known for a request.
+    bool isFullAndBrittle(timestamp now, const server_state &state);
     /// Applies the pauses of the servers of @p service to m_limitedFor.
     void addPauses(timestamp now, std::string_view service);
     std::optional<server_placement> chooseAdmitted(timestamp now, const request_profile &request,
@@ -492,6 +500,9 @@
     std::uint64_t m_nextTicket = 1;
     std::vector<cache_placement> m_placed;
     server_reach m_reach;
+    brittle_services m_brittle;
+    /// See isHeldBack().
+    bool m_isHeldBack = false;
     server_statements m_statements;
     zone_evacuations m_evacuations;
     cold_servers m_coldServers;
--- a/libs/dispatch/src/load_balancer.cpp
+++ b/libs/dispatch/src/load_balancer.cpp
@@ -468,6 +468,12 @@
     state->unattributedAt = now;
 }
 
+bool load_balancer::onBrittleStated(timestamp sentAt, std::string_view server, bool isBrittle)
+{
+    const server_state *state = findServer(server);
+    return state != nullptr && m_brittle.record(sentAt, state->info.service, isBrittle);
+}
+
 void load_balancer::onPaceReported(timestamp now, std::string_view server, int pace)
 {
     if (server_state *state = findServer(server))
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -21,6 +21,8 @@
 constexpr double overloadCostMs = 1500;
 /// Cost in milliseconds of a server into which a request doesn't fit: above all other costs.
 constexpr double fullServerCostMs = 1e6;
+/// Time after which a request that brittle servers have no room for may come again.
+constexpr duration brittleRetryTime = std::chrono::milliseconds(300);
 /// Converts megabits per second to bits per millisecond.
 constexpr double bitsPerMsPerMbps = 1000;
 constexpr double bitsPerByte = 8;
@@ -275,6 +277,7 @@
     m_peerLoads.removeExpired(now);
     m_limitedServers.clear();
     m_limitedFor = std::nullopt;
+    m_isHeldBack = false;
     const std::vector<std::string> admitted = admitToColdServers(now, request.service);
     // Another instance may reach the servers that this one doesn't.
     const bool isCutOff = m_reach.isCutOff();
@@ -287,6 +290,8 @@
         best->isRelayed = isCutOff;
     else
         addPauses(now, request.service);
+    if (!best && m_isHeldBack)
+        m_limitedFor = std::min(m_limitedFor.value_or(brittleRetryTime), brittleRetryTime);
     for (const std::string &server : admitted) {
         if (!best || best->server != server)
             m_coldServers.refund(server);
@@ -384,6 +389,17 @@
     return cost + placed.longPromptMs;
 }
 
+bool load_balancer::isFullAndBrittle(timestamp now, const server_state &state)
+{
+    if (!m_brittle.isBrittle(state.info.service))
+        return false;
+    return !m_brittle.mayTake(now, state.info.service, state.info.id,
+                              {.own = state.own.running,
+                               .total = totalLoad(now, state).running,
+                               .slots = std::max(1, state.info.slots),
+                               .instances = m_peerLoads.busyPeerCount() + 1});
+}
+
 std::optional<server_placement>
 load_balancer::chooseAmong(timestamp now, const request_profile &request, bool includesUnreachable)
 {
@@ -403,6 +419,10 @@
         const server_state &state = it->second;
         if (!mayTake(now, state, request) || (state.isUnreachable && !includesUnreachable))
             continue;
+        if (isFullAndBrittle(now, state)) {
+            m_isHeldBack = true;
+            continue;
+        }
         server_placement placed = estimate(now, state, request, engine, affinity);
         const double cost = costOf(now, state, request, placed, affinity.home) + tieBreak(m_random);
         if (cost - placed.longPromptMs < otherwiseCost) {
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -40,14 +40,28 @@
     const timestamp now = boot_clock::now();
     server_statements::changes changed;
     server_statements::counts counts;
+    bool hasBrittleChanged = false;
     m_state.with([&](routing_state &routing) {
         server_statements &statements = routing.balancer.statements();
         changed = statements.record(now, current.sentAt, server, fields.stated);
         counts = statements.count(now);
+        hasBrittleChanged = routing.balancer.onBrittleStated(current.sentAt, server,
+                                                             fields.rejectionsBorne.has_value());
         if (fields.coldFor)
             routing.balancer.coldServers().recordStatement(now, current.sentAt, server,
                                                            *fields.coldFor);
     });
+    if (hasBrittleChanged) {
+        m_state.metrics()
+            .counterOf("trefoil_brittle_times_total")
+            .add(fields.rejectionsBorne ? 1 : 0);
+        writeEvent(
+            event_line("servers", fields.rejectionsBorne ? "brittle_stated" : "brittle_ended")
+                .add("request", m_fields.requestId)
+                .add("server", server)
+                .add("service", m_admitted.service)
+                .add("rejections_per_second", fields.rejectionsBorne.value_or(0)));
+    }
     if (changed == server_statements::changes {})
         return;
     metric_registry &metrics = m_state.metrics();
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <thread>
 
 #include <Poco/Net/HTTPResponse.h>
 #include <telemetry/event_log.h>
@@ -18,6 +19,9 @@
 /// Fraction of the remaining time that the expected wait may take. Beyond it a request is refused
 /// at once, because it would probably time out in the queue.
 constexpr double maxWaitFraction = 0.8;
+/// Interval at which a request looks whether brittle servers have room for it: about a tenth of the
+/// time of a short call.
+constexpr duration roomCheckInterval = std::chrono::milliseconds(5);
 /// Bounds of the Retry-After time for refused callers.
 constexpr duration minRetryAfter = std::chrono::milliseconds(150);
 constexpr duration maxRetryAfter = std::chrono::milliseconds(1500);
@@ -209,6 +213,7 @@
     return m_state.with([&](routing_state &routing) -> std::optional<server_placement> {
         std::optional<server_placement> placed = findServer(now, routing);
         m_limitedFor = routing.balancer.limitedFor();
+        m_isHeldBack = !placed && routing.balancer.isHeldBack();
         const bool isRefused = placed
             && (m_admission.isInForce() ? !m_admission.decide(now, routing, admissionSubject(),
                                                               m_deadline - now, *placed)
@@ -276,6 +281,12 @@
             endAbandoned();
             return std::nullopt;
         }
+        if (m_isHeldBack && now - m_request.receivedAt < m_admitted.route->targetLatency / 2) {
+            if (waitForRoom())
+                continue;
+            endAbandoned();
+            return std::nullopt;
+        }
         if (!placed || mustRefuse(now, *placed)) {
             logUnplaced(now, placed);
             return giveUp(unplacedRefusal(placed));
@@ -299,6 +310,12 @@
     }
 }
 
+bool request_runner::waitForRoom()
+{
+    std::this_thread::sleep_for(roomCheckInterval);
+    return !m_response.connection().isClosedByRemote();
+}
+
 std::optional<request_runner::refusal> request_runner::giveUp(const std::optional<refusal> &refused)
 {
     if (!m_answer || m_response.currentState() != caller_response::state::NothingSent)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -122,6 +122,8 @@
     std::optional<refusal> checkPrompt(timestamp now);
     void chooseService();
     std::optional<refusal> serve();
+    /// Waits a little for room at brittle servers. Returns false if the caller has left.
+    bool waitForRoom();
     std::optional<refusal> finalRefusal(attempt_end end) const;
     std::optional<refusal> unplacedRefusal(const std::optional<server_placement> &best) const;
     /// Ends the request without a further attempt: with the failure that a server answered, if the
@@ -226,6 +228,8 @@
     std::vector<std::uint64_t> m_sharedParts;
     std::vector<std::string> m_triedServers;
     std::vector<std::string> m_excludedReleases;
+    /// Whether the last choice found only servers that are brittle and full.
+    bool m_isHeldBack = false;
     /// How long all servers that may take the request are at their limits, if they are.
     std::optional<duration> m_limitedFor;
     /// Whether any server was sent the request.
