The loss of a part of the servers is no cut of this instance's links

A failure now counts only when its server becomes unreachable, if it is still listed, and if no connection has succeeded since its start; probes of servers that may be lost go with probes of two others; the first failure must be 0.1 s old.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -235,7 +235,6 @@
     /// Returns what is known of cold servers.
     cold_servers &coldServers() { return m_coldServers; }
     /// Returns whether this instance reaches the servers as a whole.
-    server_reach &reach() { return m_reach; }
     const server_reach &reach() const { return m_reach; }
     /// Returns whether a listed server has @p address.
     bool isServerAddress(const endpoint &address) const;
@@ -270,11 +269,22 @@
     /// Takes the pace that @p server states, see server_pace.
     void onPaceReported(timestamp now, std::string_view server, int pace);
 
+    /// Records the outcome of a direct connection to @p server, decided on at @p startedAt. Returns
+    /// whether reach().isCutOff() changed. Call before onProbeResult() and end().
+    bool recordConnection(timestamp now, timestamp startedAt, std::string_view server,
+                          bool isConnected);
+
     /// Returns the servers to probe with a connection now: those that stopped responding, lost
     /// requests, refused a connection or were named by requestProbe(). Servers that can't be
     /// reached get no requests until a probe succeeds. A server is not returned again until
     /// onProbeResult() was called for it.
     std::vector<registered_server> serversToProbe(timestamp now);
+    /// Returns servers that count as reachable, to probe before those that are @p due: two if there
+    /// are such that may be lost, more if this instance may be cut off. Their success tells the
+    /// loss of servers from that of this instance's links, see server_reach. onProbeResult() has to
+    /// be called for them too.
+    std::vector<registered_server> controlServers(timestamp now,
+                                                  std::span<const registered_server> due);
     /// Takes the result of a probe.
     void onProbeResult(std::string_view server, bool isReachable);
     /// Requests a probe of @p server because another instance can't reach it.
@@ -303,8 +313,9 @@
 
     /// Returns the addresses of the KV cache stores.
     std::vector<endpoint> cacheStores() const;
-    /// Returns up to @p count random servers other than @p server that count as reachable.
-    std::vector<registered_server> otherServers(std::string_view server, std::size_t count);
+    /// Returns up to @p count random servers that count as reachable, without @p server.
+    std::vector<registered_server> otherServers(timestamp now, std::string_view server,
+                                                std::size_t count);
     /// Returns the listed servers with the weights that they are known to run.
     std::vector<registered_server> servers() const;
     /// Returns the servers on which newer weights were observed after @p since, with all weights
@@ -420,6 +431,8 @@
         bool wasSilent = false;
     };
 
+    /// Returns random servers that count as reachable and are not being probed.
+    std::vector<server_state *> reachableServers(timestamp now, std::size_t count);
     static std::uint64_t weightsOf(const server_state &state, std::string_view model);
     bool mayTake(timestamp now, const server_state &state, const request_profile &request) const;
     std::optional<server_placement> chooseAmong(timestamp now, const request_profile &request,
--- a/libs/dispatch/include/dispatch/server_reach.h
+++ b/libs/dispatch/include/dispatch/server_reach.h
@@ -17,6 +17,22 @@
     std::size_t minSuspiciousServers = 2;
     /// How long a failure counts until the instance is cut off: longer than two connect timeouts.
     duration failureLifetime = std::chrono::seconds(2);
+    /// Time from the first failure until the instance counts as cut off. Connections that are
+    /// refused fail at once, and those to other servers must have time to succeed.
+    duration minFailureTime = std::chrono::milliseconds(100);
+};
+
+/// Outcome of a new direct connection to a server.
+struct connection_outcome
+{
+    std::string_view server;
+    /// When it was decided to connect.
+    timestamp startedAt;
+    bool isConnected = false;
+    /// Whether the server was known to be unreachable before.
+    bool wasUnreachable = false;
+    /// Whether all listed servers are unreachable.
+    bool areAllUnreachable = false;
 };
 
 /// Decides from the outcomes of new connections whether this instance is cut off from the backend
@@ -24,8 +40,9 @@
 /// Not thread-safe. Times must not decrease.
 ///
 /// Handles an instance that has lost its links to all servers while its callers, the store and the
-/// other instances still reach it. The loss of some servers is no such case: connections to others
-/// succeed meanwhile.
+/// other instances still reach it. The loss of a part of the servers is no such case, although an
+/// instance may then have connections to lost servers only: a failure counts only if no connection
+/// has succeeded since its start, and probes of servers that may be lost go with some of others.
 class server_reach
 {
 public:
@@ -33,8 +50,8 @@
 
     /// Sets the number of servers that are listed.
     void setServerCount(std::size_t count) { m_serverCount = count; }
-    /// Records the outcome of a direct connection to @p server. Returns whether isCutOff() changed.
-    bool record(timestamp now, std::string_view server, bool isConnected);
+    /// Records @p outcome. Returns whether isCutOff() changed.
+    bool record(timestamp now, const connection_outcome &outcome);
 
     /// Returns whether the instance is cut off: connections to several servers have failed, and
     /// none has succeeded since.
@@ -48,7 +65,9 @@
     server_reach_options m_options;
     std::size_t m_serverCount = 0;
     bool m_isCutOff = false;
-    /// Last failure by server, since the last success.
+    timestamp m_connectedAt;
+    /// First failure since then, and the last one by server.
+    timestamp m_failedSince;
     std::map<std::string, timestamp, std::less<>> m_failures;
 };
 
--- a/libs/dispatch/src/server_health.cpp
+++ b/libs/dispatch/src/server_health.cpp
@@ -15,7 +15,10 @@
 constexpr duration probeInterval = std::chrono::milliseconds(500);
 /// Servers that are probed at once when this instance may be cut off: as many as are probed side by
 /// side.
-constexpr int reachProbes = 6;
+constexpr std::size_t reachProbes = 6;
+/// Servers that are probed beside those that may be lost. One could be lost too, and not yet be
+/// known to be.
+constexpr std::size_t controlProbes = 2;
 /// Minimum time between probes that other instances cause.
 constexpr duration requestedProbeInterval = std::chrono::milliseconds(1500);
 
@@ -48,16 +51,46 @@
     state.needsProbe = true;
 }
 
+bool load_balancer::recordConnection(timestamp now, timestamp startedAt, std::string_view server,
+                                     bool isConnected)
+{
+    // The entry of a lost server may have been removed since.
+    if (!isConnected && findServer(server) == nullptr)
+        return false;
+    const auto isUnreachableOne = [](const auto &each) { return each.second.isUnreachable; };
+    return m_reach.record(
+        now,
+        {.server = server,
+         .startedAt = startedAt,
+         .isConnected = isConnected,
+         .wasUnreachable = isUnreachable(server),
+         .areAllUnreachable =
+             !isConnected && std::all_of(m_servers.begin(), m_servers.end(), isUnreachableOne)});
+}
+
+std::vector<load_balancer::server_state *> load_balancer::reachableServers(timestamp now,
+                                                                           std::size_t count)
+{
+    std::vector<server_state *> found;
+    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
+        server_state &state = it->second;
+        if (!state.isUnreachable && !state.isGone && !state.needsProbe && !state.isProbing
+            && now >= state.suspectUntil)
+            found.push_back(&state);
+    }
+    std::shuffle(found.begin(), found.end(), m_random);
+    found.resize(std::min(count, found.size()));
+    return found;
+}
+
 std::vector<registered_server> load_balancer::serversToProbe(timestamp now)
 {
-    int reachProbesLeft = m_reach.isSuspected(now) ? reachProbes : 0;
     std::vector<registered_server> due;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         server_state &state = it->second;
-        if (state.isProbing || state.isGone || now - state.probedAt < probeInterval
-            || (!state.needsProbe && reachProbesLeft == 0))
+        if (!state.needsProbe || state.isProbing || state.isGone
+            || now - state.probedAt < probeInterval)
             continue;
-        reachProbesLeft -= state.needsProbe ? 0 : 1;
         state.probedAt = now;
         state.isProbing = true;
         due.push_back(state.info);
@@ -65,6 +98,24 @@
     return due;
 }
 
+std::vector<registered_server> load_balancer::controlServers(timestamp now,
+                                                             std::span<const registered_server> due)
+{
+    const bool areNewlyLost =
+        std::any_of(due.begin(), due.end(),
+                    [this](const registered_server &each) { return !isUnreachable(each.id); });
+    const std::size_t count = m_reach.isSuspected(now) ? reachProbes
+        : areNewlyLost                                 ? controlProbes
+                                                       : 0;
+    std::vector<registered_server> controls;
+    for (server_state *each : reachableServers(now, count)) {
+        each->probedAt = now;
+        each->isProbing = true;
+        controls.push_back(each->info);
+    }
+    return controls;
+}
+
 void load_balancer::onProbeResult(std::string_view server, bool isReachable)
 {
     server_state *state = findServer(server);
@@ -89,16 +140,14 @@
     return serversWithFlag(&server_state::isUnreachable);
 }
 
-std::vector<registered_server> load_balancer::otherServers(std::string_view server,
+std::vector<registered_server> load_balancer::otherServers(timestamp now, std::string_view server,
                                                            std::size_t count)
 {
     std::vector<registered_server> others;
-    for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
-        if (it->first != server && !it->second.isUnreachable && !it->second.isGone)
-            others.push_back(it->second.info);
+    for (const server_state *each : reachableServers(now, count + 1)) {
+        if (each->info.id != server && others.size() < count)
+            others.push_back(each->info);
     }
-    std::shuffle(others.begin(), others.end(), m_random);
-    others.resize(std::min(count, others.size()));
     return others;
 }
 
--- a/libs/dispatch/src/server_reach.cpp
+++ b/libs/dispatch/src/server_reach.cpp
@@ -12,18 +12,27 @@
         }));
 }
 
-bool server_reach::record(timestamp now, std::string_view server, bool isConnected)
+bool server_reach::record(timestamp now, const connection_outcome &outcome)
 {
     const bool wasCutOff = m_isCutOff;
-    if (isConnected) {
+    if (outcome.isConnected) {
+        m_connectedAt = now;
         m_failures.clear();
         m_isCutOff = false;
         return wasCutOff;
     }
-    m_failures.insert_or_assign(std::string(server), now);
+    if (outcome.startedAt <= m_connectedAt)
+        return false;
+    if (countFailed(now) == 0)
+        m_failedSince = now;
+    if (!outcome.wasUnreachable || outcome.areAllUnreachable)
+        m_failures.insert_or_assign(std::string(outcome.server), now);
     const std::size_t needed = std::max(m_options.minSuspiciousServers,
                                         std::min(m_options.minFailedServers, m_serverCount));
-    m_isCutOff = m_isCutOff || countFailed(now) >= needed;
+    const bool areManyFailed = countFailed(now) >= needed || outcome.areAllUnreachable;
+    m_isCutOff = m_isCutOff
+        || (areManyFailed && m_serverCount >= m_options.minSuspiciousServers
+            && now - m_failedSince >= m_options.minFailureTime);
     return m_isCutOff != wasCutOff;
 }
 
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -239,16 +239,20 @@
 
 void edge_instance::probeServers(timestamp now)
 {
-    const std::vector<registered_server> due = m_state.with(
-        [now](routing_state &routing) { return routing.balancer.serversToProbe(now); });
+    const std::vector<registered_server> due = m_state.with([now](routing_state &routing) {
+        const std::vector<registered_server> lost = routing.balancer.serversToProbe(now);
+        std::vector<registered_server> all = routing.balancer.controlServers(now, lost);
+        all.insert(all.end(), lost.begin(), lost.end());
+        return all;
+    });
     for (const registered_server &server : due)
-        m_probeQueue.post([this, server] { probe(server); });
+        m_probeQueue.post([this, now, server] { probe(now, server); });
 }
 
-void edge_instance::probe(const registered_server &server)
+void edge_instance::probe(timestamp decidedAt, const registered_server &server)
 {
     result<byte_stream> stream = byte_stream::connect(server.address, probeTimeout);
-    recordServerReach(m_state, server.id, stream.has_value());
+    recordConnection(m_state, decidedAt, server.id, stream.has_value());
     m_state.with([&](routing_state &routing) {
         routing.balancer.onProbeResult(server.id, stream.has_value());
     });
--- a/trefoilrouter/src/edge/edge_instance.h
+++ b/trefoilrouter/src/edge/edge_instance.h
@@ -34,7 +34,7 @@
     void recordSchedulingDelay(duration delay);
     result<void> runMaintenance(const std::stop_token &stop);
     void probeServers(timestamp now);
-    void probe(const registered_server &server);
+    void probe(timestamp decidedAt, const registered_server &server);
     bool registerInstance();
     void unregisterInstance();
     void waitForStop(const sigset_t &signals, const std::atomic<bool> &ended);
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -355,13 +355,14 @@
 
 void leader_runner::queryServer(const registered_server &server)
 {
+    const timestamp startedAt = boot_clock::now();
     const result<order_state> state = readServerState(server, stateQueryTimeout);
     const timestamp now = boot_clock::now();
     const bool isUnreachable = !state
         && (state.error().code == connect_errors::refused
             || state.error().code == connect_errors::unreachable);
     if (state || isUnreachable)
-        recordServerReach(m_state, server.id, state.has_value());
+        recordConnection(m_state, startedAt, server.id, state.has_value());
     if (state) {
         m_state.with([&](routing_state &routing) {
             for (auto it = state->weights.begin(); it != state->weights.end(); ++it)
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -126,7 +126,7 @@
                                         std::min<duration>(connectTimeout, m_deadline - now));
         });
     if (!acquired || !acquired->isReused)
-        recordServerReach(m_state, placed.server, acquired.has_value());
+        recordConnection(m_state, now, placed.server, acquired.has_value());
     return acquired;
 }
 
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -191,13 +191,14 @@
 
 bool request_runner::reachesOtherServer(const attempt &current)
 {
-    recordServerReach(m_state, current.placed.server, false);
-    const std::vector<registered_server> others = m_state.with([&current](routing_state &routing) {
-        return routing.balancer.otherServers(current.placed.server, maxCrashComparisons);
+    const timestamp startedAt = boot_clock::now();
+    recordConnection(m_state, startedAt, current.placed.server, false);
+    const std::vector<registered_server> others = m_state.with([&](routing_state &routing) {
+        return routing.balancer.otherServers(startedAt, current.placed.server, maxCrashComparisons);
     });
     for (const registered_server &other : others) {
         const bool isConnected = byte_stream::connect(other.address, crashProbeTimeout).has_value();
-        recordServerReach(m_state, other.id, isConnected);
+        recordConnection(m_state, startedAt, other.id, isConnected);
         if (isConnected)
             return true;
     }
--- a/trefoilrouter/src/edge/server_relay.cpp
+++ b/trefoilrouter/src/edge/server_relay.cpp
@@ -161,12 +161,14 @@
     }
 }
 
-void recordServerReach(edge_state &state, std::string_view server, bool isConnected)
+void recordConnection(edge_state &state, timestamp startedAt, std::string_view server,
+                      bool isConnected)
 {
     const timestamp now = boot_clock::now();
     bool isCutOff = false;
     const bool hasChanged = state.with([&](routing_state &routing) {
-        const bool isChanged = routing.balancer.reach().record(now, server, isConnected);
+        const bool isChanged =
+            routing.balancer.recordConnection(now, startedAt, server, isConnected);
         isCutOff = routing.balancer.reach().isCutOff();
         routing.members.recordCutOff(state.settings().name, isCutOff);
         return isChanged;
--- a/trefoilrouter/src/edge/server_relay.h
+++ b/trefoilrouter/src/edge/server_relay.h
@@ -24,8 +24,10 @@
 /// Relayed connections that an instance bears at the same time, each with a thread.
 inline constexpr int maxRelayedConnections = 256;
 
-/// Records the outcome of a direct connection to @p server, see server_reach. Thread-safe.
-void recordServerReach(edge_state &state, std::string_view server, bool isConnected);
+/// Records the outcome of a direct connection to @p server, decided on at @p startedAt, see
+/// server_reach. Thread-safe.
+void recordConnection(edge_state &state, timestamp startedAt, std::string_view server,
+                      bool isConnected);
 
 /// Serves a request of another instance for a connection to the backend server at @p target, a host
 /// and port: passes bytes on in both directions until either side ends or the instance closes its
