No crash is recorded, and no probe requested, for links that only this instance has lost

With all servers marked as unreachable no other one was left to compare with, and a reset followed by a refusal counted as the crash of a server; it now does only for the only listed server. Broken connections behind a relay are no evidence either. Reports of an instance that is cut off no longer name the servers that it can't reach, which made all others probe them.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -316,6 +316,8 @@
     /// Returns up to @p count random servers that count as reachable, without @p server.
     std::vector<registered_server> otherServers(timestamp now, std::string_view server,
                                                 std::size_t count);
+    /// Returns the number of listed servers.
+    std::size_t serverCount() const { return m_servers.size(); }
     /// Returns the listed servers with the weights that they are known to run.
     std::vector<registered_server> servers() const;
     /// Returns the servers on which newer weights were observed after @p since, with all weights
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -182,7 +182,9 @@
         report.serverLevels = statements.requests().takeLevels(now);
         report.coldDemandRates = routing.balancer.coldServers().takeDemandRates(now);
         report.gone = routing.balancer.goneServers();
-        report.unreachable = routing.balancer.unreachableServers();
+        // Others would probe all servers because of links that only this instance has lost.
+        if (!report.isCutOff)
+            report.unreachable = routing.balancer.unreachableServers();
         report.placed = routing.balancer.takeCachePlacements();
         report.prefillRates = routing.balancer.takePrefillRates();
         addCrashes(now, routing, report);
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -52,9 +52,6 @@
                                                            *fields.coldFor);
     });
     if (hasBrittleChanged) {
-        m_state.metrics()
-            .counterOf("trefoil_brittle_times_total")
-            .add(fields.rejectionsBorne ? 1 : 0);
         writeEvent(
             event_line("servers", fields.rejectionsBorne ? "brittle_stated" : "brittle_ended")
                 .add("request", m_fields.requestId)
@@ -193,7 +190,9 @@
 {
     const timestamp startedAt = boot_clock::now();
     recordConnection(m_state, startedAt, current.placed.server, false);
+    bool isOnlyServer = false;
     const std::vector<registered_server> others = m_state.with([&](routing_state &routing) {
+        isOnlyServer = routing.balancer.serverCount() == 1;
         return routing.balancer.otherServers(startedAt, current.placed.server, maxCrashComparisons);
     });
     for (const registered_server &other : others) {
@@ -202,13 +201,14 @@
         if (isConnected)
             return true;
     }
-    return others.empty();
+    return isOnlyServer;
 }
 
 void request_runner::recordCrash(const attempt &current)
 {
-    // A request that had begun to be answered did not crash the server.
-    if (current.hasEvents)
+    // A request that had begun to be answered did not crash the server. Behind a relay, a broken
+    // connection may be the relay's.
+    if (current.hasEvents || current.placed.isRelayed)
         return;
     const result<byte_stream> probe =
         byte_stream::connect(current.placed.address, crashProbeTimeout);
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -178,7 +178,7 @@
     void returnConnection(attempt &current);
     void finish(attempt &current, attempt_end end);
     void recordCrash(const attempt &current);
-    /// Returns whether a server other than that of @p current accepts connections, or none is
+    /// Returns whether a server other than that of @p current accepts connections, or no other is
     /// listed. If none does, the server of @p current needn't have crashed: this instance may be
     /// cut off.
     bool reachesOtherServer(const attempt &current);
