--- a/libs/dispatch/src/server_health.cpp
+++ b/libs/dispatch/src/server_health.cpp
@@ -72,6 +72,8 @@
                                                                            std::size_t count)
 {
     std::vector<server_state *> found;
+    if (count == 0)
+        return found;
     for (auto it = m_servers.begin(); it != m_servers.end(); ++it) {
         server_state &state = it->second;
         if (!state.isUnreachable && !state.isGone && !state.needsProbe && !state.isProbing
@@ -121,11 +123,12 @@
     server_state *state = findServer(server);
     if (state == nullptr)
         return;
+    // The probe of a control server says nothing of the requests that it may have lost.
+    if (isReachable && state->needsProbe)
+        state->consecutiveLosses = 0;
     state->isProbing = false;
     state->isUnreachable = !isReachable;
     state->needsProbe = !isReachable;
-    if (isReachable)
-        state->consecutiveLosses = 0;
 }
 
 void load_balancer::requestProbe(timestamp now, std::string_view server)
--- a/libs/dispatch/tests/brittle_services_test.cpp
+++ b/libs/dispatch/tests/brittle_services_test.cpp
@@ -76,12 +76,12 @@
         }
     }
 
-    static void endCalls(instance &at_, double now)
+    static void endCalls(instance &owner, double now)
     {
-        for (std::vector<running_call> &calls : at_.calls) {
+        for (std::vector<running_call> &calls : owner.calls) {
             for (const running_call &each : calls) {
                 if (each.endsAt <= now)
-                    at_.balancer.end(at(now), each.ticket, attempt_outcome::Done);
+                    owner.balancer.end(at(now), each.ticket, attempt_outcome::Done);
             }
             std::erase_if(calls, [now](const running_call &each) { return each.endsAt <= now; });
         }
