--- a/libs/dispatch/include/dispatch/brittle_services.h
+++ b/libs/dispatch/include/dispatch/brittle_services.h
@@ -21,7 +21,7 @@
 };
 
 /// Keeps the services whose servers state that they are brittle: one that has to reject many
-/// requests in a second for want of room falls over. Not thread-safe.
+/// requests in a second for want of room ends. Not thread-safe.
 ///
 /// Handles more requests than such a service has room for, from several instances that learn late
 /// of each other's: an instance sends a server no more at once than its part of the slots, unless
--- a/libs/dispatch/tests/brittle_services_test.cpp
+++ b/libs/dispatch/tests/brittle_services_test.cpp
@@ -1,5 +1,5 @@
 // Guards against several instances that send brittle servers more than they have room for: each
-// server that rejects too many requests in a second falls over, and the others get its load.
+// server that rejects too many requests in a second ends, and the others get its load.
 
 #include <dispatch/brittle_services.h>
 
@@ -145,7 +145,7 @@
     for (const std::uint32_t seed : {1u, 2u, 3u}) {
         brittle_simulation stated(6, 4, seed);
         stated.play(seconds, overload, true);
-        // A server falls over at a handful of rejections in a second.
+        // A few rejections in a second end a server.
         EXPECT_LE(stated.mostRejections(1), 3u) << "seed " << seed;
         EXPECT_GE(stated.served, 800 * seconds * 0.7) << "seed " << seed;
         brittle_simulation unstated(6, 4, seed);
