Log by which configuration a request was refused, and where a copy came from

Cause: the hypotheses of the incident could not be told apart. A refusal (404, 401) named the version but not when the store last confirmed it nor whether a newer one was known; copy_fetched named neither the instance nor the time.

Change: event not_allowed; copy_fetched and copy_fetch_failed with peer, behind_ms and ms. Taking the stale copies and fetching one are two calls. No decision changes.

--- a/libs/dispatch/include/dispatch/configuration_contact.h
+++ b/libs/dispatch/include/dispatch/configuration_contact.h
@@ -37,6 +37,11 @@
                       std::optional<timestamp> storeAnsweredAt);
     /// Sets since when another instance is known to have a newer configuration, if one has.
     void setBehindSince(std::optional<timestamp> since) { m_behindSince = since; }
+    /// Returns whether another instance is known to have a newer configuration.
+    bool isBehind() const { return m_behindSince.has_value(); }
+    /// Returns when the store last stated, to this instance or another one, that there is no newer
+    /// configuration.
+    timestamp confirmedAt() const { return m_confirmedAt; }
     /// Returns whether the configuration may be taken for the one in force. @p otherInstances is
     /// the number of listed instances other than this one.
     bool isConfirmed(timestamp now, std::size_t otherInstances) const;
--- a/trefoilrouter/src/edge/edge_instance.cpp
+++ b/trefoilrouter/src/edge/edge_instance.cpp
@@ -281,7 +281,8 @@
         const timestamp now = boot_clock::now();
         m_connections.prune(now);
         m_watch.removeExpired(now);
-        m_watch.fetchStaleCopies(now);
+        for (const store_watch::stale_copy &each : m_watch.takeStaleCopies(now))
+            m_watch.fetchCopy(each);
         probeServers(now);
         const timestamp sleepStart = boot_clock::now();
         std::this_thread::sleep_for(maintenanceInterval);
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -38,6 +38,23 @@
                    .add("config_version", m_admitted.tables->version));
 }
 
+void request_runner::logNotAllowed(timestamp now, int status, std::string_view reason) const
+{
+    timestamp confirmedAt;
+    bool isBehind = false;
+    m_state.with([&](const routing_state &routing) {
+        confirmedAt = routing.configurationContact.confirmedAt();
+        isBehind = routing.configurationContact.isBehind();
+    });
+    writeEvent(event_line("configuration", "not_allowed")
+                   .add("request", m_fields.requestId)
+                   .add("status", status)
+                   .add("reason", reason)
+                   .add("version", m_admitted.tables->version)
+                   .add("confirmed_ms", toMilliseconds(now - confirmedAt))
+                   .add("newer_known", isBehind));
+}
+
 void request_runner::logPlaced(const attempt &current) const
 {
     const server_placement &placed = current.placed;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -83,11 +83,11 @@
     m_admitted.route = m_admitted.tables->findRoute(m_request.head.headers.value("Host"),
                                                     pathOf(m_request.head.target));
     if (m_admitted.route == nullptr)
-        return refusal {HTTPResponse::HTTP_NOT_FOUND, "no route", std::nullopt};
+        return configurationRefusal(HTTPResponse::HTTP_NOT_FOUND, "no route");
     m_admitted.team = m_fields.key.empty() ? nullptr : m_admitted.tables->findTeam(m_fields.key);
     if (m_admitted.team == nullptr && !m_admitted.route->isOpen
         && !m_admitted.tables->teams.empty())
-        return refusal {HTTPResponse::HTTP_UNAUTHORIZED, "unknown key", std::nullopt};
+        return configurationRefusal(HTTPResponse::HTTP_UNAUTHORIZED, "unknown key");
     m_deadline = m_request.receivedAt + m_admitted.route->timeout;
     if (m_fields.timeout)
         m_deadline = std::min(m_deadline, m_request.receivedAt + *m_fields.timeout);
@@ -107,6 +107,12 @@
     return checkLimit(now);
 }
 
+request_runner::refusal request_runner::configurationRefusal(int status, const char *reason) const
+{
+    logNotAllowed(boot_clock::now(), status, reason);
+    return {status, reason, std::nullopt};
+}
+
 std::optional<request_runner::refusal> request_runner::checkPrompt(timestamp now)
 {
     const std::optional<std::uint64_t> part = m_state.with([&](routing_state &routing) {
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -118,6 +118,8 @@
     };
 
     std::optional<refusal> admit();
+    /// Returns the refusal of a request that the configuration doesn't allow.
+    refusal configurationRefusal(int status, const char *reason) const;
     std::optional<refusal> checkLimit(timestamp now);
     std::optional<refusal> checkPrompt(timestamp now);
     void chooseService();
@@ -200,6 +202,7 @@
     bool mayRepeat() const { return m_admitted.route->mayRepeat(); }
     void logUnplaced(timestamp now, const std::optional<server_placement> &best) const;
     void logPlaced(const attempt &current) const;
+    void logNotAllowed(timestamp now, int status, std::string_view reason) const;
     void logKept(const attempt &current, std::string_view obstacle) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
     void logBrokenOff(const attempt &current, const response_body &body, const char *reason) const;
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -297,32 +297,44 @@
         apply(kind);
 }
 
-void store_watch::fetchStaleCopies(timestamp now)
+std::vector<store_watch::stale_copy> store_watch::takeStaleCopies(timestamp now)
 {
-    std::vector<std::pair<std::string, endpoint>> stale;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
-            watched_kind &watched = it->second;
-            if (!watched.behindSince || now - *watched.behindSince < maxTimeBehind)
-                continue;
-            // The next report sets it again if this copy is still behind.
-            watched.behindSince.reset();
-            stale.emplace_back(it->first, watched.newerPeer);
-        }
-    }
-    for (const std::pair<std::string, endpoint> &each : stale) {
-        const result<http_response> answer = sendHttpRequestOnNewConnection(
-            each.second, {.path = "/copy?kind=" + encodeUri(each.first)},
-            {.total = fetchTimeout, .maxBodyBytes = maxCopyBytes, .budget = &m_state.readBudget()});
-        if (answer && answer->status == HTTPResponse::HTTP_OK)
-            applyFetchedCopy(each.first, answer->body);
-        else
-            writeEvent(event_line("store", "copy_fetch_failed")
-                           .add("kind", each.first)
-                           .add("peer", toString(each.second))
-                           .add("reason", answer ? "status" : answer.error().message.c_str()));
+    std::vector<stale_copy> stale;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
+        watched_kind &watched = it->second;
+        if (!watched.behindSince || now - *watched.behindSince < maxTimeBehind)
+            continue;
+        stale.push_back(
+            {.kind = it->first, .peer = watched.newerPeer, .since = *watched.behindSince});
+        watched.behindSince.reset();
     }
+    return stale;
+}
+
+void store_watch::fetchCopy(const stale_copy &stale)
+{
+    const timestamp start = boot_clock::now();
+    const result<http_response> answer = sendHttpRequestOnNewConnection(
+        stale.peer, {.path = "/copy?kind=" + encodeUri(stale.kind)},
+        {.total = fetchTimeout, .maxBodyBytes = maxCopyBytes, .budget = &m_state.readBudget()});
+    const bool hasCopy = answer && answer->status == HTTPResponse::HTTP_OK;
+    const std::optional<bool> hasChanged =
+        hasCopy ? applyFetchedCopy(stale.kind, answer->body) : std::nullopt;
+    const timestamp now = boot_clock::now();
+    event_line line("store", hasChanged ? "copy_fetched" : "copy_fetch_failed");
+    line.add("kind", stale.kind)
+        .add("peer", toString(stale.peer))
+        .add("behind_ms", toMilliseconds(now - stale.since))
+        .add("ms", toMilliseconds(now - start));
+    if (hasChanged)
+        line.add("changed", *hasChanged);
+    else
+        line.add("reason",
+                 hasCopy      ? "malformed"
+                     : answer ? "status"
+                              : answer.error().message.c_str());
+    writeEvent(line);
 }
 
 bool store_watch::lacksInstance(const std::string &name)
@@ -362,13 +374,11 @@
     return writeJson(copy);
 }
 
-void store_watch::applyFetchedCopy(const std::string &kind, const std::string &text)
+std::optional<bool> store_watch::applyFetchedCopy(const std::string &kind, const std::string &text)
 {
     const result<Json::Value> copy = parseJson(text, "a peer's copy");
-    if (!copy || !copy->isObject() || !(*copy)["objects"].isArray()) {
-        writeEvent(event_line("store", "copy_malformed").add("kind", kind));
-        return;
-    }
+    if (!copy || !copy->isObject() || !(*copy)["objects"].isArray())
+        return std::nullopt;
     const timestamp now = boot_clock::now();
     mirror_copy content {.upToVersion = integerOr(*copy, "up_to"),
                          .newestChange = integerOr(*copy, "newest_change")};
@@ -397,9 +407,9 @@
         hasChanged = mirror.applyCopy(now, content);
         hasChanged = mirror.adoptOutdated(content) || hasChanged;
     }
-    writeEvent(event_line("store", "copy_fetched").add("kind", kind).add("changed", hasChanged));
     if (hasChanged)
         apply(kind);
+    return hasChanged;
 }
 
 } // namespace trefoil
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -35,8 +35,21 @@
     void recordPeerChanges(timestamp now, const endpoint &peer,
                            const std::map<std::string, std::uint64_t, std::less<>> &newest,
                            const std::map<std::string, std::uint64_t, std::less<>> &outdated);
-    /// Fetches the copies that have been behind for too long from other instances. May block.
-    void fetchStaleCopies(timestamp now);
+    /// A copy that is older than that of another instance.
+    struct stale_copy
+    {
+        std::string kind;
+        /// Address of the instance that last reported something newer.
+        endpoint peer;
+        /// Since when the copy is known to be behind.
+        timestamp since;
+    };
+
+    /// Returns the copies that have been behind for too long, each until a report names something
+    /// newer again.
+    std::vector<stale_copy> takeStaleCopies(timestamp now);
+    /// Fetches the copy from the instance that @p stale names. May block.
+    void fetchCopy(const stale_copy &stale);
     /// Drops objects that expired during an outage and were not written again in time.
     void removeExpired(timestamp now);
     /// Returns whether the instance list is known and has no entry @p name.
@@ -92,7 +105,9 @@
     /// Updates since when the configuration is older than that of another instance.
     void updateConfigurationContact(timestamp now);
     void recordReachability(const std::string &kind, bool reachable, const std::string &reason);
-    void applyFetchedCopy(const std::string &kind, const std::string &text);
+    /// Applies another instance's copy, as JSON. Returns whether anything changed, or nothing if it
+    /// is malformed.
+    std::optional<bool> applyFetchedCopy(const std::string &kind, const std::string &text);
     void apply(const std::string &kind);
     void applyConfiguration(const std::map<std::string, object, std::less<>> &objects);
     void applyServers(const std::map<std::string, object, std::less<>> &objects);
