Requests are refused for good only by a configuration that is known to be current

What was known of that was unsound: contact with half of the others counted, though all may have lost the store; so did an answer of the store to any instance about any objects, also a stale one. Class of fault: the lack of news taken for the news that nothing has changed.

Change: reports say when the store last confirmed the instance's configuration (configuration_confirmed_ago_ms), directly or through others, and nothing while a newer one is known. 404 and 401 need such a confirmation that is no older than a change may take (config_apply_ms); otherwise the answer is 503 with Retry-After. An older build's reports confirm nothing. The KV cache's check (isConfirmed) uses the same confirmations.

--- a/libs/dispatch/include/dispatch/configuration_contact.h
+++ b/libs/dispatch/include/dispatch/configuration_contact.h
@@ -16,12 +16,14 @@
     duration maxSilence = std::chrono::seconds(3);
     /// Time after which a newer configuration that another instance knows counts as missed.
     duration maxTimeBehind = std::chrono::seconds(1);
+    /// Time within which a confirmed change must be in force.
+    duration applyTime = std::chrono::seconds(2);
 };
 
 /// Decides whether the configuration that an instance knows may be taken for the one in force. It
-/// is confirmed by an answer of the store, or by a report of an instance that has had one and knows
-/// no newer configuration. If neither arrives, an outage that most instances see stops all changes;
-/// a smaller one cuts off this instance, which then may miss a change. Not thread-safe.
+/// is confirmed by an answer of the store about it, directly or through reports of other instances.
+/// If neither arrives, an outage that most instances see stops all changes; a smaller one cuts off
+/// this instance, which then may miss a change. Not thread-safe.
 class configuration_contact
 {
 public:
@@ -31,10 +33,11 @@
 
     /// Records that the store stated at @p at that there is no newer configuration.
     void recordStoreAnswer(timestamp at) { m_confirmedAt = std::max(m_confirmedAt, at); }
-    /// Records a report of another instance, which last had an answer of the store at
-    /// @p storeAnsweredAt.
+    /// Records a report of another instance, whose configuration was last confirmed at
+    /// @p confirmedAt. Precondition: if its configuration is newer than this instance's,
+    /// setBehindSince() has been called.
     void recordReport(timestamp now, std::string_view instance,
-                      std::optional<timestamp> storeAnsweredAt);
+                      std::optional<timestamp> confirmedAt);
     /// Sets since when another instance is known to have a newer configuration, if one has.
     void setBehindSince(std::optional<timestamp> since) { m_behindSince = since; }
     /// Returns whether another instance is known to have a newer configuration.
@@ -42,9 +45,16 @@
     /// Returns when the store last stated, to this instance or another one, that there is no newer
     /// configuration.
     timestamp confirmedAt() const { return m_confirmedAt; }
+    /// Returns what other instances may rely on: confirmedAt(), or nothing while it may have been
+    /// said of a newer configuration than the one that this instance knows.
+    std::optional<timestamp> confirmationForOthers() const;
     /// Returns whether the configuration may be taken for the one in force. @p otherInstances is
     /// the number of listed instances other than this one.
     bool isConfirmed(timestamp now, std::size_t otherInstances) const;
+    /// Returns whether no newer configuration can have to be in force: what this one doesn't allow
+    /// may be refused for good. Stricter than isConfirmed(), as a store that was away for all may
+    /// have confirmed a change since its return.
+    bool isCurrent(timestamp now) const;
 
 private:
     configuration_contact_options m_options;
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -119,6 +119,10 @@
     /// Milliseconds since the platform's store last answered the instance; empty before the first
     /// answer.
     std::optional<std::uint64_t> storeHeardAgoMs;
+    /// Milliseconds since the store last confirmed the instance's configuration, directly or
+    /// through other instances. Empty in reports of older builds, and if a newer configuration is
+    /// known.
+    std::optional<std::uint64_t> configurationConfirmedAgoMs;
     /// Epoch of the instance's leader lease, 0 if it is not the leader.
     std::uint64_t leaderEpoch = 0;
     std::vector<release_outcomes> releases;
--- a/libs/dispatch/src/configuration_contact.cpp
+++ b/libs/dispatch/src/configuration_contact.cpp
@@ -5,15 +5,27 @@
 namespace trefoil {
 
 void configuration_contact::recordReport(timestamp now, std::string_view instance,
-                                         std::optional<timestamp> storeAnsweredAt)
+                                         std::optional<timestamp> confirmedAt)
 {
     const auto known = m_reportedAt.find(instance);
     if (known != m_reportedAt.end())
         known->second = now;
     else
         m_reportedAt.emplace(instance, now);
-    if (storeAnsweredAt)
-        m_confirmedAt = std::max(m_confirmedAt, *storeAnsweredAt);
+    if (confirmedAt)
+        m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
+}
+
+std::optional<timestamp> configuration_contact::confirmationForOthers() const
+{
+    if (m_behindSince || m_confirmedAt == timestamp {})
+        return std::nullopt;
+    return m_confirmedAt;
+}
+
+bool configuration_contact::isCurrent(timestamp now) const
+{
+    return !m_behindSince && now - m_confirmedAt <= m_options.applyTime;
 }
 
 bool configuration_contact::isConfirmed(timestamp now, std::size_t otherInstances) const
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -224,6 +224,8 @@
         value["duty_epoch"] = Json::UInt64(report.leaderEpoch);
     if (report.storeHeardAgoMs)
         value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
+    if (report.configurationConfirmedAgoMs)
+        value["configuration_confirmed_ago_ms"] = Json::UInt64(*report.configurationConfirmedAgoMs);
     addNonEmpty(value, "stores", numbersToJson(report.storeEpochs));
     addNonEmpty(value, "releases", releasesToJson(report.releases));
     addNonEmpty(value, "bad_releases", badReleasesToJson(report.badReleases));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -222,6 +222,8 @@
                         .periodMs = as<double>(fields["period_ms"]).value_or(0),
                         .delayMs = as<double>(fields["delay_ms"]).value_or(0),
                         .storeHeardAgoMs = as<std::uint64_t>(fields["store_heard_ago_ms"]),
+                        .configurationConfirmedAgoMs =
+                            as<std::uint64_t>(fields["configuration_confirmed_ago_ms"]),
                         .leaderEpoch = integerField(fields, "duty_epoch")};
     if (report.from.empty())
         return std::nullopt;
--- a/libs/dispatch/tests/configuration_contact_test.cpp
+++ b/libs/dispatch/tests/configuration_contact_test.cpp
@@ -60,4 +60,33 @@
     EXPECT_TRUE(contact.isConfirmed(start + 6s, 4));
 }
 
+// All instances had lost the store and heard each other; 404 followed for a route that the store
+// had confirmed since its return.
+TEST(ConfigurationContact, ContactAmongInstancesIsNoGroundForAFinalRefusal)
+{
+    configuration_contact contact({.maxSilence = 3s, .applyTime = 2s});
+    contact.recordStoreAnswer(start);
+    contact.recordReport(start + 9s, "edge-2", start);
+    contact.recordReport(start + 9s, "edge-3", std::nullopt);
+    EXPECT_TRUE(contact.isConfirmed(start + 9s, 2));
+    EXPECT_TRUE(contact.isCurrent(start + 2s));
+    EXPECT_FALSE(contact.isCurrent(start + 9s));
+    contact.recordReport(start + 10s, "edge-2", start + 9s);
+    EXPECT_TRUE(contact.isCurrent(start + 10s));
+}
+
+TEST(ConfigurationContact, ConfirmationOfANewerConfigurationIsNotPassedOn)
+{
+    configuration_contact contact({.maxSilence = 3s});
+    EXPECT_FALSE(contact.confirmationForOthers());
+    contact.recordStoreAnswer(start);
+    EXPECT_EQ(contact.confirmationForOthers(), start);
+    contact.setBehindSince(start + 1s);
+    contact.recordReport(start + 1s, "edge-2", start + 1s);
+    EXPECT_FALSE(contact.isCurrent(start + 1s));
+    EXPECT_FALSE(contact.confirmationForOthers());
+    contact.setBehindSince(std::nullopt);
+    EXPECT_EQ(contact.confirmationForOthers(), start + 1s);
+}
+
 } // namespace trefoil
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -33,6 +33,8 @@
         .loading = {"s2"},
         .weights = {{"s1=m", 4}},
         .targetAgeMs = {{"m=4", 1500}},
+        .storeHeardAgoMs = 40,
+        .configurationConfirmedAgoMs = 730,
         .leaderEpoch = 3,
         .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2, 4}}},
         .badReleases = {{.service = "a", .release = "v2", .ageMs = 250}},
@@ -50,6 +52,8 @@
     EXPECT_TRUE(read->isLeaving);
     EXPECT_TRUE(read->isCutOff);
     EXPECT_EQ(read->revisions, report.revisions);
+    EXPECT_EQ(read->storeHeardAgoMs, report.storeHeardAgoMs);
+    EXPECT_EQ(read->configurationConfirmedAgoMs, report.configurationConfirmedAgoMs);
     EXPECT_EQ(read->load.at("s1").memoryTokens, 4000);
     EXPECT_EQ(read->admitted, report.admitted);
     EXPECT_EQ(read->levels, report.levels);
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -53,7 +53,8 @@
               .randomSeed = static_cast<std::uint32_t>(hash64(settings.name))},
              boot_clock::now()),
       members({.self = settings.name, .zone = settings.zone}),
-      configurationContact({.maxSilence = settings.contactTime}),
+      configurationContact(
+          {.maxSilence = settings.contactTime, .applyTime = settings.configurationTime}),
       releases({.canaryShare = settings.maxBadReleaseShare / 2}),
       retryBudgetOptions(retryBudgetOptionsOf(settings))
 { }
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -168,6 +168,10 @@
         if (routing.storeAnsweredAt != timestamp {})
             report.storeHeardAgoMs =
                 static_cast<std::uint64_t>(toMilliseconds(now - routing.storeAnsweredAt));
+        const std::optional<timestamp> confirmedAt =
+            routing.configurationContact.confirmationForOthers();
+        if (confirmedAt)
+            report.configurationConfirmedAgoMs = ageMs(now, *confirmedAt);
         report.isCutOff = routing.balancer.reach().isCutOff();
         report.delayMs = toSeconds(routing.schedulingDelay) * 1000;
         report.load = routing.balancer.ownLoad();
@@ -354,19 +358,28 @@
         applyOutcomes(now, report, routing);
         return true;
     });
-    if (isNew)
-        m_watch.recordPeerChanges(now, peer, report.revisions, report.outdated);
+    if (!isNew)
+        return;
+    m_watch.recordPeerChanges(now, peer, report.revisions, report.outdated);
+    applyConfirmation(now, report);
+}
+
+void peer_exchange::applyConfirmation(timestamp now, const peer_report &report)
+{
+    if (m_mayBeQueued)
+        return;
+    std::optional<timestamp> confirmedAt;
+    if (report.configurationConfirmedAgoMs)
+        confirmedAt = now - std::chrono::milliseconds(*report.configurationConfirmedAgoMs);
+    m_state.with([&](routing_state &routing) {
+        routing.configurationContact.recordReport(now, report.from, confirmedAt);
+    });
 }
 
 void peer_exchange::applyServers(timestamp now, const peer_report &report, routing_state &routing)
 {
-    std::optional<timestamp> storeAnsweredAt;
     if (report.storeHeardAgoMs)
-        storeAnsweredAt = now - std::chrono::milliseconds(*report.storeHeardAgoMs);
-    if (storeAnsweredAt)
-        routing.storeOutage.recordContact(*storeAnsweredAt);
-    if (!m_mayBeQueued)
-        routing.configurationContact.recordReport(now, report.from, storeAnsweredAt);
+        routing.storeOutage.recordContact(now - std::chrono::milliseconds(*report.storeHeardAgoMs));
     for (auto it = report.storeEpochs.begin(); it != report.storeEpochs.end(); ++it)
         routing.balancer.setStoreEpoch(it->first, it->second);
     routing.balancer.setPeerLoad(now, report.from, report.load);
--- a/trefoilrouter/src/edge/peer_exchange.h
+++ b/trefoilrouter/src/edge/peer_exchange.h
@@ -41,6 +41,7 @@
     void receive(timestamp now, std::string_view datagram);
     void sendTo(const endpoint &peer, std::string_view datagram);
     void applyReport(timestamp now, const peer_report &report);
+    void applyConfirmation(timestamp now, const peer_report &report);
     void applyServers(timestamp now, const peer_report &report, routing_state &routing);
     void applyWeights(timestamp now, const peer_report &report, routing_state &routing);
     void applyLimits(timestamp now, const peer_report &report, routing_state &routing);
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -109,8 +109,17 @@
 
 request_runner::refusal request_runner::configurationRefusal(int status, const char *reason) const
 {
-    logNotAllowed(boot_clock::now(), status, reason);
-    return {status, reason, std::nullopt};
+    const timestamp now = boot_clock::now();
+    logNotAllowed(now, status, reason);
+    const bool isCurrent = m_state.with([now](const routing_state &routing) {
+        return routing.configurationContact.isCurrent(now);
+    });
+    if (isCurrent)
+        return {status, reason, std::nullopt};
+    // A caller would take the refusal for final.
+    m_state.metrics().counterOf("trefoil_unconfirmed_refusals_total").add();
+    return {HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the configuration may be out of date",
+            withJitter(minRetryAfter * 2)};
 }
 
 std::optional<request_runner::refusal> request_runner::checkPrompt(timestamp now)
