A write that waits ends when the caller leaves

Cause: while a request was written to a server or relay that reads slowly, nobody looked at the caller's connection until the write ended; while an answer waited for a full link to the caller, the end of the caller's connection was read and ignored. An instance that relays a connection had the same fault for up to five seconds. Class of fault: a wait for one event that doesn't see the event that makes it pointless.

Change: byte_stream::write() can watch a connection as readMore() does. Requests and relayed bytes are written with the caller watched, answers with their own connection watched.

Result: three tests fail before: 1.5 s and 2.0 s until the request ends, 1.5 s until the relay does; 0.1 s after. Tests of http, request_runner and server_relay pass.

--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -97,7 +97,7 @@
     }
 }
 
-bool byte_stream::write(std::string_view bytes, timestamp deadline)
+bool byte_stream::write(std::string_view bytes, timestamp deadline, const byte_stream *watched)
 {
     bool isReadEnded = false;
     timestamp progressAt = boot_clock::now();
@@ -117,10 +117,17 @@
         const bool isFull = m_buffer.size() >= maxUnreadBytes;
         const timestamp end = isFull ? std::min(deadline, progressAt + maxWriteStall) : deadline;
         const short events = static_cast<short>(isReadEnded || isFull ? POLLOUT : POLLOUT | POLLIN);
-        pollfd wait {.fd = m_socket.impl()->sockfd(), .events = events, .revents = 0};
-        if (::poll(&wait, 1, millisecondsUntil(end)) <= 0 && boot_clock::now() >= end)
+        std::array<pollfd, 2> polled {};
+        polled[0] = {.fd = m_socket.impl()->sockfd(), .events = events, .revents = 0};
+        polled[1] = {.fd = watched != nullptr ? watched->m_socket.impl()->sockfd() : -1,
+                     .events = POLLRDHUP,
+                     .revents = 0};
+        const int ready = ::poll(polled.data(), polled.size(), millisecondsUntil(end));
+        if (ready <= 0 && boot_clock::now() >= end)
             return false;
-        if ((wait.revents & POLLIN) != 0) {
+        if (ready > 0 && isHangUp(polled[1]))
+            return false;
+        if ((polled[0].revents & POLLIN) != 0) {
             const read_outcome outcome = receive();
             isReadEnded = outcome == read_outcome::End || outcome == read_outcome::Broken;
         }
--- a/trefoilrouter/src/edge/caller_response.cpp
+++ b/trefoilrouter/src/edge/caller_response.cpp
@@ -20,7 +20,7 @@
 
 bool caller_response::write(std::string_view text, state next, timestamp deadline)
 {
-    if (!text.empty() && !m_caller.write(text, deadline)) {
+    if (!text.empty() && !m_caller.write(text, deadline, &m_caller)) {
         abort();
         return false;
     }
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -172,10 +172,13 @@
     current.timer.emplace(current.sentAt, limits);
     // A server may answer, and close, before it has read the body; its answer is then in the
     // buffer.
+    const byte_stream &caller = m_response.connection();
     const bool isWritten = m_request.body.size() <= maxCopiedBytes
-        ? current.stream->write(head + m_request.body, m_deadline)
-        : current.stream->write(head, m_deadline)
-            && current.stream->write(m_request.body, m_deadline);
+        ? current.stream->write(head + m_request.body, m_deadline, &caller)
+        : current.stream->write(head, m_deadline, &caller)
+            && current.stream->write(m_request.body, m_deadline, &caller);
+    if (!isWritten && caller.isClosedByRemote())
+        return attempt_end::CallerLeft;
     if (!isWritten && current.stream->buffer().empty()) {
         countRun(current);
         return attempt_end::Broken;
--- a/trefoilrouter/src/edge/server_relay.cpp
+++ b/trefoilrouter/src/edge/server_relay.cpp
@@ -52,11 +52,12 @@
     bool m_isSet = false;
 };
 
-/// Writes what was read from @p from to @p to. Returns false on failure.
-bool forwardBytes(byte_stream &from, byte_stream &to)
+/// Writes what was read from @p from to @p to. Returns false on failure, or if @p caller closes its
+/// connection in the meantime.
+bool forwardBytes(byte_stream &from, byte_stream &to, const byte_stream &caller)
 {
     const std::string bytes = std::exchange(from.buffer(), {});
-    return bytes.empty() || to.write(bytes, boot_clock::now() + maxWriteTime);
+    return bytes.empty() || to.write(bytes, boot_clock::now() + maxWriteTime, &caller);
 }
 
 /// Passes bytes on until either side ends. Returns how the server's side ended, or Bytes if the
@@ -84,9 +85,10 @@
         }
         // Bytes that were read while the other side was written to are in the buffers too.
         while (!caller.buffer().empty() || !server.buffer().empty()) {
-            if (!forwardBytes(caller, server) && server.buffer().empty())
+            if (!forwardBytes(caller, server, caller)
+                && (server.buffer().empty() || caller.isClosedByRemote()))
                 return read_outcome::Broken;
-            if (!forwardBytes(server, caller))
+            if (!forwardBytes(server, caller, caller))
                 return read_outcome::Bytes;
         }
         if (serverOutcome == read_outcome::End || serverOutcome == read_outcome::Broken)
