Answers with a status from 600 on are malformed

Seen on other systems: a server in trouble answered with status 000, and the caller got it. Here 000 and 099 were refused already, without a test of it; 600 to 999, which don't exist either, were passed on.

--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -209,9 +209,10 @@
     const std::optional<std::uint64_t> status =
         parseDecimal(line->substr(versionLength + 1, statusEnd - versionLength - 1));
     constexpr std::uint64_t minStatus = 100;
+    constexpr std::uint64_t maxStatus = 599;
     const bool statusEnds = line->size() == statusEnd || (*line)[statusEnd] == ' ';
     if ((version != "HTTP/1.1" && version != "HTTP/1.0") || (*line)[versionLength] != ' '
-        || !statusEnds || !status || *status < minStatus)
+        || !statusEnds || !status || *status < minStatus || *status > maxStatus)
         return failure(code, "the status line is malformed");
     response_head head {.status = static_cast<int>(*status), .isHttp10 = version == "HTTP/1.0"};
     if (line->size() > statusEnd + 1)
