An answer that ends with its connection is complete only if the request was written

Seen on other systems: a server answered a long upload at once with 200 and no length, sent a part of its body and reset the connection; the caller got the part as a complete answer.

Found here for one order of events: the server ends its side first and resets the connection while the request is still being written to it.

Change: a success without a length or chunks is broken off if its request could not be written. The same for the calls of http_connection (store, other instances) and of the product's own mode.

The two other clients have no test of it.

--- a/libs/http/include/http/http_connection.h
+++ b/libs/http/include/http/http_connection.h
@@ -76,7 +76,7 @@
     bool isReusable() const { return m_stream && m_stream->isIdle(); }
 
 private:
-    result<http_response> read(std::string_view method, timestamp deadline,
+    result<http_response> read(std::string_view method, bool isRequestWritten, timestamp deadline,
                                const exchange_limits &limits);
 
     endpoint m_address;
--- a/libs/http/src/http_connection.cpp
+++ b/libs/http/src/http_connection.cpp
@@ -164,7 +164,7 @@
     const bool isWritten = m_stream->write(encodeRequest(m_address, request), deadline);
     result<http_response> response = !isWritten && m_stream->buffer().empty()
         ? failure(http_errors::broken, "the request could not be written")
-        : read(request.method, deadline, limits);
+        : read(request.method, isWritten, deadline, limits);
     const bool isBodyUnread =
         response && !request.body.empty() && mayLeaveBodyUnread(response->status);
     if (!response || !isWritten || isBodyUnread)
@@ -172,8 +172,8 @@
     return response;
 }
 
-result<http_response> http_connection::read(std::string_view method, timestamp deadline,
-                                            const exchange_limits &limits)
+result<http_response> http_connection::read(std::string_view method, bool isRequestWritten,
+                                            timestamp deadline, const exchange_limits &limits)
 {
     response_reader reader(*m_stream, deadline, limits);
     result<response_head> head = reader.readHead();
@@ -185,6 +185,9 @@
     result<std::string> body = reader.readBody(*framing);
     if (!body)
         return tl::unexpected(body.error());
+    // The reset that ends the write may have lost a part of the body.
+    if (framing->end == body_end::Close && !isRequestWritten)
+        return failure(http_errors::broken, "the request could not be written");
     if (framing->end == body_end::Close || !isKeepAlive(head->headers, head->isHttp10))
         m_stream.reset();
     return http_response {
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -120,11 +120,11 @@
     for (const std::pair<std::string, std::string> &header : request.headers)
         appendField(head, header.first, header.second);
     head += "\r\n";
-    bool isWritten = m_stream->write(head, deadline);
+    m_isRequestWritten = m_stream->write(head, deadline);
     for (const std::string_view segment : request.body)
-        isWritten = isWritten && m_stream->write(segment, deadline);
+        m_isRequestWritten = m_isRequestWritten && m_stream->write(segment, deadline);
     // A server may answer, and close, before it has read the body.
-    if (!isWritten && m_stream->buffer().empty())
+    if (!m_isRequestWritten && m_stream->buffer().empty())
         return classifyBrokenConnection("the request could not be written");
     return {};
 }
@@ -141,7 +141,8 @@
         if (outcome == read_outcome::Bytes)
             return {};
         if (outcome == read_outcome::End && m_body) {
-            m_body->end(true);
+            // The reset that ends the write may have lost a part of the body.
+            m_body->end(m_isRequestWritten);
             if (m_body->state() == body_state::Whole)
                 return {};
         }
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -80,6 +80,7 @@
     backend_client &m_client;
     endpoint m_address;
     std::optional<byte_stream> m_stream;
+    bool m_isRequestWritten = false;
     duration m_timeout {};
     response_head m_response;
     body_framing m_framing;
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -362,7 +362,10 @@
     const read_outcome outcome = waitForBytes(current);
     if (outcome == read_outcome::Bytes)
         return attempt_end::Delivered;
-    body.end(outcome == read_outcome::End);
+    // A success that ends with its connection can't be told from a part of it if the server didn't
+    // take the whole request: the reset that follows may have lost the rest.
+    const bool isSuccess = current.head.status < firstRedirect;
+    body.end(outcome == read_outcome::End && (current.isRequestWritten || !isSuccess));
     if (body.state() == body_state::Whole)
         return attempt_end::Delivered;
     if (outcome == read_outcome::End)
