A confirmation is as old as the first byte of the store's answer

Cause: since an answer of the store may take seconds to arrive (a large configuration over a slow link), the moment of its last byte says too much: a change that the store confirmed in the meantime would count as seen.

Result: tests of store_watch and evacuation_watch pass. There is no test of an answer that trickles.

--- a/libs/http/src/http_connection.cpp
+++ b/libs/http/src/http_connection.cpp
@@ -119,9 +119,9 @@
 
     void recordBytes()
     {
+        if (!m_hasBegun && m_limits.wait != nullptr)
+            m_limits.wait->recordBegin(boot_clock::now());
         m_hasBegun = true;
-        if (m_limits.wait != nullptr)
-            m_limits.wait->recordBytes();
     }
 
     bool isAbandoned() const
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -121,8 +121,14 @@
         wait = watched.wait.get();
     }
     const result<object_changes> answer = m_store.read(kind, from, read, wait);
-    if (answer)
-        return applyAnswer(kind, startedAt, read, *answer, fleet.others);
+    if (answer) {
+        // What the store stated is as old as the first byte of its answer. It may have waited in
+        // the socket while the process was paused.
+        const timestamp statedAt = read.isSnapshot
+            ? startedAt
+            : std::min(wait->begunAt(), startedAt + read.waitTime + read.answerTime);
+        return applyAnswer(kind, statedAt, read, *answer, fleet.others);
+    }
     const bool isHistoryGone = answer.error().code == platform_errors::historyGone;
     const bool isAbandoned = wait->isAbandoned() && !wait->hasBegun();
     if (!isHistoryGone && !isAbandoned)
@@ -138,7 +144,7 @@
     return duration::zero();
 }
 
-duration store_watch::applyAnswer(const std::string &kind, timestamp startedAt,
+duration store_watch::applyAnswer(const std::string &kind, timestamp statedAt,
                                   const watch_read &read, const object_changes &answer,
                                   int otherInstances)
 {
@@ -173,8 +179,6 @@
     if (hasChanged)
         apply(kind);
     if (kind == store_kinds::configuration && read.freshness == read_freshness::Newest) {
-        // The answer may have waited in the socket while the process was paused.
-        const timestamp statedAt = std::min(now, startedAt + read.waitTime + read.answerTime);
         m_state.with([statedAt](routing_state &routing) {
             routing.configurationContact.recordStoreAnswer(statedAt);
         });
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -113,8 +113,8 @@
     result<void> watch(const std::string &kind, const std::stop_token &stop);
     /// Makes one read and returns the pause before the next one.
     duration readOnce(const std::string &kind);
-    /// Precondition: @p startedAt is when the read started.
-    duration applyAnswer(const std::string &kind, timestamp startedAt, const watch_read &read,
+    /// Precondition: the store stated @p answer at @p statedAt or later.
+    duration applyAnswer(const std::string &kind, timestamp statedAt, const watch_read &read,
                          const object_changes &answer, int otherInstances);
     /// Updates since when the configuration is older than that of another instance.
     void updateConfigurationContact(timestamp now);
