--- a/libs/http/tests/http_connection_test.cpp
+++ b/libs/http/tests/http_connection_test.cpp
@@ -79,6 +79,8 @@
 }
 
 const std::string head = "HTTP/1.1 200 OK\r\n";
+/// More than the buffers of a connection hold.
+constexpr std::size_t unbufferedBytes = 32 << 20;
 
 } // namespace
 
@@ -96,6 +98,72 @@
     }
 }
 
+// A part of a response without a length was taken for all of it after its server had stopped
+// reading the request.
+TEST(HttpConnection, ResponseThatEndsBeforeTheRequestIsWrittenIsNotComplete)
+{
+    single_server server([](byte_stream &stream, int) {
+        stream.write(head + "\r\npart", fromNow(1s));
+        stream.close();
+        std::this_thread::sleep_for(100ms);
+        stream.abort();
+    });
+    const result<http_response> response = sendHttpRequestOnNewConnection(
+        server.address(),
+        {.method = "POST", .path = "/a", .body = std::string(unbufferedBytes, 'x')}, {});
+    ASSERT_FALSE(response) << response->body;
+    EXPECT_EQ(response.error().code, http_errors::broken);
+}
+
+TEST(HttpConnection, WaitThatIsAbandonedEndsBeforeTheResponseBegins)
+{
+    single_server server([](byte_stream &, int) { std::this_thread::sleep_for(3s); });
+    response_wait wait;
+    wait.begin();
+    const std::jthread abandoning([&wait] {
+        std::this_thread::sleep_for(100ms);
+        wait.abandon();
+    });
+    const timestamp start = boot_clock::now();
+    EXPECT_FALSE(sendHttpRequestOnNewConnection(server.address(), {.path = "/"},
+                                                {.total = 3s, .wait = &wait}));
+    EXPECT_LT(boot_clock::now() - start, 1s);
+    EXPECT_FALSE(wait.hasBegun());
+}
+
+TEST(HttpConnection, ResponseThatHasBegunIsNotAbandoned)
+{
+    response_wait wait;
+    single_server server([&wait](byte_stream &stream, int) {
+        stream.write(head, fromNow(1s));
+        while (!wait.hasBegun())
+            std::this_thread::sleep_for(10ms);
+        wait.abandon();
+        std::this_thread::sleep_for(500ms);
+        stream.write("Content-Length: 4\r\n\r\nbody", fromNow(1s));
+    });
+    wait.begin();
+    const result<http_response> response = sendHttpRequestOnNewConnection(
+        server.address(), {.path = "/"}, {.total = 3s, .wait = &wait});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, "body");
+}
+
+// The long poll's time was allowed once more for each pause inside the answer.
+TEST(HttpConnection, PauseInsideAResponseIsBoundedApartFromTheWaitForIt)
+{
+    single_server server([](byte_stream &stream, int) {
+        std::this_thread::sleep_for(400ms);
+        stream.write(head + "Content-Length: 4\r\n\r\nbo", fromNow(1s));
+        std::this_thread::sleep_for(3s);
+    });
+    const timestamp start = boot_clock::now();
+    EXPECT_FALSE(sendHttpRequestOnNewConnection(server.address(), {.path = "/"},
+                                                {.total = 3s, .idle = 2s, .pause = 200ms}));
+    EXPECT_GE(boot_clock::now() - start, 600ms);
+    EXPECT_LT(boot_clock::now() - start, 1500ms);
+}
+
 TEST(HttpConnection, KeepsTheConnectionAfterAResponseWithALength)
 {
     single_server server([](byte_stream &stream, int request) {
