--- a/libs/http/include/http/byte_stream.h
+++ b/libs/http/include/http/byte_stream.h
@@ -47,9 +47,9 @@
     read_outcome readMore(timestamp deadline, const byte_stream *watched = nullptr);
     /// Writes all of @p bytes before @p deadline. Bytes received in the meantime are appended to
     /// buffer(), because a remote side that writes too would deadlock with this one if neither
-    /// read; once many are unread and the remote side doesn't read, the write fails. With @p watched,
-    /// which may be this connection, a write that has to wait also fails when the remote side of
-    /// that connection closes or resets it. Returns false on failure.
+    /// read; once many are unread and the remote side doesn't read, the write fails. With @p
+    /// watched, which may be this connection, a write that has to wait also fails when the remote
+    /// side of that connection closes or resets it. Returns false on failure.
     bool write(std::string_view bytes, timestamp deadline, const byte_stream *watched = nullptr);
     /// Returns whether the remote side has closed or reset the connection. Consumes no bytes.
     bool isClosedByRemote() const;
