A copy is fetched from an instance that reports the change, not from the largest ever

Cause: the largest instance that had reported something newer stayed the source of copies after the copy had caught up.

Result: CopyIsFetchedFromAnInstanceThatReportsTheChange fails before, passes after.

--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -332,6 +332,8 @@
                                       .isStoreReachable = watched.isReachable};
             const catch_up_step step =
                 watched.catchUp.next(now, watched.mirror.newestChange(), read);
+            if (!watched.catchUp.since() && step == catch_up_step::None)
+                watched.newerPeer = {};
             if (step == catch_up_step::ReadAgain && !watched.wait->isAbandoned()) {
                 watched.wait->abandon();
                 readAgain.push_back(it->first);
