Changes reported between two reads don't make a read for the newest state

Cause: since a reader of stale state read the newest one, at ten times the price, if another instance had reported something newer by the time its pause ended.

Change: only a read that waits is given up, and only after that the newest state is read.

--- a/libs/platform/include/platform/catch_up.h
+++ b/libs/platform/include/platform/catch_up.h
@@ -28,8 +28,9 @@
 struct read_progress
 {
     timestamp startedAt;
-    /// Whether its answer has begun to arrive.
-    bool isArriving = false;
+    /// Whether it still waits for its answer. Otherwise that is arriving, or the next read follows
+    /// after a pause.
+    bool isWaiting = true;
     /// Whether the store answered the last read that ended.
     bool isStoreReachable = true;
 };
--- a/libs/platform/src/catch_up.cpp
+++ b/libs/platform/src/catch_up.cpp
@@ -30,7 +30,7 @@
     if (now - *m_since < m_options.patience)
         return catch_up_step::None;
     if (!m_needsCopy && read.isStoreReachable) {
-        if (read.isArriving)
+        if (!read.isWaiting)
             return catch_up_step::None;
         if (read.startedAt <= *m_since)
             return catch_up_step::ReadAgain;
--- a/libs/platform/tests/catch_up_test.cpp
+++ b/libs/platform/tests/catch_up_test.cpp
@@ -44,10 +44,24 @@
 {
     catch_up state({.patience = 350ms});
     state.onNewerReported(start, 7);
-    EXPECT_EQ(state.next(start + 5s, 6, {.startedAt = start - 1s, .isArriving = true}),
+    EXPECT_EQ(state.next(start + 5s, 6, {.startedAt = start - 1s, .isWaiting = false}),
               catch_up_step::None);
 }
 
+// Readers of stale state read the newest one, at ten times the price, for each change that was
+// reported while they paused.
+TEST(CatchUp, PauseBetweenTwoReadsIsNotCutShort)
+{
+    catch_up state({.patience = 350ms});
+    state.onNewerReported(start, 7);
+    EXPECT_EQ(state.next(start + 600ms, 6, {.startedAt = start - 1s, .isWaiting = false}),
+              catch_up_step::None);
+    EXPECT_EQ(state.next(start + 700ms, 6, {.startedAt = start + 650ms}), catch_up_step::None);
+    EXPECT_EQ(state.next(start + 710ms, 7, {.startedAt = start + 650ms, .isWaiting = false}),
+              catch_up_step::None);
+    EXPECT_FALSE(state.since());
+}
+
 TEST(CatchUp, CopyIsFetchedAtOnceIfTheStoreIsAway)
 {
     catch_up state({.patience = 350ms});
@@ -61,7 +75,7 @@
     catch_up state({.patience = 350ms});
     state.onCopyNeeded(start);
     EXPECT_TRUE(state.isBehind(9));
-    EXPECT_EQ(state.next(start + 350ms, 9, {.startedAt = start, .isArriving = true}),
+    EXPECT_EQ(state.next(start + 350ms, 9, {.startedAt = start, .isWaiting = false}),
               catch_up_step::FetchCopy);
     EXPECT_FALSE(state.isBehind(9));
 }
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -111,16 +111,20 @@
         watched_kind &watched = m_kinds.find(kind)->second;
         from = watched.mirror.upToVersion();
         // In a large fleet only a few instances read the newest state: reports tell the others when
-        // they are behind.
-        const bool isFresh = fleet.rank < watched.freshReaders
-            || watched.catchUp.isBehind(watched.mirror.newestChange());
+        // they are behind, and have them give up the read that waits.
+        const bool isFresh = fleet.rank < watched.freshReaders || watched.wait->isAbandoned();
         read = watched.pacer.nextRead(
             startedAt, isFresh ? read_freshness::Newest : read_freshness::MayBeStale);
         watched.readStartedAt = startedAt;
+        watched.isReading = true;
         watched.wait->begin();
         wait = watched.wait.get();
     }
     const result<object_changes> answer = m_store.read(kind, from, read, wait);
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_kinds.find(kind)->second.isReading = false;
+    }
     if (answer) {
         // What the store stated is as old as the first byte of its answer. It may have waited in
         // the socket while the process was paused.
@@ -328,7 +332,7 @@
                 continue;
             const timestamp since = watched.catchUp.since().value_or(now);
             const read_progress read {.startedAt = watched.readStartedAt,
-                                      .isArriving = watched.wait->hasBegun(),
+                                      .isWaiting = watched.isReading && !watched.wait->hasBegun(),
                                       .isStoreReachable = watched.isReachable};
             const catch_up_step step =
                 watched.catchUp.next(now, watched.mirror.newestChange(), read);
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -88,6 +88,7 @@
         /// The read in progress, or the last one.
         std::unique_ptr<response_wait> wait;
         timestamp readStartedAt;
+        bool isReading = false;
         /// Newest change that any other instance knows, and since when this copy lacks it.
         std::uint64_t newestElsewhere = 0;
         std::optional<timestamp> lacksNewestSince;
