--- a/libs/http/tests/http_connection_test.cpp
+++ b/libs/http/tests/http_connection_test.cpp
@@ -149,7 +149,7 @@
     EXPECT_EQ(response->body, "body");
 }
 
-// The long poll's time was allowed once more for each pause inside the answer.
+// A pause inside the answer to a long poll could last as long as the poll.
 TEST(HttpConnection, PauseInsideAResponseIsBoundedApartFromTheWaitForIt)
 {
     single_server server([](byte_stream &stream, int) {
--- a/libs/platform/tests/catch_up_test.cpp
+++ b/libs/platform/tests/catch_up_test.cpp
@@ -48,8 +48,7 @@
               catch_up_step::None);
 }
 
-// Readers of stale state read the newest one, at ten times the price, for each change that was
-// reported while they paused.
+// A change that was reported during a pause made the next read a more expensive one.
 TEST(CatchUp, PauseBetweenTwoReadsIsNotCutShort)
 {
     catch_up state({.patience = 350ms});
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -54,7 +54,7 @@
              boot_clock::now()),
       members({.self = settings.name, .zone = settings.zone}),
       configurationContact(
-          {.maxSilence = settings.contactTime, .applyTime = settings.configurationTime}),
+          {.maxSilence = settings.contactTime, .applyTime = settings.configurationDeadline}),
       releases({.canaryShare = settings.maxBadReleaseShare / 2}),
       retryBudgetOptions(retryBudgetOptionsOf(settings))
 { }
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -118,7 +118,8 @@
     };
 
     std::optional<refusal> admit();
-    /// Returns the refusal of a request that the configuration doesn't allow.
+    /// Returns the refusal of a request that the configuration doesn't allow: @p status, which is
+    /// final for the caller, or "try again" while a newer configuration may be in force.
     refusal configurationRefusal(int status, const char *reason) const;
     std::optional<refusal> checkLimit(timestamp now);
     std::optional<refusal> checkPrompt(timestamp now);
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -102,44 +102,52 @@
 duration store_watch::readOnce(const std::string &kind)
 {
     const fleet_position fleet = fleetPosition();
-    std::uint64_t from = 0;
-    watch_read read;
-    response_wait *wait = nullptr;
-    const timestamp startedAt = boot_clock::now();
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        watched_kind &watched = m_kinds.find(kind)->second;
-        from = watched.mirror.upToVersion();
-        // In a large fleet only a few instances read the newest state: reports tell the others when
-        // they are behind, and have them give up the read that waits.
-        const bool isFresh = fleet.rank < watched.freshReaders || watched.wait->isAbandoned();
-        read = watched.pacer.nextRead(
-            startedAt, isFresh ? read_freshness::Newest : read_freshness::MayBeStale);
-        watched.readStartedAt = startedAt;
-        watched.isReading = true;
-        watched.wait->begin();
-        wait = watched.wait.get();
-    }
-    const result<object_changes> answer = m_store.read(kind, from, read, wait);
+    const begun_read begun = beginRead(kind, fleet.rank);
+    const result<object_changes> answer = m_store.read(kind, begun.from, begun.read, begun.wait);
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_kinds.find(kind)->second.isReading = false;
     }
-    if (answer) {
-        // What the store stated is as old as the first byte of its answer. It may have waited in
-        // the socket while the process was paused.
-        const timestamp statedAt = read.isSnapshot
-            ? startedAt
-            : std::min(wait->begunAt(), startedAt + read.waitTime + read.answerTime);
-        return applyAnswer(kind, statedAt, read, *answer, fleet.others);
-    }
-    const bool isHistoryGone = answer.error().code == platform_errors::historyGone;
-    const bool isAbandoned = wait->isAbandoned() && !wait->hasBegun();
-    if (!isHistoryGone && !isAbandoned)
-        recordReachability(kind, false, answer.error().message);
+    if (!answer)
+        return endFailedRead(kind, begun, answer.error());
+    // What the store stated is as old as the first byte of its answer. It may have waited in the
+    // socket while the process was paused.
+    const timestamp statedAt = begun.read.isSnapshot
+        ? begun.startedAt
+        : std::min(begun.wait->begunAt(),
+                   begun.startedAt + begun.read.waitTime + begun.read.answerTime);
+    return applyAnswer(kind, statedAt, begun.read, *answer, fleet.others);
+}
+
+store_watch::begun_read store_watch::beginRead(const std::string &kind, int rank)
+{
+    const timestamp now = boot_clock::now();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    watched_kind &watched = m_kinds.find(kind)->second;
+    // In a large fleet only a few instances read the newest state: reports tell the others when
+    // they are behind, and have them give up the read that waits.
+    const bool isFresh = rank < watched.freshReaders || watched.wait->isAbandoned();
+    watched.readStartedAt = now;
+    watched.isReading = true;
+    watched.wait->begin();
+    return {.read = watched.pacer.nextRead(
+                now, isFresh ? read_freshness::Newest : read_freshness::MayBeStale),
+            .startedAt = now,
+            .from = watched.mirror.upToVersion(),
+            .wait = watched.wait.get()};
+}
+
+duration store_watch::endFailedRead(const std::string &kind, const begun_read &begun,
+                                    const error &reason)
+{
+    const bool isHistoryGone = reason.code == platform_errors::historyGone;
+    const bool isAbandoned = begun.wait->isAbandoned() && !begun.wait->hasBegun();
+    const bool hasFailed = !isHistoryGone && !isAbandoned;
+    if (hasFailed)
+        recordReachability(kind, false, reason.message);
     const std::lock_guard<std::mutex> lock(m_mutex);
     watch_pacer &pacer = m_kinds.find(kind)->second.pacer;
-    if (!isHistoryGone && !isAbandoned)
+    if (hasFailed)
         return pacer.onFailed(boot_clock::now());
     if (isHistoryGone)
         pacer.onHistoryGone();
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -112,8 +112,22 @@
 
     fleet_position fleetPosition();
     result<void> watch(const std::string &kind, const std::stop_token &stop);
+    /// A read of the store that has begun.
+    struct begun_read
+    {
+        watch_read read;
+        timestamp startedAt;
+        /// Store version after which changes are read.
+        std::uint64_t from = 0;
+        /// Lives as long as the watched kind.
+        response_wait *wait = nullptr;
+    };
+
     /// Makes one read and returns the pause before the next one.
     duration readOnce(const std::string &kind);
+    begun_read beginRead(const std::string &kind, int rank);
+    /// Records that the read did not bring an answer. Returns the pause before the next one.
+    duration endFailedRead(const std::string &kind, const begun_read &begun, const error &reason);
     /// Precondition: the store stated @p answer at @p statedAt or later.
     duration applyAnswer(const std::string &kind, timestamp statedAt, const watch_read &read,
                          const object_changes &answer, int otherInstances);
