--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -126,7 +126,11 @@
     watched_kind &watched = m_kinds.find(kind)->second;
     // In a large fleet only a few instances read the newest state: reports tell the others when
     // they are behind, and have them give up the read that waits.
-    const bool isFresh = rank < watched.freshReaders || watched.wait->isAbandoned();
+    const bool isReader = rank < watched.freshReaders;
+    if (isReader != watched.isReader)
+        recordReader(kind, isReader, rank);
+    watched.isReader = isReader;
+    const bool isFresh = isReader || watched.wait->isAbandoned();
     watched.readStartedAt = now;
     watched.isReading = true;
     watched.wait->begin();
@@ -137,6 +141,16 @@
             .wait = watched.wait.get()};
 }
 
+void store_watch::recordReader(const std::string &kind, bool isReader, int rank)
+{
+    m_state.metrics()
+        .gaugeOf("trefoil_store_reader", "kind=\"" + kind.substr(0, kind.size() - 1) + "\"")
+        .set(isReader ? 1 : 0);
+    writeEvent(event_line("store", isReader ? "reader_started" : "reader_ended")
+                   .add("kind", kind)
+                   .add("rank", rank));
+}
+
 duration store_watch::endFailedRead(const std::string &kind, const begun_read &begun,
                                     const error &reason)
 {
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -75,6 +75,8 @@
         object_mirror mirror;
         /// Number of instances, counted by rank, that read the newest state from the store.
         int freshReaders = 0;
+        /// Whether this instance is one of them, as of its last read.
+        bool isReader = false;
         /// How long after an outage expired objects may be written again; zero for kinds whose
         /// objects do not expire.
         duration reregistrationTime {};
@@ -126,6 +128,8 @@
     /// Makes one read and returns the pause before the next one.
     duration readOnce(const std::string &kind);
     begun_read beginRead(const std::string &kind, int rank);
+    /// Logs that this instance began or ceased to read the newest state of @p kind.
+    void recordReader(const std::string &kind, bool isReader, int rank);
     /// Records that the read did not bring an answer. Returns the pause before the next one.
     duration endFailedRead(const std::string &kind, const begun_read &begun, const error &reason);
     /// Precondition: the store stated @p answer at @p statedAt or later.
