Readers of the store's newest state are spread over zones, and replaced when they lose it

Callers who asked for something that the configuration doesn't allow got 503 instead of 404 or 401, on all instances, while one zone had lost the store.

Cause: the instances that read the newest state were the first eight by name, all of one zone, and counted whether they reached the store or not. Without them nobody confirms the configuration, and the others learn of changes from states that may be seconds old.

Readers are now chosen zone by zone, the largest instances first, among those that are alive and reach the store. Reports tell for which kinds an instance has lost it (lost_kinds); the next one in the order takes over at once, and gives up the read that waits for a state that may be stale. Instances of older builds don't send the field and are not counted, so that a fleet of two builds has no fewer working readers than the older one alone (40 seeds in a test).

--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -135,6 +136,18 @@
     std::size_t liveOtherCount(timestamp now) const;
     /// Returns the number of live instances whose names sort before that of this instance.
     int rank(timestamp now) const;
+    /// Records for which kinds of objects @p name has lost the store. Empty for an older build,
+    /// which doesn't tell, and chooses readers by name.
+    void recordLostKinds(std::string_view name,
+                         const std::optional<std::vector<std::string>> &lostKinds);
+    /// Returns the place of this instance among those that may read the newest state of the objects
+    /// of @p kind from the store. The first ones, as many as are needed, read it for all. They are
+    /// spread over the availability zones, the largest of each zone first. Dead instances, and
+    /// those that have lost the store, are passed over; if this one has lost it itself,
+    /// @p hasLostStore, the other ones that have are not, so that the first ones notice its return.
+    /// An instance that was not heard yet counts as one that reaches the store. Instances of older
+    /// builds are never counted: they would not know that they are chosen.
+    int readerRank(timestamp now, std::string_view kind, bool hasLostStore) const;
     /// Returns whether this instance is listed; rank() is meaningful only then.
     bool isSelfListed() const;
     /// Returns whether any instance reported recently that it is the leader.
@@ -163,8 +176,19 @@
         bool isCutOff = false;
         /// Announced time until the next report.
         duration period {};
+        /// Place among the listed instances in the order in which readers of the store are chosen.
+        int readerPlace = 0;
+        bool isHeard = false;
+        /// See recordLostKinds().
+        std::optional<std::vector<std::string>> lostKinds;
     };
 
+    /// Orders the listed instances for readerRank().
+    void assignReaderPlaces();
+    /// Returns whether the other instance @p member may read objects of @p kind for all.
+    bool isUsableReader(timestamp now, const member_state &member, std::string_view kind,
+                        bool hasLostStore) const;
+
     /// Returns those of @p inZone, other instances, that may forward a report or relay a
     /// connection: the live ones with at least minCapacityShare of the largest capacity of these.
     /// All live ones if no capacity is known.
--- a/libs/dispatch/include/dispatch/peer_report.h
+++ b/libs/dispatch/include/dispatch/peer_report.h
@@ -123,6 +123,9 @@
     /// through other instances. Empty in reports of older builds, and if a newer configuration is
     /// known.
     std::optional<std::uint64_t> configurationConfirmedAgoMs;
+    /// Kinds of objects for which the instance has lost the platform's store. Empty in reports of
+    /// older builds.
+    std::optional<std::vector<std::string>> lostKinds;
     /// Epoch of the instance's leader lease, 0 if it is not the leader.
     std::uint64_t leaderEpoch = 0;
     std::vector<release_outcomes> releases;
--- a/libs/dispatch/src/member_table.cpp
+++ b/libs/dispatch/src/member_table.cpp
@@ -13,12 +13,75 @@
         const auto known = m_members.find(entry.name);
         member_state state =
             known != m_members.end() ? known->second : member_state {.heardAt = now};
-        if (state.entry.incarnation != entry.incarnation)
+        if (state.entry.incarnation != entry.incarnation) {
             state.heardAt = now;
+            state.isHeard = false;
+        }
         state.entry = entry;
         next.emplace(entry.name, std::move(state));
     }
     m_members = std::move(next);
+    assignReaderPlaces();
+}
+
+void member_table::assignReaderPlaces()
+{
+    std::map<std::string_view, std::vector<member_state *>> zones;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it)
+        zones[it->second.entry.zone].push_back(&it->second);
+    std::size_t largestZone = 0;
+    for (auto it = zones.begin(); it != zones.end(); ++it) {
+        // Equally large ones stay ordered by name.
+        std::stable_sort(it->second.begin(), it->second.end(),
+                         [](const member_state *left, const member_state *right) {
+                             return left->entry.capacity > right->entry.capacity;
+                         });
+        largestZone = std::max(largestZone, it->second.size());
+    }
+    int place = 0;
+    for (std::size_t i = 0; i < largestZone; ++i) {
+        for (auto it = zones.begin(); it != zones.end(); ++it) {
+            if (i < it->second.size())
+                it->second[i]->readerPlace = place++;
+        }
+    }
+}
+
+void member_table::recordLostKinds(std::string_view name,
+                                   const std::optional<std::vector<std::string>> &lostKinds)
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end())
+        return;
+    found->second.isHeard = true;
+    found->second.lostKinds = lostKinds;
+}
+
+bool member_table::isUsableReader(timestamp now, const member_state &member, std::string_view kind,
+                                  bool hasLostStore) const
+{
+    if (!isAlive(now, member.entry.name))
+        return false;
+    if (!member.isHeard)
+        return true;
+    if (!member.lostKinds)
+        return false;
+    return hasLostStore
+        || std::find(member.lostKinds->begin(), member.lostKinds->end(), kind)
+        == member.lostKinds->end();
+}
+
+int member_table::readerRank(timestamp now, std::string_view kind, bool hasLostStore) const
+{
+    const auto self = m_members.find(m_options.self);
+    int before = 0;
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        const bool isBefore =
+            self == m_members.end() || it->second.readerPlace < self->second.readerPlace;
+        if (it != self && isBefore && isUsableReader(now, it->second, kind, hasLostStore))
+            ++before;
+    }
+    return before;
 }
 
 bool member_table::recordReport(timestamp now, std::string_view name, std::uint64_t incarnation,
--- a/libs/dispatch/src/peer_report.cpp
+++ b/libs/dispatch/src/peer_report.cpp
@@ -226,6 +226,8 @@
         value["store_heard_ago_ms"] = Json::UInt64(*report.storeHeardAgoMs);
     if (report.configurationConfirmedAgoMs)
         value["configuration_confirmed_ago_ms"] = Json::UInt64(*report.configurationConfirmedAgoMs);
+    if (report.lostKinds)
+        value["lost_kinds"] = namesToJson(*report.lostKinds);
     addNonEmpty(value, "stores", numbersToJson(report.storeEpochs));
     addNonEmpty(value, "releases", releasesToJson(report.releases));
     addNonEmpty(value, "bad_releases", badReleasesToJson(report.badReleases));
--- a/libs/dispatch/src/report_reader.cpp
+++ b/libs/dispatch/src/report_reader.cpp
@@ -248,6 +248,8 @@
     readBadReleases(fields, report);
     readServerLimits(fields, report);
     readNames(fields, "leaving_servers", report.leavingServers);
+    if (as<value_list>(fields["lost_kinds"]))
+        readNames(fields, "lost_kinds", report.lostKinds.emplace());
     readNumbers(fields, "server_requests", report.serverRequests);
     readNumbers(fields, "server_asked_rates", report.serverDemandRates);
     readNumbers(fields, "server_levels", report.serverLevels);
--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -1,6 +1,10 @@
 #include <dispatch/member_table.h>
 
+#include <algorithm>
 #include <array>
+#include <map>
+#include <optional>
+#include <random>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -171,6 +175,170 @@
     EXPECT_EQ(members.rank(now), 1);
 }
 
+namespace {
+
+/// Number of instances that read the newest state of an urgent kind.
+constexpr int readersNeeded = 8;
+constexpr const char *someKind = "config/";
+using kind_list = std::vector<std::string>;
+
+/// Tables of a fleet whose instances hear each other's reports. "m100" to "m129" are in zone z0,
+/// the next thirty in z1, the last thirty in z2.
+class reader_fleet
+{
+public:
+    enum class build { Current, Older };
+
+    reader_fleet()
+    {
+        for (int i = 0; i < 90; ++i) {
+            const std::string name = "m" + std::to_string(100 + i);
+            m_entries.push_back(makeEntry(name.c_str(), ("z" + std::to_string(i / 30)).c_str(), 1));
+            m_reports.emplace(name, kind_list {});
+        }
+        for (const member_entry &entry : m_entries) {
+            m_tables.emplace(entry.name, member_table({.self = entry.name, .zone = entry.zone}));
+            m_tables.at(entry.name).setListed(m_now, m_entries);
+        }
+    }
+
+    const std::vector<member_entry> &entries() const { return m_entries; }
+    void setLost(const std::string &name, bool isLost)
+    {
+        m_reports[name] = isLost ? kind_list {someKind} : kind_list {};
+        m_lost[name] = isLost;
+    }
+    void setBuild(const std::string &name, build which)
+    {
+        if (which == build::Older)
+            m_reports[name].reset();
+    }
+
+    /// Each instance that is not in @p dead hears each other one's report.
+    void exchangeReports(const std::set<std::string> &dead = {})
+    {
+        m_now += std::chrono::seconds(3);
+        ++m_sequence;
+        for (auto to = m_tables.begin(); to != m_tables.end(); ++to) {
+            for (const member_entry &from : m_entries) {
+                if (from.name == to->first || dead.contains(from.name))
+                    continue;
+                to->second.recordReport(m_now, from.name, 1, m_sequence, false, 0);
+                to->second.recordLostKinds(from.name, m_reports[from.name]);
+            }
+        }
+        m_dead = dead;
+    }
+
+    /// Returns the instances that read the newest state.
+    std::set<std::string> readers()
+    {
+        std::set<std::string> names;
+        for (auto it = m_tables.begin(); it != m_tables.end(); ++it) {
+            const int rank = m_reports[it->first]
+                ? it->second.readerRank(m_now, someKind, m_lost[it->first])
+                : it->second.rank(m_now);
+            if (!m_dead.contains(it->first) && rank < readersNeeded)
+                names.insert(it->first);
+        }
+        return names;
+    }
+
+    /// Returns how many of readers() reach the store.
+    int workingReaders()
+    {
+        const std::set<std::string> all = readers();
+        return static_cast<int>(std::count_if(
+            all.begin(), all.end(), [this](const std::string &name) { return !m_lost[name]; }));
+    }
+
+private:
+    timestamp m_now {};
+    std::uint64_t m_sequence = 0;
+    std::vector<member_entry> m_entries;
+    std::map<std::string, member_table> m_tables;
+    std::map<std::string, std::optional<kind_list>> m_reports;
+    std::map<std::string, bool> m_lost;
+    std::set<std::string> m_dead;
+};
+
+} // namespace
+
+// The readers were the first eight by name, all of one zone.
+TEST(MemberTable, ReadersOfTheStoreAreSpreadOverZones)
+{
+    reader_fleet fleet;
+    const std::set<std::string> expected {"m100", "m101", "m102", "m130",
+                                          "m131", "m132", "m160", "m161"};
+    EXPECT_EQ(fleet.readers(), expected);
+    fleet.exchangeReports();
+    EXPECT_EQ(fleet.readers(), expected);
+}
+
+TEST(MemberTable, LargestInstancesOfAZoneReadTheStoreFirst)
+{
+    member_table members({.self = "c", .zone = "z1"});
+    std::vector<member_entry> entries {makeEntry("a", "z1", 1), makeEntry("b", "z2", 2),
+                                       makeEntry("c", "z1", 3)};
+    entries[2].capacity = 0.5;
+    const timestamp now {};
+    members.setListed(now, entries);
+    EXPECT_EQ(members.readerRank(now, someKind, false), 0);
+}
+
+// A reader that had lost the store still counted.
+TEST(MemberTable, OthersTakeOverFromReadersThatLostTheStoreOrDied)
+{
+    reader_fleet fleet;
+    for (int i = 0; i < 30; ++i)
+        fleet.setLost(fleet.entries()[static_cast<std::size_t>(i)].name, true);
+    fleet.exchangeReports({"m130"});
+    EXPECT_EQ(fleet.workingReaders(), readersNeeded);
+    EXPECT_FALSE(fleet.readers().contains("m130"));
+    // The first ones by place go on reading, so that they notice the store's return.
+    EXPECT_TRUE(fleet.readers().contains("m100"));
+    EXPECT_FALSE(fleet.readers().contains("m129"));
+    for (int i = 0; i < 30; ++i)
+        fleet.setLost(fleet.entries()[static_cast<std::size_t>(i)].name, false);
+    fleet.exchangeReports();
+    EXPECT_EQ(static_cast<int>(fleet.readers().size()), readersNeeded);
+}
+
+TEST(MemberTable, FewInstancesReadAStoreThatAllHaveLost)
+{
+    reader_fleet fleet;
+    for (const member_entry &entry : fleet.entries())
+        fleet.setLost(entry.name, true);
+    fleet.exchangeReports();
+    EXPECT_EQ(static_cast<int>(fleet.readers().size()), readersNeeded);
+}
+
+// Instances of an older build choose the first eight by name, whatever they hear.
+TEST(MemberTable, FleetOfTwoBuildsHasNoFewerWorkingReadersThanTheOlderBuildAlone)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        std::mt19937 random(seed);
+        reader_fleet older;
+        reader_fleet mixed;
+        const std::uint32_t lostPerCent = random() % 101;
+        const std::uint32_t olderPerCent = random() % 101;
+        const std::size_t lostZone = random() % 4;
+        for (std::size_t i = 0; i < older.entries().size(); ++i) {
+            const std::string &name = older.entries()[i].name;
+            const bool isLost = i / 30 == lostZone || random() % 100 < lostPerCent;
+            older.setLost(name, isLost);
+            mixed.setLost(name, isLost);
+            older.setBuild(name, reader_fleet::build::Older);
+            if (random() % 100 < olderPerCent)
+                mixed.setBuild(name, reader_fleet::build::Older);
+        }
+        older.exchangeReports();
+        mixed.exchangeReports();
+        EXPECT_GE(mixed.workingReaders(), older.workingReaders()) << "seed " << seed;
+        EXPECT_LE(mixed.workingReaders(), 2 * readersNeeded) << "seed " << seed;
+    }
+}
+
 // Guards against excessive traffic between zones: when 81 instances in three zones sent each report
 // to every other instance, half a gigabyte crossed zones in half a minute.
 TEST(MemberTable, ReportInALargeFleetIsSentOnceToEachZoneAndReachesAllInstances)
--- a/libs/dispatch/tests/peer_report_test.cpp
+++ b/libs/dispatch/tests/peer_report_test.cpp
@@ -35,6 +35,7 @@
         .targetAgeMs = {{"m=4", 1500}},
         .storeHeardAgoMs = 40,
         .configurationConfirmedAgoMs = 730,
+        .lostKinds = {{"config/"}},
         .leaderEpoch = 3,
         .releases = {{.service = "a", .release = "v2", .route = "r", .counts = {5, 1, 2, 4}}},
         .badReleases = {{.service = "a", .release = "v2", .ageMs = 250}},
@@ -54,6 +55,7 @@
     EXPECT_EQ(read->revisions, report.revisions);
     EXPECT_EQ(read->storeHeardAgoMs, report.storeHeardAgoMs);
     EXPECT_EQ(read->configurationConfirmedAgoMs, report.configurationConfirmedAgoMs);
+    EXPECT_EQ(read->lostKinds, report.lostKinds);
     EXPECT_EQ(read->load.at("s1").memoryTokens, 4000);
     EXPECT_EQ(read->admitted, report.admitted);
     EXPECT_EQ(read->levels, report.levels);
@@ -114,4 +116,13 @@
     EXPECT_FALSE(parseWeightsKey("a=x"));
 }
 
+// An instance of an older build was counted among those that read the store for all.
+TEST(PeerReport, ReportWithoutLostKindsIsOfAnOlderBuild)
+{
+    EXPECT_EQ(parsePeerReport(toText({.from = "edge-1"}))->lostKinds, std::nullopt);
+    const peer_report current {.from = "edge-1", .lostKinds = std::vector<std::string> {}};
+    EXPECT_EQ(parsePeerReport(toText(current))->lostKinds, current.lostKinds);
+    EXPECT_EQ(parsePeerReport(R"({"from":"edge-1","lost_kinds":7})")->lostKinds, std::nullopt);
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -158,6 +158,7 @@
                         .revisions = m_watch.newestChanges(),
                         .outdated = m_watch.outdatedCounts(),
                         .loading = leaderReport.loading,
+                        .lostKinds = m_watch.lostKinds(),
                         .leaderEpoch = leaderReport.epoch,
                         .storeEpochs = leaderReport.storeEpochs};
     std::vector<report_target> targets;
@@ -353,6 +354,7 @@
                 .capacity = routing.members.capacity(report.from)};
         routing.members.recordSchedulingDelay(report.from, fromSeconds(report.delayMs / 1000));
         routing.members.recordCutOff(report.from, report.isCutOff);
+        routing.members.recordLostKinds(report.from, report.lostKinds);
         applyServers(now, report, routing);
         applyWeights(now, report, routing);
         applyOutcomes(now, report, routing);
--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -101,8 +101,7 @@
 
 duration store_watch::readOnce(const std::string &kind)
 {
-    const fleet_position fleet = fleetPosition();
-    const begun_read begun = beginRead(kind, fleet.rank);
+    const begun_read begun = beginRead(kind, readerRank(kind));
     const result<object_changes> answer = m_store.read(kind, begun.from, begun.read, begun.wait);
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -116,7 +115,7 @@
         ? begun.startedAt
         : std::min(begun.wait->begunAt(),
                    begun.startedAt + begun.read.waitTime + begun.read.answerTime);
-    return applyAnswer(kind, statedAt, begun.read, *answer, fleet.others);
+    return applyAnswer(kind, statedAt, begun.read, *answer, otherInstances());
 }
 
 store_watch::begun_read store_watch::beginRead(const std::string &kind, int rank)
@@ -214,12 +213,23 @@
                                                        otherInstances);
 }
 
-store_watch::fleet_position store_watch::fleetPosition()
+int store_watch::readerRank(const std::string &kind)
 {
+    bool hasLostStore = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        hasLostStore = !m_kinds.find(kind)->second.isReachable;
+    }
     const timestamp now = boot_clock::now();
-    return m_state.with([now](routing_state &routing) {
-        return fleet_position {.rank = routing.members.rank(now),
-                               .others = static_cast<int>(routing.members.otherCount())};
+    return m_state.with([&](const routing_state &routing) {
+        return routing.members.readerRank(now, kind, hasLostStore);
+    });
+}
+
+int store_watch::otherInstances()
+{
+    return m_state.with([](const routing_state &routing) {
+        return static_cast<int>(routing.members.otherCount());
     });
 }
 
@@ -342,8 +352,40 @@
         apply(kind);
 }
 
+std::vector<std::string> store_watch::lostKinds()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<std::string> lost;
+    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
+        if (!it->second.isReachable)
+            lost.push_back(it->first);
+    }
+    return lost;
+}
+
+void store_watch::takeOverReaders()
+{
+    for (auto it = m_kinds.begin(); it != m_kinds.end(); ++it) {
+        watched_kind &watched = it->second;
+        const auto waitsForStaleState = [&watched] {
+            return watched.isReading && !watched.isReader && !watched.wait->isAbandoned();
+        };
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            if (!waitsForStaleState())
+                continue;
+        }
+        if (readerRank(it->first) >= watched.freshReaders)
+            continue;
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (waitsForStaleState())
+            watched.wait->abandon();
+    }
+}
+
 std::vector<store_watch::stale_copy> store_watch::catchUp(timestamp now)
 {
+    takeOverReaders();
     std::vector<stale_copy> stale;
     std::vector<std::string> readAgain;
     {
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -31,6 +31,8 @@
     std::vector<child_spec> children();
     /// Returns the revision of the newest change in each copy, by kind.
     std::map<std::string, std::uint64_t, std::less<>> newestChanges();
+    /// Returns the kinds for which this instance has lost the store: their last read failed.
+    std::vector<std::string> lostKinds();
     /// Returns the number of outdated states in a restored store that are known, by kind.
     std::map<std::string, std::uint64_t, std::less<>> outdatedCounts();
     /// Another instance, from which copies can be fetched.
@@ -56,8 +58,9 @@
         timestamp since;
     };
 
-    /// Gives up reads that wait at the store although another instance has something newer, and
-    /// returns the copies to fetch instead. Each is returned again only after its fetchCopy().
+    /// Gives up reads that wait at the store although this instance must read the newest state now
+    /// or another one has something newer, and returns the copies to fetch instead. Each is
+    /// returned again only after its fetchCopy().
     std::vector<stale_copy> catchUp(timestamp now);
     /// Fetches the copy that @p stale names. May block.
     void fetchCopy(const stale_copy &stale);
@@ -73,7 +76,8 @@
     {
         watch_pacer pacer;
         object_mirror mirror;
-        /// Number of instances, counted by rank, that read the newest state from the store.
+        /// Number of instances that read the newest state from the store, see
+        /// member_table::readerRank().
         int freshReaders = 0;
         /// Whether this instance is one of them, as of its last read.
         bool isReader = false;
@@ -105,14 +109,8 @@
         result<registered_server> server;
     };
 
-    /// Position of this instance among all instances.
-    struct fleet_position
-    {
-        int rank = 0;
-        int others = 0;
-    };
-
-    fleet_position fleetPosition();
+    int readerRank(const std::string &kind);
+    int otherInstances();
     result<void> watch(const std::string &kind, const std::stop_token &stop);
     /// A read of the store that has begun.
     struct begun_read
@@ -135,6 +133,9 @@
     /// Precondition: the store stated @p answer at @p statedAt or later.
     duration applyAnswer(const std::string &kind, timestamp statedAt, const watch_read &read,
                          const object_changes &answer, int otherInstances);
+    /// Gives up reads of states that may be stale if this instance has become a reader of the
+    /// newest one since they began.
+    void takeOverReaders();
     /// Updates since when the configuration is older than that of another instance.
     void updateConfigurationContact(timestamp now);
     void recordReachability(const std::string &kind, bool reachable, const std::string &reason);
