A late report confirms the configuration as of when it was written

One that had waited for seconds on a full link confirmed a configuration that had been replaced meanwhile, and 404 or 401 is final for the caller.

The sender's uptime, which reports carry already, tells by how much a report is later than the most punctual ones of its sender. That time is now added to the age of the confirmation. Reports that are late from the start still pass for punctual.

LateReportConfirmsAsOfWhenItWasWritten; the calls of recordReport() in the other tests say the same times as an age.

--- a/libs/dispatch/include/dispatch/configuration_contact.h
+++ b/libs/dispatch/include/dispatch/configuration_contact.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include <core/clock.h>
+#include <dispatch/report_lateness.h>
 
 namespace trefoil {
 
@@ -20,6 +22,18 @@
     duration applyTime = std::chrono::seconds(2);
 };
 
+/// What a report of another instance says of its configuration.
+struct configuration_report
+{
+    std::string_view instance;
+    /// Start time of the sender's process in milliseconds since 1970.
+    std::uint64_t incarnation = 0;
+    /// Time since the sender's start; nothing if an older build sent the report.
+    std::optional<duration> uptime {};
+    /// Time between the last confirmation of the configuration and the report, if it was confirmed.
+    std::optional<duration> confirmedAgo {};
+};
+
 /// Decides whether the configuration that an instance knows may be taken for the one in force. It
 /// is confirmed by an answer of the store about it, directly or through reports of other instances.
 /// If neither arrives, an outage that most instances see stops all changes; a smaller one cuts off
@@ -33,11 +47,10 @@
 
     /// Records that the store stated at @p at that there is no newer configuration.
     void recordStoreAnswer(timestamp at) { m_confirmedAt = std::max(m_confirmedAt, at); }
-    /// Records a report of another instance, whose configuration was last confirmed at
-    /// @p confirmedAt. Precondition: if its configuration is newer than this instance's,
-    /// setBehindSince() has been called.
-    void recordReport(timestamp now, std::string_view instance,
-                      std::optional<timestamp> confirmedAt);
+    /// Records a report of another instance that arrived at @p now. A report that is later than
+    /// others of its sender was also written earlier. Precondition: if the sender's configuration
+    /// is newer than this instance's, setBehindSince() has been called.
+    void recordReport(timestamp now, const configuration_report &report);
     /// Sets since when another instance is known to have a newer configuration, if one has.
     void setBehindSince(std::optional<timestamp> since) { m_behindSince = since; }
     /// Returns whether another instance is known to have a newer configuration.
@@ -60,8 +73,14 @@
     configuration_contact_options m_options;
     timestamp m_confirmedAt {};
     std::optional<timestamp> m_behindSince;
-    /// Time of the last report, by instance.
-    std::map<std::string, timestamp, std::less<>> m_reportedAt;
+    struct reporting_instance
+    {
+        timestamp heardAt;
+        std::uint64_t incarnation = 0;
+        report_lateness lateness;
+    };
+
+    std::map<std::string, reporting_instance, std::less<>> m_reporting;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/configuration_contact.cpp
+++ b/libs/dispatch/src/configuration_contact.cpp
@@ -4,16 +4,20 @@
 
 namespace trefoil {
 
-void configuration_contact::recordReport(timestamp now, std::string_view instance,
-                                         std::optional<timestamp> confirmedAt)
+void configuration_contact::recordReport(timestamp now, const configuration_report &report)
 {
-    const auto known = m_reportedAt.find(instance);
-    if (known != m_reportedAt.end())
-        known->second = now;
-    else
-        m_reportedAt.emplace(instance, now);
-    if (confirmedAt)
-        m_confirmedAt = std::max(m_confirmedAt, *confirmedAt);
+    auto known = m_reporting.find(report.instance);
+    if (known == m_reporting.end())
+        known = m_reporting.emplace(report.instance, reporting_instance {}).first;
+    reporting_instance &sender = known->second;
+    if (sender.incarnation != report.incarnation)
+        sender = {.incarnation = report.incarnation};
+    sender.heardAt = now;
+    if (report.uptime)
+        sender.lateness.record(now, *report.uptime);
+    if (report.confirmedAgo)
+        m_confirmedAt =
+            std::max(m_confirmedAt, now - sender.lateness.last() - *report.confirmedAgo);
 }
 
 std::optional<timestamp> configuration_contact::confirmationForOthers() const
@@ -34,9 +38,9 @@
         return false;
     if (now - m_confirmedAt <= m_options.maxSilence)
         return true;
-    const auto heard =
-        std::count_if(m_reportedAt.begin(), m_reportedAt.end(),
-                      [&](const auto &each) { return now - each.second <= m_options.maxSilence; });
+    const auto heard = std::count_if(m_reporting.begin(), m_reporting.end(), [&](const auto &each) {
+        return now - each.second.heardAt <= m_options.maxSilence;
+    });
     // Together with this instance, those heard are the majority.
     return static_cast<std::size_t>(heard) * 2 > otherInstances;
 }
--- a/libs/dispatch/tests/configuration_contact_test.cpp
+++ b/libs/dispatch/tests/configuration_contact_test.cpp
@@ -24,7 +24,7 @@
 TEST(ConfigurationContact, InstanceThatHasTheStoreConfirmsForOneThatHasNot)
 {
     configuration_contact contact({.maxSilence = 3s});
-    contact.recordReport(start + 10s, "edge-2", start + 9s);
+    contact.recordReport(start + 10s, {.instance = "edge-2", .confirmedAgo = 1s});
     EXPECT_TRUE(contact.isConfirmed(start + 11s, 80));
     EXPECT_FALSE(contact.isConfirmed(start + 13s, 80));
 }
@@ -33,8 +33,8 @@
 TEST(ConfigurationContact, OutageSeenByTheMajorityLeavesTheConfigurationConfirmed)
 {
     configuration_contact contact({.maxSilence = 3s});
-    contact.recordReport(start + 10s, "edge-2", start);
-    contact.recordReport(start + 10s, "edge-3", start);
+    contact.recordReport(start + 10s, {.instance = "edge-2", .confirmedAgo = 10s});
+    contact.recordReport(start + 10s, {.instance = "edge-3", .confirmedAgo = 10s});
     EXPECT_TRUE(contact.isConfirmed(start + 11s, 3));
     EXPECT_FALSE(contact.isConfirmed(start + 11s, 4));
 }
@@ -44,7 +44,7 @@
     configuration_contact contact({.maxSilence = 3s});
     contact.recordStoreAnswer(start);
     for (const char *other : {"edge-2", "edge-3", "edge-4"})
-        contact.recordReport(start, other, start);
+        contact.recordReport(start, {.instance = other, .confirmedAgo = 0s});
     EXPECT_TRUE(contact.isConfirmed(start + 2s, 3));
     EXPECT_FALSE(contact.isConfirmed(start + 4s, 3));
 }
@@ -66,12 +66,12 @@
 {
     configuration_contact contact({.maxSilence = 3s, .applyTime = 2s});
     contact.recordStoreAnswer(start);
-    contact.recordReport(start + 9s, "edge-2", start);
-    contact.recordReport(start + 9s, "edge-3", std::nullopt);
+    contact.recordReport(start + 9s, {.instance = "edge-2", .confirmedAgo = 9s});
+    contact.recordReport(start + 9s, {.instance = "edge-3"});
     EXPECT_TRUE(contact.isConfirmed(start + 9s, 2));
     EXPECT_TRUE(contact.isCurrent(start + 2s));
     EXPECT_FALSE(contact.isCurrent(start + 9s));
-    contact.recordReport(start + 10s, "edge-2", start + 9s);
+    contact.recordReport(start + 10s, {.instance = "edge-2", .confirmedAgo = 1s});
     EXPECT_TRUE(contact.isCurrent(start + 10s));
 }
 
@@ -82,11 +82,35 @@
     contact.recordStoreAnswer(start);
     EXPECT_EQ(contact.confirmationForOthers(), start);
     contact.setBehindSince(start + 1s);
-    contact.recordReport(start + 1s, "edge-2", start + 1s);
+    contact.recordReport(start + 1s, {.instance = "edge-2", .confirmedAgo = 0s});
     EXPECT_FALSE(contact.isCurrent(start + 1s));
     EXPECT_FALSE(contact.confirmationForOthers());
     contact.setBehindSince(std::nullopt);
     EXPECT_EQ(contact.confirmationForOthers(), start + 1s);
 }
 
+// A report that had waited for seconds on a full link confirmed the configuration as of its
+// arrival, and 404 followed for a route that was added meanwhile.
+TEST(ConfigurationContact, LateReportConfirmsAsOfWhenItWasWritten)
+{
+    configuration_contact contact({.maxSilence = 3s, .applyTime = 2s});
+    const auto report = [&contact](timestamp arrival, std::uint64_t incarnation, duration uptime) {
+        contact.recordReport(arrival,
+                             {.instance = "edge-2",
+                              .incarnation = incarnation,
+                              .uptime = uptime,
+                              .confirmedAgo = 100ms});
+    };
+    report(start, 1, 10s);
+    EXPECT_EQ(contact.confirmedAt(), start - 100ms);
+    report(start + 4s, 1, 11s);
+    EXPECT_EQ(contact.confirmedAt(), start + 900ms);
+    EXPECT_FALSE(contact.isCurrent(start + 4s));
+    report(start + 4s, 1, 14s);
+    EXPECT_TRUE(contact.isCurrent(start + 4s));
+    // A restart begins a new uptime.
+    report(start + 9s, 2, 1s);
+    EXPECT_EQ(contact.confirmedAt(), start + 8900ms);
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/peer_exchange.cpp
+++ b/trefoilrouter/src/edge/peer_exchange.cpp
@@ -370,11 +370,13 @@
 {
     if (m_mayBeQueued)
         return;
-    std::optional<timestamp> confirmedAt;
+    configuration_report confirmation {.instance = report.from, .incarnation = report.incarnation};
+    if (report.uptimeMs > 0)
+        confirmation.uptime = std::chrono::milliseconds(report.uptimeMs);
     if (report.configurationConfirmedAgoMs)
-        confirmedAt = now - std::chrono::milliseconds(*report.configurationConfirmedAgoMs);
+        confirmation.confirmedAgo = std::chrono::milliseconds(*report.configurationConfirmedAgoMs);
     m_state.with([&](routing_state &routing) {
-        routing.configurationContact.recordReport(now, report.from, confirmedAt);
+        routing.configurationContact.recordReport(now, confirmation);
     });
 }
 
