An answer of the store that trickles ends with the time for its arrival

The time for the arrival now counts from the first byte. ResponseThatTricklesEndsWithItsArrivalTime.

--- a/libs/http/include/http/http_connection.h
+++ b/libs/http/include/http/http_connection.h
@@ -54,6 +54,8 @@
     duration idle = duration::max();
     /// Longest time without a byte once the response has begun to arrive.
     duration pause = duration::max();
+    /// Time from the response's first byte to its last.
+    duration arrival = duration::max();
     /// Limit on the body. The head has a fixed limit.
     std::size_t maxBodyBytes = 64 * 1024;
     /// Bounds the response together with what other readers hold, if set.
--- a/libs/http/src/http_connection.cpp
+++ b/libs/http/src/http_connection.cpp
@@ -119,9 +119,13 @@
 
     void recordBytes()
     {
-        if (!m_hasBegun && m_limits.wait != nullptr)
-            m_limits.wait->recordBegin(boot_clock::now());
+        if (m_hasBegun)
+            return;
         m_hasBegun = true;
+        const timestamp now = boot_clock::now();
+        m_deadline = std::min(m_deadline, after(now, m_limits.arrival));
+        if (m_limits.wait != nullptr)
+            m_limits.wait->recordBegin(now);
     }
 
     bool isAbandoned() const
--- a/libs/http/tests/http_connection_test.cpp
+++ b/libs/http/tests/http_connection_test.cpp
@@ -115,6 +115,17 @@
     EXPECT_EQ(response.error().code, http_errors::broken);
 }
 
+// The time that a read had left to wait was added to the time for its response to arrive.
+TEST(HttpConnection, ResponseThatTricklesEndsWithItsArrivalTime)
+{
+    single_server server(respondWithoutEnd(head + "\r\n", "x", 20ms));
+    const timestamp start = boot_clock::now();
+    const result<http_response> response = sendHttpRequestOnNewConnection(
+        server.address(), {.path = "/"}, {.total = 5s, .pause = 1s, .arrival = 300ms});
+    EXPECT_FALSE(response);
+    EXPECT_LT(boot_clock::now() - start, 1s);
+}
+
 TEST(HttpConnection, WaitThatIsAbandonedEndsBeforeTheResponseBegins)
 {
     single_server server([](byte_stream &, int) { std::this_thread::sleep_for(3s); });
--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -63,6 +63,7 @@
                          .connect = std::min(connectTimeout, times.idle),
                          .idle = times.idle,
                          .pause = times.pause,
+                         .arrival = times.arrival,
                          .maxBodyBytes = maxResponseBytes,
                          .budget = m_byteBudget,
                          .wait = times.wait});
--- a/trefoilrouter/src/json_http_client.h
+++ b/trefoilrouter/src/json_http_client.h
@@ -43,6 +43,8 @@
         duration total;
         /// Longest pause within the response.
         duration pause = duration::max();
+        /// Time from the response's first byte to its last.
+        duration arrival = duration::max();
         /// Lets another thread end the wait for the response, if set.
         response_wait *wait = nullptr;
     };
