--- a/libs/http/tests/byte_stream_test.cpp
+++ b/libs/http/tests/byte_stream_test.cpp
@@ -76,6 +76,19 @@
     EXPECT_TRUE(caller.remote.isClosedByRemote());
 }
 
+// A caller that sent its next request before it left.
+TEST(ByteStream, EndOfTheRemoteIsSeenBehindUnreadBytes)
+{
+    connected_pair server;
+    connected_pair caller;
+    ASSERT_TRUE(caller.local.write(std::string(16u << 10, 'x'), fromNow(1000)));
+    EXPECT_FALSE(caller.remote.isClosedByRemote());
+    caller.local.close();
+    EXPECT_EQ(server.local.readMore(fromNow(1000), &caller.remote), read_outcome::WatchedClosed);
+    EXPECT_TRUE(caller.remote.isClosedByRemote());
+    EXPECT_TRUE(caller.remote.buffer().empty());
+}
+
 TEST(ByteStream, ConnectionWithUnreadBytesIsNotIdle)
 {
     connected_pair pair;
