A copy is fetched if the read that was given up doesn't end

After ReadAgain the read now has 350 ms to begin anew; then the copy is fetched from that instance. CopyIsFetchedIfTheReadThatIsGivenUpDoesNotEnd failed before.

--- a/libs/platform/include/platform/catch_up.h
+++ b/libs/platform/include/platform/catch_up.h
@@ -53,12 +53,17 @@
     /// Returns since when the copy is behind, if it is. Precondition: as of the last next().
     std::optional<timestamp> since() const { return m_since; }
     /// Returns the step to take at @p now. FetchCopy is returned once; the next report asks for it
-    /// again.
+    /// again. It follows ReadAgain also if the read that is given up doesn't end, as while it
+    /// connects.
     catch_up_step next(timestamp now, std::uint64_t newestChange, const read_progress &read);
 
 private:
+    void end();
+
     catch_up_options m_options;
     std::optional<timestamp> m_since;
+    /// When ReadAgain was first returned since then.
+    std::optional<timestamp> m_gaveUpAt;
     std::uint64_t m_newestReported = 0;
     bool m_needsCopy = false;
 };
--- a/libs/platform/src/catch_up.cpp
+++ b/libs/platform/src/catch_up.cpp
@@ -24,7 +24,7 @@
 catch_up_step catch_up::next(timestamp now, std::uint64_t newestChange, const read_progress &read)
 {
     if (!isBehind(newestChange)) {
-        m_since.reset();
+        end();
         return catch_up_step::None;
     }
     if (now - *m_since < m_options.patience)
@@ -32,14 +32,22 @@
     if (!m_needsCopy && read.isStoreReachable) {
         if (!read.isWaiting)
             return catch_up_step::None;
-        if (read.startedAt <= *m_since)
-            return catch_up_step::ReadAgain;
-        if (now - read.startedAt < m_options.patience)
-            return catch_up_step::None;
+        const bool isOld = read.startedAt <= *m_since;
+        if (isOld)
+            m_gaveUpAt = m_gaveUpAt.value_or(now);
+        const timestamp waitsSince = isOld ? *m_gaveUpAt : read.startedAt;
+        if (now - waitsSince < m_options.patience)
+            return isOld ? catch_up_step::ReadAgain : catch_up_step::None;
     }
-    m_since.reset();
+    end();
     m_needsCopy = false;
     return catch_up_step::FetchCopy;
 }
 
+void catch_up::end()
+{
+    m_since.reset();
+    m_gaveUpAt.reset();
+}
+
 } // namespace trefoil
--- a/libs/platform/tests/catch_up_test.cpp
+++ b/libs/platform/tests/catch_up_test.cpp
@@ -39,6 +39,21 @@
     EXPECT_TRUE(state.isBehind(6));
 }
 
+// A read that was connecting when it was given up went on for more than a second, and nothing else
+// was tried meanwhile.
+TEST(CatchUp, CopyIsFetchedIfTheReadThatIsGivenUpDoesNotEnd)
+{
+    catch_up state({.patience = 350ms});
+    state.onNewerReported(start, 7);
+    const read_progress connecting {.startedAt = start - 10ms};
+    EXPECT_EQ(state.next(start + 350ms, 6, connecting), catch_up_step::ReadAgain);
+    EXPECT_EQ(state.next(start + 600ms, 6, connecting), catch_up_step::ReadAgain);
+    EXPECT_EQ(state.next(start + 700ms, 6, connecting), catch_up_step::FetchCopy);
+    state.onNewerReported(start + 800ms, 8);
+    EXPECT_EQ(state.next(start + 1150ms, 7, {.startedAt = start + 720ms}),
+              catch_up_step::ReadAgain);
+}
+
 // Copies over the links of small instances were fetched beside the answers that were arriving.
 TEST(CatchUp, NothingIsFetchedBesideAnAnswerThatIsArriving)
 {
