--- a/libs/dispatch/include/dispatch/configuration_contact.h
+++ b/libs/dispatch/include/dispatch/configuration_contact.h
@@ -47,8 +47,8 @@
 
     /// Records that the store stated at @p at that there is no newer configuration.
     void recordStoreAnswer(timestamp at) { m_confirmedAt = std::max(m_confirmedAt, at); }
-    /// Records a report of another instance that arrived at @p now. A report that is later than
-    /// others of its sender was also written earlier. Precondition: if the sender's configuration
+    /// Records a report of another instance that arrived at @p now. What it says is as old as the
+    /// report, which report_lateness estimates. Precondition: if the sender's configuration
     /// is newer than this instance's, setBehindSince() has been called.
     void recordReport(timestamp now, const configuration_report &report);
     /// Sets since when another instance is known to have a newer configuration, if one has.
@@ -70,9 +70,6 @@
     bool isCurrent(timestamp now) const;
 
 private:
-    configuration_contact_options m_options;
-    timestamp m_confirmedAt {};
-    std::optional<timestamp> m_behindSince;
     struct reporting_instance
     {
         timestamp heardAt;
@@ -80,6 +77,9 @@
         report_lateness lateness;
     };
 
+    configuration_contact_options m_options;
+    timestamp m_confirmedAt {};
+    std::optional<timestamp> m_behindSince;
     std::map<std::string, reporting_instance, std::less<>> m_reporting;
 };
 
--- a/libs/dispatch/include/dispatch/member_table.h
+++ b/libs/dispatch/include/dispatch/member_table.h
@@ -112,6 +112,20 @@
     /// capacity of these. All live ones if no capacity is known.
     std::vector<endpoint> relays(timestamp now) const;
 
+    /// Records for which kinds of objects @p name has lost the store: nothing if its build doesn't
+    /// tell, which chooses readers by name instead of by readerRank().
+    void recordLostKinds(std::string_view name,
+                         const std::optional<std::vector<std::string>> &lostKinds);
+    /// Returns how many instances come before this one in the order in which they read the newest
+    /// state of the objects of @p kind from the store. Those at the front read it for all.
+    ///
+    /// The order takes the zones in turn and the largest instances of each first, so that no zone's
+    /// loss of the store takes all readers. Passed over are dead instances, instances of builds
+    /// that don't tell, since they would not know that they are chosen, and those that have lost
+    /// the store. If this one has lost it too, @p hasLostStore, the last are counted: only those at
+    /// the front try whether it has returned. An instance that was not heard yet counts.
+    int readerRank(timestamp now, std::string_view kind, bool hasLostStore) const;
+
     /// Returns whether the other instance @p name is alive and not leaving.
     bool isAlive(timestamp now, std::string_view name) const;
     /// Returns the address for reports and calls of other instances to @p name, or an empty
@@ -136,18 +150,6 @@
     std::size_t liveOtherCount(timestamp now) const;
     /// Returns the number of live instances whose names sort before that of this instance.
     int rank(timestamp now) const;
-    /// Records for which kinds of objects @p name has lost the store. Empty for an older build,
-    /// which doesn't tell, and chooses readers by name.
-    void recordLostKinds(std::string_view name,
-                         const std::optional<std::vector<std::string>> &lostKinds);
-    /// Returns the place of this instance among those that may read the newest state of the objects
-    /// of @p kind from the store. The first ones, as many as are needed, read it for all. They are
-    /// spread over the availability zones, the largest of each zone first. Dead instances, and
-    /// those that have lost the store, are passed over; if this one has lost it itself,
-    /// @p hasLostStore, the other ones that have are not, so that the first ones notice its return.
-    /// An instance that was not heard yet counts as one that reaches the store. Instances of older
-    /// builds are never counted: they would not know that they are chosen.
-    int readerRank(timestamp now, std::string_view kind, bool hasLostStore) const;
     /// Returns whether this instance is listed; rank() is meaningful only then.
     bool isSelfListed() const;
     /// Returns whether any instance reported recently that it is the leader.
