--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -377,6 +377,8 @@
         }
         if (readerRank(it->first) >= watched.freshReaders)
             continue;
+        // The read may have ended meanwhile: the rank needs the lock of the routing state, which is
+        // never taken under this one.
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (waitsForStaleState())
             watched.wait->abandon();
