Skipped answers and event ids that go back are logged and counted

Suspected of answers without an owner: the readings that would tell the hypotheses apart were missing. An answer of another request that readHead skips left no trace, neither did a stream whose event ids go back.

answer_skipped and trefoil_answers_skipped_total: both ids, the status, whether the connection was used before or relayed. event_out_of_order and trefoil_streams_out_of_order_total: both event ids. stream_progress::inOrder() compares numeric ids; nothing is decided by it yet, such events are still passed on. Second answers inside a body can't be seen yet; their line comes with their detection.

--- a/libs/http/include/http/sse_framer.h
+++ b/libs/http/include/http/sse_framer.h
@@ -30,6 +30,9 @@
 /// Returns the number of events that end in @p events. Thread-safe.
 int countEvents(std::string_view events);
 
+/// Returns the id that the first of the complete events @p events sets, or "". Thread-safe.
+std::string_view eventId(std::string_view events);
+
 /// Returns whether @p events contains a data field. Comments and empty lines, which servers send to
 /// keep a connection open, are no progress of a stream. Thread-safe.
 bool containsData(std::string_view events);
--- a/libs/http/src/sse_framer.cpp
+++ b/libs/http/src/sse_framer.cpp
@@ -52,6 +52,19 @@
     return count;
 }
 
+std::string_view eventId(std::string_view events)
+{
+    std::string_view id;
+    while (!events.empty()) {
+        const std::string_view line = takeLine(events);
+        if (line.empty())
+            break;
+        if (fieldName(line) == "id")
+            id = fieldValue(line);
+    }
+    return id;
+}
+
 bool containsData(std::string_view events)
 {
     while (!events.empty()) {
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -339,6 +339,7 @@
         if (current.fields.requestId.empty() || current.fields.requestId == m_fields.requestId)
             return attempt_end::Delivered;
         // A late answer to an earlier request on this connection precedes the one to this request.
+        logSkipped(current);
         response_body dropped({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
         const attempt_end skipped = readBody(current, dropped);
         if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
@@ -456,6 +457,9 @@
         if (containsData(events))
             current.progressAt = boot_clock::now();
         recordEvents(current, events);
+        const std::string_view inOrder = m_progress.inOrder(events);
+        if (inOrder.size() < events.size())
+            logOutOfOrder(current, std::string_view(events).substr(inOrder.size()));
         const bool isWhole = body.state() == body_state::Whole;
         if ((!events.empty() || isWhole)
             && !m_response.sendEvents(current.head, events, isWhole, m_deadline))
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/// Limit on what is logged of a text that a server chose.
+constexpr std::size_t maxLoggedBytes = 64;
+
+std::string_view loggedPart(std::string_view text) { return text.substr(0, maxLoggedBytes); }
+
 /// Begins the line of a placement with the terms of its cost that are not usual.
 event_line placedLine(const server_placement &placed)
 {
@@ -121,6 +126,31 @@
                    .add("ms", current.wasSent ? toMilliseconds(now - current.sentAt) : 0));
 }
 
+void request_runner::logSkipped(const attempt &current) const
+{
+    m_state.metrics().counterOf("trefoil_answers_skipped_total").add();
+    writeEvent(event_line("proxy", "answer_skipped")
+                   .add("request", m_fields.requestId)
+                   .add("server", current.placed.server)
+                   .add("answer_to", loggedPart(current.fields.requestId))
+                   .add("status", current.head.status)
+                   .add("reused", current.isReused)
+                   .add("relayed", current.placed.isRelayed)
+                   .add("after_ms", toMilliseconds(boot_clock::now() - current.sentAt)));
+}
+
+void request_runner::logOutOfOrder(const attempt &current, std::string_view event) const
+{
+    m_state.metrics().counterOf("trefoil_streams_out_of_order_total").add();
+    writeEvent(event_line("proxy", "event_out_of_order")
+                   .add("request", m_fields.requestId)
+                   .add("server", current.placed.server)
+                   .add("event", loggedPart(eventId(event)))
+                   .add("last_event", loggedPart(m_progress.lastEventId()))
+                   .add("reused", current.isReused)
+                   .add("runs", m_runs));
+}
+
 void request_runner::logBrokenOff(const attempt &current, const response_body &body,
                                   const char *reason) const
 {
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -206,6 +206,10 @@
     void logNotAllowed(timestamp now, int status, std::string_view reason) const;
     void logKept(const attempt &current, std::string_view obstacle) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
+    /// Logs that an answer of another request, which @p current holds, is skipped.
+    void logSkipped(const attempt &current) const;
+    /// Logs that @p event, the first of the events to pass on, doesn't follow the last one.
+    void logOutOfOrder(const attempt &current, std::string_view event) const;
     void logBrokenOff(const attempt &current, const response_body &body, const char *reason) const;
     void logEnd(std::string_view outcome, int status) const;
 
