A second answer behind a body without length or chunks is no part of it

What callers would see: an answer that ends with its connection, with a second answer written behind it before the close, came with the second one's status line, fields and body in its own body, with status 200; a stream came with a status line at the begin of an event and events whose ids go back.

Cause: the end of such a body was the end of the connection, and nothing looked at what came before.

response_body looks for the head of a further answer in bodies that end with their connection: a status line at any place and well-formed fields with X-Request-Id, whose name request_runner passes. What may become such a head is held until it is decided. A body with one is broken off: a repeatable request is retried, a resumable stream goes on elsewhere after its last whole event, all others get 502 or an aborted connection. At the connection's end a cut head counts from the version in its status line on if its reason phrase consists of words; less can't be told from text. Ruled out: looking only at line begins, since the second answer may follow directly.

answer_broken_off has the reason further_answer, counter trefoil_answers_joined_total.

--- a/libs/http/include/http/response_body.h
+++ b/libs/http/include/http/response_body.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <http/chunked.h>
 #include <http/message.h>
@@ -29,12 +30,24 @@
     /// Limit on the bytes that are held: a whole plain body, or one event and one chunk of a
     /// stream.
     std::size_t maxHeldBytes = 0;
+    /// Name of a field that each answer of the server holds, by which a further answer behind a
+    /// body that ends with its connection is recognised; "" if further answers aren't looked for.
+    std::string_view answerField;
 };
 
 /// Body of one server's answer, decoded incrementally: the only place that decides whether an
 /// answer is whole. It belongs to one attempt at a server, so nothing of an incomplete answer is
 /// left for the next attempt. A stream is whole only if its framing has ended between two events,
-/// and a stream without framing only if it also had an event. Not thread-safe.
+/// and a stream without framing only if it also had an event.
+///
+/// A body that ends with its connection is broken off by the head of a further answer: a status
+/// line, anywhere, and well-formed fields with the one that each answer holds. Where the body would
+/// have ended isn't known then, so it isn't taken for whole, and nothing from the status line on is
+/// passed on, nor the event that it stands in. What may become such a head is held until it is
+/// decided. At the connection's end it breaks the body off if it goes beyond the version in the
+/// status line, and its reason phrase consists of words; less is taken for the body's own. A body
+/// that quotes a whole answer, its lines ended with CR LF, or that ends with a status line is
+/// broken off in vain; JSON and the data of events aren't. Not thread-safe.
 class response_body
 {
 public:
@@ -50,22 +63,30 @@
     void end(bool isOrderly);
 
     body_state state() const { return m_state; }
+    /// Returns whether the body is broken off by a further answer.
+    bool hasFurtherAnswer() const { return m_hasFurtherAnswer; }
     /// Returns the bytes of a plain body that have arrived.
     std::string &plainBody() { return m_plain; }
     /// Returns the number of bytes held at present.
     std::size_t heldBytes() const;
 
 private:
-    /// Appends the body's bytes in @p input to m_unverified and returns whether the framing ended.
+    /// Appends the body's bytes in @p input to m_undecided and returns whether the framing ended.
     bool decode(std::string &input);
+    /// Returns how many of the first bytes in m_undecided belong to the body for certain.
+    std::size_t certainBytes();
+    /// Moves the first @p size bytes of m_undecided to the body and returns the events among them.
+    std::string take(std::size_t size);
+    void breakOffByAnswer();
     void finish();
 
     response_body_options m_options;
     body_state m_state = body_state::Incomplete;
     chunked_decoder m_chunks;
     std::uint64_t m_bodyBytes = 0;
-    /// Bytes of a chunk that has not ended.
-    std::string m_openChunk;
+    /// Bytes of a chunk that has not ended, or of what may be the head of a further answer.
+    std::string m_undecided;
+    bool m_hasFurtherAnswer = false;
     sse_framer m_events;
     bool m_hasEvents = false;
     std::string m_plain;
--- a/libs/http/src/response_body.cpp
+++ b/libs/http/src/response_body.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "head_search.h"
+
 namespace trefoil {
 
 response_body::response_body(const response_body_options &options) : m_options(options)
@@ -15,13 +17,13 @@
 
 std::size_t response_body::heldBytes() const
 {
-    return m_plain.size() + m_openChunk.size() + m_events.incompleteBytes();
+    return m_plain.size() + m_undecided.size() + m_events.incompleteBytes();
 }
 
 bool response_body::decode(std::string &input)
 {
     if (m_options.framing.end == body_end::Chunked) {
-        const chunked_state state = m_chunks.feed(input, m_openChunk);
+        const chunked_state state = m_chunks.feed(input, m_undecided);
         if (state == chunked_state::Malformed)
             m_state = body_state::BrokenOff;
         return state == chunked_state::Done;
@@ -29,7 +31,7 @@
     std::size_t size = input.size();
     if (m_options.framing.end == body_end::Length)
         size = std::min<std::uint64_t>(size, m_options.framing.length - m_bodyBytes);
-    m_openChunk.append(input, 0, size);
+    m_undecided.append(input, 0, size);
     input.erase(0, size);
     m_bodyBytes += size;
     return m_options.framing.end == body_end::Length && m_bodyBytes == m_options.framing.length;
@@ -40,26 +42,54 @@
     if (m_state != body_state::Incomplete)
         return {};
     const bool hasFramingEnded = decode(input);
-    const std::size_t ended = m_openChunk.size() - m_chunks.openChunkBytes();
+    std::string events = take(certainBytes());
+    if (m_state == body_state::Incomplete && heldBytes() > m_options.maxHeldBytes)
+        m_state = body_state::BrokenOff;
+    if (m_state == body_state::Incomplete && hasFramingEnded)
+        finish();
+    return events;
+}
+
+std::size_t response_body::certainBytes()
+{
+    const bool isWithoutFraming = m_options.framing.end == body_end::Close;
+    if (!isWithoutFraming || m_options.answerField.empty())
+        return m_undecided.size() - m_chunks.openChunkBytes();
+    const head_place head = findHead(m_undecided, m_options.answerField);
+    if (head.presence == head_presence::Complete)
+        breakOffByAnswer();
+    return head.at;
+}
+
+std::string response_body::take(std::size_t size)
+{
     std::string events;
     if (m_options.isEventStream) {
-        events = m_events.feed(std::string_view(m_openChunk).substr(0, ended));
+        events = m_events.feed(std::string_view(m_undecided).substr(0, size));
         m_hasEvents = m_hasEvents || containsData(events);
     } else {
-        m_plain.append(m_openChunk, 0, ended);
+        m_plain.append(m_undecided, 0, size);
     }
-    m_openChunk.erase(0, ended);
-    if (m_state == body_state::Incomplete && heldBytes() > m_options.maxHeldBytes)
-        m_state = body_state::BrokenOff;
-    if (m_state == body_state::Incomplete && hasFramingEnded)
-        finish();
+    m_undecided.erase(0, size);
     return events;
 }
 
+void response_body::breakOffByAnswer()
+{
+    m_state = body_state::BrokenOff;
+    m_hasFurtherAnswer = true;
+}
+
 void response_body::end(bool isOrderly)
 {
     if (m_state != body_state::Incomplete)
         return;
+    if (m_options.framing.end == body_end::Close && endsInsideHead(m_undecided)) {
+        breakOffByAnswer();
+        return;
+    }
+    // What is left is the body's own. In a stream it is the begin of an event.
+    take(m_options.framing.end == body_end::Close ? m_undecided.size() : 0);
     const bool endsWithConnection = m_options.framing.end == body_end::Close;
     const bool lacksEvents = m_options.isEventStream && !m_hasEvents;
     if (isOrderly && endsWithConnection && !lacksEvents)
--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -271,6 +271,121 @@
     }
 }
 
+const std::string furtherHead = "HTTP/1.1 200 OK\r\nServer: x\r\nX-Id: r0\r\n\r\n";
+
+// A second answer behind a body that ends with its connection was taken for a part of it.
+TEST(ResponseBody, FurtherAnswerBreaksABodyWithoutFramingOffAtItsStatusLine)
+{
+    const std::vector<std::string> bodies {"",        "{}",     "{}\n", "{}\r\n",
+                                           "a HTTP/", "a HTTP", "HH",   "HTTP/1.1 200 HTTP/1.1 2"};
+    for (const std::string &own : bodies) {
+        const std::string bytes = own + furtherHead + "{\"not\": \"own\"}";
+        for (std::size_t pieceSize = 1; pieceSize <= bytes.size(); ++pieceSize) {
+            response_body body({.framing = {.end = body_end::Close},
+                                .maxHeldBytes = maxHeldBytes,
+                                .answerField = "x-id"});
+            std::string input;
+            for (std::size_t at = 0; at < bytes.size(); at += pieceSize) {
+                input += bytes.substr(at, pieceSize);
+                body.feed(input);
+            }
+            body.end(true);
+            EXPECT_EQ(body.state(), body_state::BrokenOff) << own;
+            EXPECT_TRUE(body.hasFurtherAnswer()) << own;
+            EXPECT_TRUE(own.starts_with(body.plainBody())) << body.plainBody();
+        }
+    }
+}
+
+TEST(ResponseBody, FurtherAnswerInAStreamWithoutFramingSpoilsNoEvent)
+{
+    const response_body_options options {.framing = {.end = body_end::Close},
+                                         .isEventStream = true,
+                                         .maxHeldBytes = maxHeldBytes,
+                                         .answerField = "X-Id"};
+    for (std::size_t size = 0; size <= concatenated().size(); ++size) {
+        const std::string own = concatenated().substr(0, size);
+        for (const std::string &further :
+             {furtherHead + concatenated(), furtherHead, furtherHead.substr(0, 14)}) {
+            const std::string bytes = own + further;
+            for (const std::size_t pieceSize : {std::size_t {1}, std::size_t {7}, bytes.size()}) {
+                const attempt_result got = attempt(options, bytes, pieceSize, cut::OrderlyEnd);
+                EXPECT_EQ(got.state, body_state::BrokenOff) << size << " " << further;
+                EXPECT_TRUE(isSequenceOfEvents(got.passedOn)) << got.passedOn;
+                EXPECT_TRUE(own.starts_with(got.passedOn)) << got.passedOn;
+            }
+        }
+    }
+}
+
+TEST(ResponseBody, FurtherAnswerThatIsCutInItsHeadBreaksTheBodyOff)
+{
+    constexpr std::size_t versionBytes = std::string_view("HTTP/1.1 ").size();
+    for (std::size_t size = 0; size < furtherHead.size(); ++size) {
+        const std::string bytes = "{\"a\": \"HTTP/1.1 200\"}" + furtherHead.substr(0, size);
+        const attempt_result got = attempt({.framing = {.end = body_end::Close},
+                                            .maxHeldBytes = maxHeldBytes,
+                                            .answerField = "X-Id"},
+                                           bytes, 1, cut::OrderlyEnd);
+        // So little can't be told from the end of a text.
+        const bool isOwn = size < versionBytes;
+        EXPECT_EQ(got.state, isOwn ? body_state::Whole : body_state::BrokenOff) << size;
+        EXPECT_EQ(got.passedOn, isOwn ? bytes : "") << size;
+    }
+}
+
+TEST(ResponseBody, TextThatIsNoAnswerBelongsToTheBody)
+{
+    const std::vector<std::string> texts {
+        "HTTP/1.1 200 OK\n\nX-Id: r0\n\n",
+        "HTTP/1.1 200 OK\r\nServer: x\r\n\r\nX-Id: r0",
+        "HTTP/1.1 200 OK\r\nno field\r\nX-Id: r0\r\n\r\n",
+        "HTTP/2.0 200 OK\r\nX-Id: r0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\nX-Id: r0\r\n\r\n",
+        "{\"text\": \"HTTP/1.1 200 OK\\r\\nX-Id: r0\\r\\n\\r\\n\"}",
+        "{\"text\": \"HTTP/1.1 200 OK\"}",
+        "{\r\n\"text\": \"HTTP/1.1 200 OK\"\r\n}",
+        "{\r\n\"text\": \"HTTP/1.1 200 OK\",\r\n\"more\": 1}\r\n",
+        "id: 1\r\ndata: HTTP/1.1 200 OK\r\ndata: X-Id: r0\r\n\r\n",
+        "id: 1\rdata: HTTP/1.1 200 OK\r\r",
+        "id: 1\ndata: HTTP/1.1 200 OK\n\n",
+    };
+    for (const std::string &text : texts) {
+        for (const bool isEventStream : {false, true}) {
+            if (isEventStream && !text.starts_with("id"))
+                continue;
+            for (std::size_t pieceSize = 1; pieceSize <= text.size(); ++pieceSize) {
+                const attempt_result got = attempt({.framing = {.end = body_end::Close},
+                                                    .isEventStream = isEventStream,
+                                                    .maxHeldBytes = maxHeldBytes,
+                                                    .answerField = "X-Id"},
+                                                   text, pieceSize, cut::OrderlyEnd);
+                EXPECT_EQ(got.state, body_state::Whole) << text;
+                EXPECT_EQ(got.passedOn, text);
+            }
+        }
+    }
+}
+
+// What may become a head is held only while it may.
+TEST(ResponseBody, EndlessBeginOfAHeadIsNotHeldPastItsLimit)
+{
+    response_body body({.framing = {.end = body_end::Close},
+                        .maxHeldBytes = std::size_t {1} << 20,
+                        .answerField = "X-Id"});
+    std::string input = "HTTP/1.1 200 ";
+    std::size_t fed = input.size();
+    while (body.plainBody().empty() && fed < 100'000) {
+        input += std::string(1000, 'x');
+        fed += 1000;
+        body.feed(input);
+    }
+    EXPECT_LT(fed, 20'000u);
+    EXPECT_EQ(body.plainBody().size(), fed);
+    body.end(true);
+    EXPECT_EQ(body.state(), body_state::Whole);
+}
+
 TEST(ResponseBody, HoldsNoMoreThanItsLimit)
 {
     const std::string block(1000, 'x');
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -422,8 +422,9 @@
 
 request_runner::attempt_end request_runner::forwardBuffered(attempt &current)
 {
-    response_body body(
-        {.framing = current.framing, .maxHeldBytes = m_state.readBudget().maxMessageBytes()});
+    response_body body({.framing = current.framing,
+                        .maxHeldBytes = m_state.readBudget().maxMessageBytes(),
+                        .answerField = requestIdName});
     const attempt_end end = readBody(current, body);
     if (end != attempt_end::Delivered)
         return end;
@@ -450,8 +451,10 @@
 
 request_runner::attempt_end request_runner::forwardStream(attempt &current)
 {
-    response_body body(
-        {.framing = current.framing, .isEventStream = true, .maxHeldBytes = maxEventBytes});
+    response_body body({.framing = current.framing,
+                        .isEventStream = true,
+                        .maxHeldBytes = maxEventBytes,
+                        .answerField = requestIdName});
     while (true) {
         const std::string events = body.feed(current.stream->buffer());
         if (containsData(events))
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -154,10 +154,13 @@
 void request_runner::logBrokenOff(const attempt &current, const response_body &body,
                                   const char *reason) const
 {
+    if (body.hasFurtherAnswer())
+        m_state.metrics().counterOf("trefoil_answers_joined_total").add();
     writeEvent(event_line("proxy", "answer_broken_off")
                    .add("request", m_fields.requestId)
                    .add("server", current.placed.server)
-                   .add("reason", reason)
+                   .add("reason", body.hasFurtherAnswer() ? "further_answer" : reason)
+                   .add("reused", current.isReused)
                    .add("held_bytes", std::uint64_t {body.heldBytes()})
                    .add("last_event", m_progress.lastEventId()));
 }
