Events whose ids don't follow the last one are not passed on

What callers would see: a stream that was resumed at a server that ignores Last-Event-Id, or goes by another one, had events twice or lacked some; a stream whose server answered a second time inside it had its events twice. The end was proper each time.

Numeric ids must increase over all runs of a stream, and from the caller's own Last-Event-Id on where the route is resumable. A run that goes on after event n must begin with n + 1 if at least two ids have followed each other by one and none by more. The attempt is broken off before the first event that is out of order; the stream goes on elsewhere or is aborted like any broken one. Ids may jump otherwise: n + 1 in all cases would break off sound streams, in particular each one that a caller resumes. One id alone therefore doesn't show a gap, and a gap inside a run isn't seen.

--- a/libs/http/include/http/stream_progress.h
+++ b/libs/http/include/http/stream_progress.h
@@ -12,9 +12,14 @@
 class stream_progress
 {
 public:
-    /// Returns the first of the complete events @p events, up to one whose id goes back: an event
-    /// with data whose id is not above the one before, or one without data whose id is below it.
-    /// Only ids that are decimal numbers are compared.
+    /// Begins a run that goes on after lastEventId(), or, if that is "", after the event with the
+    /// id @p callerHas, "" for a run from the start of the stream.
+    void beginRun(std::string_view callerHas);
+    /// Returns the first of the complete events @p events, up to one that is out of order: its id
+    /// goes back, i.e. it has data and an id that is not above the one before, or no data and an id
+    /// below it; or it is the first of a run and leaves an event out. That is known only if the ids
+    /// so far, two at least, followed each other by one: a stream's ids may jump. Only ids that are
+    /// decimal numbers are compared.
     std::string_view inOrder(std::string_view events) const;
     /// Records complete events that were passed on.
     void record(std::string_view events);
@@ -33,6 +38,11 @@
 
         /// The last id, if it is a number.
         std::optional<std::uint64_t> last;
+        /// Whether an id has followed the one before by one, and whether one has by more.
+        bool hasSteps = false;
+        bool hasJumps = false;
+        /// Whether no id of the present run was recorded.
+        bool isRunBegin = false;
     };
 
     std::string m_lastEventId;
--- a/libs/http/src/stream_progress.cpp
+++ b/libs/http/src/stream_progress.cpp
@@ -37,10 +37,27 @@
 bool stream_progress::event_order::accept(std::string_view id, bool hasData)
 {
     const std::optional<std::uint64_t> number = parseDecimal(id);
-    const bool goesBack = number && last && (hasData ? *number <= *last : *number < *last);
-    if (!goesBack)
-        last = number;
-    return !goesBack;
+    if (number && last) {
+        const bool isRepeated = *number == *last;
+        const bool isNext = *number == *last + 1;
+        const bool isConsecutive = hasSteps && !hasJumps;
+        if (*number < *last || (isRepeated && hasData))
+            return false;
+        if (isRunBegin && isConsecutive && !isRepeated && !isNext)
+            return false;
+        hasSteps = hasSteps || isNext;
+        hasJumps = hasJumps || (!isRepeated && !isNext);
+        isRunBegin = isRunBegin && isRepeated;
+    }
+    last = number;
+    return true;
+}
+
+void stream_progress::beginRun(std::string_view callerHas)
+{
+    if (m_lastEventId.empty())
+        m_order.last = parseDecimal(callerHas);
+    m_order.isRunBegin = true;
 }
 
 std::string_view stream_progress::inOrder(std::string_view events) const
--- a/libs/http/tests/stream_progress_test.cpp
+++ b/libs/http/tests/stream_progress_test.cpp
@@ -63,4 +63,31 @@
     }
 }
 
+// A server that went on after another event than it was asked to was passed on.
+TEST(StreamProgress, RunMayLeaveEventsOutOnlyWhereIdsAreKnownToJump)
+{
+    const auto goesOn = [](std::string_view callerHas, std::string_view first, int next) {
+        stream_progress progress;
+        progress.beginRun(callerHas);
+        progress.record(first);
+        progress.beginRun(callerHas);
+        const std::string event = "id: " + std::to_string(next) + "\ndata: x\n\n";
+        return progress.inOrder(event) == event;
+    };
+    const std::string consecutive = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const std::string jumping = consecutive + "id: 7\ndata: c\n\n";
+    EXPECT_TRUE(goesOn("", consecutive, 3));
+    EXPECT_FALSE(goesOn("", consecutive, 4));
+    EXPECT_FALSE(goesOn("", consecutive, 2));
+    EXPECT_TRUE(goesOn("", jumping, 9));
+    EXPECT_FALSE(goesOn("", jumping, 7));
+    EXPECT_TRUE(goesOn("", "id: 1\ndata: a\n\n", 3));
+    EXPECT_FALSE(goesOn("", "id: 1\ndata: a\n\n", 1));
+    EXPECT_TRUE(goesOn("4", "", 6));
+    EXPECT_FALSE(goesOn("4", "", 4));
+    EXPECT_FALSE(goesOn("4", "", 0));
+    EXPECT_FALSE(goesOn("4", "id: 5\ndata: a\n\n", 7));
+    EXPECT_TRUE(goesOn("x", "", 0));
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -455,19 +455,24 @@
                         .isEventStream = true,
                         .maxHeldBytes = maxEventBytes,
                         .answerField = requestIdName});
+    // Only a server that resumes streams is known to go by the caller's field.
+    m_progress.beginRun(m_admitted.route->isResumable ? m_fields.lastEventId : "");
     while (true) {
-        const std::string events = body.feed(current.stream->buffer());
+        const std::string received = body.feed(current.stream->buffer());
+        const std::string_view events = m_progress.inOrder(received);
         if (containsData(events))
             current.progressAt = boot_clock::now();
         recordEvents(current, events);
-        const std::string_view inOrder = m_progress.inOrder(events);
-        if (inOrder.size() < events.size())
-            logOutOfOrder(current, std::string_view(events).substr(inOrder.size()));
-        const bool isWhole = body.state() == body_state::Whole;
+        const bool isOutOfOrder = events.size() < received.size();
+        const bool isWhole = !isOutOfOrder && body.state() == body_state::Whole;
         if ((!events.empty() || isWhole)
             && !m_response.sendEvents(current.head, events, isWhole, m_deadline))
             return attempt_end::CallerBroken;
         m_progress.record(events);
+        if (isOutOfOrder) {
+            logOutOfOrder(current, std::string_view(received).substr(events.size()));
+            return attempt_end::Broken;
+        }
         if (isWhole) {
             current.timer->onComplete();
             m_status = current.head.status;
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -139,13 +139,13 @@
                    .add("after_ms", toMilliseconds(boot_clock::now() - current.sentAt)));
 }
 
-void request_runner::logOutOfOrder(const attempt &current, std::string_view event) const
+void request_runner::logOutOfOrder(const attempt &current, std::string_view events) const
 {
     m_state.metrics().counterOf("trefoil_streams_out_of_order_total").add();
     writeEvent(event_line("proxy", "event_out_of_order")
                    .add("request", m_fields.requestId)
                    .add("server", current.placed.server)
-                   .add("event", loggedPart(eventId(event)))
+                   .add("event", loggedPart(eventId(events)))
                    .add("last_event", loggedPart(m_progress.lastEventId()))
                    .add("reused", current.isReused)
                    .add("runs", m_runs));
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -92,7 +92,7 @@
     });
 }
 
-void request_runner::recordEvents(attempt &current, const std::string &events)
+void request_runner::recordEvents(attempt &current, std::string_view events)
 {
     if (events.empty())
         return;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -166,7 +166,7 @@
     void countRun(attempt &current);
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
-    void recordEvents(attempt &current, const std::string &events);
+    void recordEvents(attempt &current, std::string_view events);
     silence_limits silenceLimitsOf(const attempt &current, bool canRetry) const;
     /// Returns whether the attempt ends because its server has been silent for too long. If another
     /// server takes the request, it ends sooner and its retry has been taken from the budget.
@@ -208,8 +208,8 @@
     void logAttemptEnd(const attempt &current, attempt_end end) const;
     /// Logs that an answer of another request, which @p current holds, is skipped.
     void logSkipped(const attempt &current) const;
-    /// Logs that @p event, the first of the events to pass on, doesn't follow the last one.
-    void logOutOfOrder(const attempt &current, std::string_view event) const;
+    /// Logs that the first of @p events isn't passed on, since it doesn't follow the last one.
+    void logOutOfOrder(const attempt &current, std::string_view events) const;
     void logBrokenOff(const attempt &current, const response_body &body, const char *reason) const;
     void logEnd(std::string_view outcome, int status) const;
 
