A request with HEAD has a connection of its own

What callers would see: 502 for a sound answer that followed a late one to a request of another method.

Cause: a late answer is read by the method of the request that waits. The body of a late answer to GET was taken for the head of the answer to HEAD, and the answer to GET for the body of a late answer to HEAD. An answer doesn't tell the method that it belongs to.

A HEAD is sent on a new connection, which isn't kept. Rare, so the cost is one connection each.

LateAnswerToAnotherMethodSpoilsNoAnswer failed both ways before and passes.

--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -100,7 +100,6 @@
                                                                           attempt &current)
 {
     const server_placement &placed = current.placed;
-    const duration maxIdle = mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable;
     std::vector<endpoint> relays;
     if (placed.isRelayed)
         relays = m_state.with(
@@ -111,25 +110,32 @@
         const endpoint &relay = relays[(first + i) % relays.size()];
         current.connectionName = toString(relay) + "/" + placed.server;
         result<server_connection_pool::pooled_connection> acquired =
-            m_connections.acquire(current.connectionName, maxIdle, [&] {
-                return connectThrough(relay, placed.address, connectTimeout);
-            });
+            acquire(current.connectionName,
+                    [&] { return connectThrough(relay, placed.address, connectTimeout); });
         if (acquired) {
             m_state.metrics().counterOf("trefoil_relayed_requests_total").add();
             return acquired;
         }
     }
     current.connectionName = placed.server;
-    result<server_connection_pool::pooled_connection> acquired =
-        m_connections.acquire(placed.server, maxIdle, [&] {
-            return byte_stream::connect(placed.address,
-                                        std::min<duration>(connectTimeout, m_deadline - now));
-        });
+    result<server_connection_pool::pooled_connection> acquired = acquire(placed.server, [&] {
+        return byte_stream::connect(placed.address,
+                                    std::min<duration>(connectTimeout, m_deadline - now));
+    });
     if (!acquired || !acquired->isReused)
         recordConnection(m_state, now, placed.server, acquired.has_value());
     return acquired;
 }
 
+result<server_connection_pool::pooled_connection>
+request_runner::acquire(std::string_view name, const std::function<result<byte_stream>()> &open)
+{
+    if (!hasUsualFraming())
+        return server_connection_pool::open(open);
+    return m_connections.acquire(name, mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable,
+                                 open);
+}
+
 request_runner::attempt_end request_runner::send(attempt &current)
 {
     const server_placement &placed = current.placed;
@@ -410,7 +416,8 @@
 
 void request_runner::returnConnection(attempt &current)
 {
-    const bool mayKeep = current.isRequestWritten && current.framing.end != body_end::Close
+    const bool mayKeep = current.isRequestWritten && hasUsualFraming()
+        && current.framing.end != body_end::Close
         && isKeepAlive(current.head.headers, current.head.isHttp10)
         && current.stream->buffer().empty();
     if (!mayKeep)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -150,6 +151,13 @@
     /// Takes or opens a connection to the server of @p current, through another instance if this
     /// one is cut off from the servers and another takes it.
     result<server_connection_pool::pooled_connection> connect(timestamp now, attempt &current);
+    /// Takes a connection called @p name from the pool or opens one with @p open.
+    result<server_connection_pool::pooled_connection>
+    acquire(std::string_view name, const std::function<result<byte_stream>()> &open);
+    /// Returns whether the answers to the request's method are framed like most. A connection that
+    /// carries a request of another method carries no other one, since a late answer can be read
+    /// only by the method of its request, which it doesn't tell.
+    bool hasUsualFraming() const { return m_request.head.method != "HEAD"; }
     /// Returns whether the attempt must not be sent since a zone that it uses has been evacuated.
     bool usesEvacuatedZone(const attempt &current);
     attempt_end readHead(attempt &current);
--- a/trefoilrouter/src/edge/server_connection_pool.cpp
+++ b/trefoilrouter/src/edge/server_connection_pool.cpp
@@ -33,6 +33,12 @@
         if (now < found->expiresAt && now - found->idleSince <= maxIdle && found->stream.isIdle())
             return pooled_connection {.stream = std::move(found->stream), .isReused = true};
     }
+    return open(connect);
+}
+
+result<server_connection_pool::pooled_connection>
+server_connection_pool::open(const std::function<result<byte_stream>()> &connect)
+{
     result<byte_stream> opened = connect();
     if (!opened)
         return tl::unexpected(opened.error());
--- a/trefoilrouter/src/edge/server_connection_pool.h
+++ b/trefoilrouter/src/edge/server_connection_pool.h
@@ -31,6 +31,8 @@
     /// @p connect opens, with its errors.
     result<pooled_connection> acquire(std::string_view name, duration maxIdle,
                                       const std::function<result<byte_stream>()> &connect);
+    /// Returns a connection that @p connect opens, with its errors.
+    static result<pooled_connection> open(const std::function<result<byte_stream>()> &connect);
     /// Keeps a connection of @p name that carried a complete answer for at most @p idleTimeout.
     void release(std::string_view name, byte_stream stream, duration idleTimeout);
     /// Closes connections whose idle timeout has expired.
