--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -100,7 +100,6 @@
                                                                           attempt &current)
 {
     const server_placement &placed = current.placed;
-    const duration maxIdle = mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable;
     std::vector<endpoint> relays;
     if (placed.isRelayed)
         relays = m_state.with(
@@ -111,25 +110,32 @@
         const endpoint &relay = relays[(first + i) % relays.size()];
         current.connectionName = toString(relay) + "/" + placed.server;
         result<server_connection_pool::pooled_connection> acquired =
-            m_connections.acquire(current.connectionName, maxIdle, [&] {
-                return connectThrough(relay, placed.address, connectTimeout);
-            });
+            acquire(current.connectionName,
+                    [&] { return connectThrough(relay, placed.address, connectTimeout); });
         if (acquired) {
             m_state.metrics().counterOf("trefoil_relayed_requests_total").add();
             return acquired;
         }
     }
     current.connectionName = placed.server;
-    result<server_connection_pool::pooled_connection> acquired =
-        m_connections.acquire(placed.server, maxIdle, [&] {
-            return byte_stream::connect(placed.address,
-                                        std::min<duration>(connectTimeout, m_deadline - now));
-        });
+    result<server_connection_pool::pooled_connection> acquired = acquire(placed.server, [&] {
+        return byte_stream::connect(placed.address,
+                                    std::min<duration>(connectTimeout, m_deadline - now));
+    });
     if (!acquired || !acquired->isReused)
         recordConnection(m_state, now, placed.server, acquired.has_value());
     return acquired;
 }
 
+result<server_connection_pool::pooled_connection>
+request_runner::acquire(std::string_view name, const std::function<result<byte_stream>()> &open)
+{
+    if (!hasUsualFraming())
+        return server_connection_pool::open(open);
+    return m_connections.acquire(name, mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable,
+                                 open);
+}
+
 request_runner::attempt_end request_runner::send(attempt &current)
 {
     const server_placement &placed = current.placed;
@@ -339,6 +345,7 @@
         if (current.fields.requestId.empty() || current.fields.requestId == m_fields.requestId)
             return attempt_end::Delivered;
         // A late answer to an earlier request on this connection precedes the one to this request.
+        logSkipped(current);
         response_body dropped({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
         const attempt_end skipped = readBody(current, dropped);
         if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
@@ -409,7 +416,8 @@
 
 void request_runner::returnConnection(attempt &current)
 {
-    const bool mayKeep = current.isRequestWritten && current.framing.end != body_end::Close
+    const bool mayKeep = current.isRequestWritten && hasUsualFraming()
+        && current.framing.end != body_end::Close
         && isKeepAlive(current.head.headers, current.head.isHttp10)
         && current.stream->buffer().empty();
     if (!mayKeep)
@@ -421,8 +429,9 @@
 
 request_runner::attempt_end request_runner::forwardBuffered(attempt &current)
 {
-    response_body body(
-        {.framing = current.framing, .maxHeldBytes = m_state.readBudget().maxMessageBytes()});
+    response_body body({.framing = current.framing,
+                        .maxHeldBytes = m_state.readBudget().maxMessageBytes(),
+                        .answerField = requestIdName});
     const attempt_end end = readBody(current, body);
     if (end != attempt_end::Delivered)
         return end;
@@ -449,18 +458,28 @@
 
 request_runner::attempt_end request_runner::forwardStream(attempt &current)
 {
-    response_body body(
-        {.framing = current.framing, .isEventStream = true, .maxHeldBytes = maxEventBytes});
+    response_body body({.framing = current.framing,
+                        .isEventStream = true,
+                        .maxHeldBytes = maxEventBytes,
+                        .answerField = requestIdName});
+    // Only a server that resumes streams is known to go by the caller's field.
+    m_progress.beginRun(m_admitted.route->isResumable ? m_fields.lastEventId : "");
     while (true) {
-        const std::string events = body.feed(current.stream->buffer());
+        const std::string received = body.feed(current.stream->buffer());
+        const std::string_view events = m_progress.inOrder(received);
         if (containsData(events))
             current.progressAt = boot_clock::now();
         recordEvents(current, events);
-        const bool isWhole = body.state() == body_state::Whole;
+        const bool isOutOfOrder = events.size() < received.size();
+        const bool isWhole = !isOutOfOrder && body.state() == body_state::Whole;
         if ((!events.empty() || isWhole)
             && !m_response.sendEvents(current.head, events, isWhole, m_deadline))
             return attempt_end::CallerBroken;
         m_progress.record(events);
+        if (isOutOfOrder) {
+            logOutOfOrder(current, std::string_view(received).substr(events.size()));
+            return attempt_end::Broken;
+        }
         if (isWhole) {
             current.timer->onComplete();
             m_status = current.head.status;
