Calls between instances: an answer is that to the call only if it has its id

Callers of mode serve would have seen, had a peer's answer come twice: a grant of tokens to another team, the confirmation of another key, a forwarded ping that never reached its target.

Cause: each JSON-RPC call had the id 1, on connections that are kept, and the answer's id was not compared. Found by reading; instances have not been seen to answer twice.

Change: each call of a process has an id of its own, which the peers' servers return already, those of earlier builds too. The client writes and reads the few fields itself, as libjsonrpccpp's client has a fixed id.

--- a/libs/rpc/include/rpc/rpc.h
+++ b/libs/rpc/include/rpc/rpc.h
@@ -38,7 +38,8 @@
 };
 
 /// Calls a peer with @p message over @p transport and fills in @p answer. Returns false and
-/// describes the failure in @p errorMessage if no valid answer came. Thread-safe.
+/// describes the failure in @p errorMessage if no valid answer to this call came: what the
+/// transport receives from then on may belong to this call, so it should be closed. Thread-safe.
 bool rpcCall(const rpc_transport &transport, const Json::Value &message, Json::Value &answer,
              std::string &errorMessage);
 
--- a/libs/rpc/src/rpc.cpp
+++ b/libs/rpc/src/rpc.cpp
@@ -1,6 +1,9 @@
 #include <rpc/rpc.h>
 
-#include <jsonrpccpp/client.h>
+#include <atomic>
+
+#include <json/reader.h>
+#include <json/writer.h>
 #include <jsonrpccpp/server.h>
 
 namespace trefoil {
@@ -24,23 +27,34 @@
     }
 };
 
-/// Client connector that sends the request text over an rpc_transport.
-class transport_client_connector : public jsonrpc::IClientConnector
+/// Returns the id of the next call. An answer with another one is that to an earlier call.
+int nextCallId()
 {
-public:
-    explicit transport_client_connector(const rpc_transport &transport) : m_transport(transport) { }
+    static std::atomic<unsigned> lastId {0};
+    constexpr unsigned maxId = 0x7fffffff;
+    return static_cast<int>(++lastId & maxId);
+}
 
-    void SendRPCMessage(const std::string &message,
-                        std::string &result) throw(jsonrpc::JsonRpcException) override
-    {
-        if (!m_transport(message, result))
-            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
-                                            "the peer did not answer");
-    }
+std::string toText(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
 
-private:
-    const rpc_transport &m_transport;
-};
+/// Parses @p text. Returns null if it is not valid.
+Json::Value parse(const std::string &text)
+{
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    Json::Value value;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, nullptr))
+            return value;
+    } catch (const Json::Exception &) {
+        // It is nested too deeply.
+    }
+    return Json::Value();
+}
 
 } // namespace
 
@@ -90,17 +104,32 @@
 bool rpcCall(const rpc_transport &transport, const Json::Value &message, Json::Value &answer,
              std::string &errorMessage)
 {
-    transport_client_connector connector(transport);
-    jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
-    Json::Value parameters(Json::objectValue);
-    parameters[parameterName] = message;
-    try {
-        answer = client.CallMethod(methodName, parameters);
-        return true;
-    } catch (const jsonrpc::JsonRpcException &exception) {
-        errorMessage = exception.what();
+    const int id = nextCallId();
+    Json::Value call(Json::objectValue);
+    call["jsonrpc"] = "2.0";
+    call["id"] = id;
+    call["method"] = methodName;
+    call["params"][parameterName] = message;
+    std::string text;
+    if (!transport(toText(call), text)) {
+        errorMessage = "the peer did not answer";
+        return false;
+    }
+    const Json::Value response = parse(text);
+    if (!response.isObject()) {
+        errorMessage = "the peer's answer is not a JSON object";
+        return false;
+    }
+    if (response["id"] != Json::Value(id)) {
+        errorMessage = "the peer's answer is that to another call";
+        return false;
+    }
+    if (!response.isMember("result")) {
+        errorMessage = "the peer reported an error: " + toText(response["error"]);
         return false;
     }
+    answer = response["result"];
+    return true;
 }
 
 } // namespace trefoil
--- a/libs/rpc/tests/rpc_test.cpp
+++ b/libs/rpc/tests/rpc_test.cpp
@@ -37,6 +37,44 @@
     EXPECT_FALSE(rpcCall(garbled, Json::Value(Json::objectValue), answer, errorMessage));
 }
 
+// A peer's answer that came twice was taken for that to the next call on its connection, such as a
+// grant of tokens to another team.
+TEST(Rpc, AnswerToAnEarlierCallIsNotTaken)
+{
+    rpc_server server([](const Json::Value &message) { return message; });
+    std::string previous;
+    const rpc_transport repeating = [&](const std::string &request, std::string &response) {
+        const std::string current = server.answer(request);
+        response = previous.empty() ? current : previous;
+        previous = current;
+        return true;
+    };
+    Json::Value message(Json::objectValue);
+    Json::Value answer;
+    std::string errorMessage;
+    message["team"] = "reef";
+    ASSERT_TRUE(rpcCall(repeating, message, answer, errorMessage)) << errorMessage;
+    message["team"] = "kelp";
+    EXPECT_FALSE(rpcCall(repeating, message, answer, errorMessage)) << answer["team"].asString();
+    EXPECT_EQ(answer["team"].asString(), "reef") << "the answer was replaced";
+}
+
+// An error of the peer ends the call as one that failed.
+TEST(Rpc, ErrorOfThePeerIsReported)
+{
+    rpc_server server([](const Json::Value &message) { return message; });
+    const rpc_transport renaming = [&](const std::string &request, std::string &response) {
+        std::string other = request;
+        other.replace(other.find("deliver"), std::string("deliver").size(), "unknown");
+        response = server.answer(other);
+        return true;
+    };
+    Json::Value answer;
+    std::string errorMessage;
+    EXPECT_FALSE(rpcCall(renaming, Json::Value(Json::objectValue), answer, errorMessage));
+    EXPECT_NE(errorMessage.find("METHOD_NOT_FOUND"), std::string::npos) << errorMessage;
+}
+
 TEST(Rpc, MalformedRequestGetsAJsonRpcError)
 {
     rpc_server server([](const Json::Value &) { return Json::Value(Json::objectValue); });
