Store's copies: changes that the copy already covers don't bring a removed object back

Callers would have seen requests sent to a server that is gone, or a zone evacuated whose evacuation the operator had ended, until the next full read, which may be never.

Cause: a change was applied to an object that the copy doesn't have without a look at its revision. Two ways lead there: a read that is under way while another instance's newer copy is taken over, and the answer to an earlier watch sent once more. The removal lies before the next read then.

Change: a change up to the copy's revision, of an object that the copy lacks, has been removed since and is left out.

--- a/libs/platform/src/object_mirror.cpp
+++ b/libs/platform/src/object_mirror.cpp
@@ -226,6 +226,9 @@
     for (const object &each : changed) {
         m_newestChange = std::max(m_newestChange, each.version);
         const auto current = m_objects.find(each.name);
+        // The object has been removed since.
+        if (current == m_objects.end() && !each.isRemoved && each.version <= m_upToVersion)
+            continue;
         const bool isNewer = current == m_objects.end() || each.version > current->second.version;
         if (current == m_objects.end() || each.version >= current->second.version) {
             recordSeen(now, each);
--- a/libs/platform/tests/object_mirror_test.cpp
+++ b/libs/platform/tests/object_mirror_test.cpp
@@ -41,6 +41,35 @@
     EXPECT_EQ(mirror.objects().size(), 1u);
 }
 
+// A read that was under way while another instance's copy was taken over brought a removed server
+// back for good: its removal lay before the next read.
+TEST(ObjectMirror, ChangesThatACopyAlreadyCoversDoNotBringARemovedObjectBack)
+{
+    object_mirror mirror;
+    const timestamp now {};
+    mirror.applySnapshot(now, entries {entry("a", 5)}, 10);
+    mirror.applyCopy(now, {.objects = entries {entry("a", 5)}, .upToVersion = 30});
+    EXPECT_FALSE(mirror.applyChanges(now, entries {entry("b", 15)}, 20));
+    EXPECT_FALSE(mirror.objects().contains("b"));
+    EXPECT_EQ(mirror.upToVersion(), 30U);
+    // The same object may be created again.
+    EXPECT_TRUE(mirror.applyChanges(now, entries {entry("b", 31)}, 31));
+    EXPECT_TRUE(mirror.objects().contains("b"));
+}
+
+// The answer to an earlier watch, sent once more, brought a removed server back.
+TEST(ObjectMirror, RepeatedChangesDoNotBringARemovedObjectBack)
+{
+    object_mirror mirror;
+    const timestamp now {};
+    mirror.applySnapshot(now, entries {}, 10);
+    EXPECT_TRUE(mirror.applyChanges(now, entries {entry("a", 15)}, 15));
+    EXPECT_TRUE(mirror.applyChanges(now, entries {entry("a", 20, true)}, 20));
+    EXPECT_FALSE(mirror.applyChanges(now, entries {entry("a", 15)}, 15));
+    EXPECT_TRUE(mirror.objects().empty());
+    EXPECT_EQ(mirror.upToVersion(), 20U);
+}
+
 TEST(ObjectMirror, ObjectsMissingAfterAnOutageAreKeptForTheGracePeriod)
 {
     object_mirror mirror;
