Calls to the store: connections are kept for calls of one subject only

Callers would have seen, had the store sent an answer twice: a release whose final state was never written because the answer to an earlier write counted as its acknowledgement, the list of servers replaced by that of another kind (no server left), a dead instance's entry "removed" that stays.

Cause: all calls shared the kept connections, and an answer names neither its call nor its kind. The platform's store returns no id, so that a second answer that comes after the next call was written can't be told apart by itself.

Change: a call has a subject, and a connection serves one subject. The same in mode serve: writes to the platform have connections of their own, reads share one by object or prefix. New connections to the store are not limited; the calls are as many as before.

--- a/trefoilrouter/src/http_object_store.cpp
+++ b/trefoilrouter/src/http_object_store.cpp
@@ -12,6 +12,9 @@
 /// The platform normally responds within milliseconds.
 constexpr duration callTimeout = std::chrono::seconds(2);
 
+/// Subject of writes: no earlier response can be taken for the acknowledgement.
+constexpr std::string_view noSubject;
+
 tl::unexpected<error> errorFromStatus(int status, const std::string &target)
 {
     if (status == HTTPResponse::HTTP_NOT_FOUND)
@@ -42,10 +45,11 @@
     : m_client(std::move(address), callsPerSecond)
 { }
 
-result<Json::Value> http_object_store::call(const http_request &request, duration timeout)
+result<Json::Value> http_object_store::call(const http_request &request, duration timeout,
+                                            std::string_view subject)
 {
     const result<json_http_client::response> response =
-        m_client.call(request, {.idle = timeout, .total = timeout * 2});
+        m_client.call(request, {.idle = timeout, .total = timeout * 2}, subject);
     if (!response)
         return tl::unexpected(response.error());
     if (response->status != HTTPResponse::HTTP_OK)
@@ -55,7 +59,8 @@
 
 result<object> http_object_store::get(const std::string &name)
 {
-    const result<Json::Value> response = call({.path = "/objects/" + encodeUri(name)}, callTimeout);
+    const result<Json::Value> response =
+        call({.path = "/objects/" + encodeUri(name)}, callTimeout, "object " + name);
     if (!response)
         return tl::unexpected(response.error());
     return objectFromJson(*response);
@@ -64,7 +69,7 @@
 result<std::vector<object>> http_object_store::list(const std::string &prefix)
 {
     const result<Json::Value> response =
-        call({.path = "/objects?prefix=" + encodeUri(prefix)}, callTimeout);
+        call({.path = "/objects?prefix=" + encodeUri(prefix)}, callTimeout, "list " + prefix);
     if (!response)
         return tl::unexpected(response.error());
     return parseObjects((*response)["items"]);
@@ -78,7 +83,7 @@
               .path = "/objects/" + encodeUri(name) + "?expected=" + std::to_string(expected),
               .body = value,
               .contentType = "application/octet-stream"},
-             callTimeout);
+             callTimeout, noSubject);
     if (!response)
         return tl::unexpected(response.error());
     return integerOr(*response, "version");
@@ -90,7 +95,7 @@
     const result<Json::Value> response =
         call({.path = "/watch?prefix=" + encodeUri(prefix) + "&from=" + std::to_string(from)
                   + "&wait_ms=" + std::to_string(toMilliseconds(maxWait))},
-             callTimeout + maxWait);
+             callTimeout + maxWait, "watch " + prefix);
     if (!response)
         return tl::unexpected(response.error());
     return object_changes {.changed = parseObjects((*response)["changed"]),
@@ -99,7 +104,7 @@
 
 result<std::vector<listed_instance>> http_object_store::instances()
 {
-    const result<Json::Value> response = call({.path = "/instances"}, callTimeout);
+    const result<Json::Value> response = call({.path = "/instances"}, callTimeout, "instances");
     if (!response)
         return tl::unexpected(response.error());
     std::vector<listed_instance> listed;
--- a/trefoilrouter/src/http_object_store.h
+++ b/trefoilrouter/src/http_object_store.h
@@ -30,7 +30,9 @@
     const call_budget &budget() const { return m_client.budget(); }
 
 private:
-    result<Json::Value> call(const http_request &request, duration timeout);
+    /// Calls the platform, with @p subject as in json_http_client::call().
+    result<Json::Value> call(const http_request &request, duration timeout,
+                             std::string_view subject);
 
     json_http_client m_client;
 };
--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -1,6 +1,7 @@
 #include "json_http_client.h"
 
 #include <array>
+#include <iterator>
 
 #include <platform/object_store.h>
 
@@ -23,25 +24,33 @@
     : m_address(std::move(address)), m_budget(callsPerSecond), m_byteBudget(budget)
 { }
 
-http_connection json_http_client::takeConnection()
+http_connection json_http_client::takeConnection(std::string_view subject)
 {
     const timestamp now = boot_clock::now();
     const std::lock_guard<std::mutex> lock(m_mutex);
-    std::erase_if(m_idle,
-                  [now](const idle_connection &each) { return now - each.since > maxIdleTime; });
-    while (!m_idle.empty()) {
-        http_connection connection = std::move(m_idle.back().connection);
-        m_idle.pop_back();
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        std::erase_if(it->second, [now](const idle_connection &each) {
+            return now - each.since > maxIdleTime;
+        });
+        it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+    }
+    const auto idle = m_idle.find(subject);
+    while (idle != m_idle.end() && !idle->second.empty()) {
+        http_connection connection = std::move(idle->second.back().connection);
+        idle->second.pop_back();
         if (connection.isReusable())
             return connection;
     }
     return http_connection(m_address);
 }
 
-void json_http_client::returnConnection(http_connection connection)
+void json_http_client::returnConnection(std::string_view subject, http_connection connection)
 {
+    if (subject.empty())
+        return;
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_idle.push_back({.connection = std::move(connection), .since = boot_clock::now()});
+    m_idle[std::string(subject)].push_back(
+        {.connection = std::move(connection), .since = boot_clock::now()});
 }
 
 void json_http_client::closeIdleConnections()
@@ -51,12 +60,14 @@
 }
 
 result<json_http_client::response> json_http_client::call(const http_request &request,
-                                                          const call_times &times)
+                                                          const call_times &times,
+                                                          std::string_view subject)
 {
     if (!m_budget.take(boot_clock::now()))
         return failure(platform_errors::refused,
                        "the rate limit of calls to the platform is exceeded");
-    http_connection connection = takeConnection();
+    http_connection connection =
+        subject.empty() ? http_connection(m_address) : takeConnection(subject);
     const result<http_response> httpResponse =
         connection.send(request,
                         {.total = times.total,
@@ -75,7 +86,7 @@
                                       : platform_errors::unavailable,
                        httpResponse.error().message);
     }
-    returnConnection(std::move(connection));
+    returnConnection(subject, std::move(connection));
     response parsed {.status = httpResponse->status, .body = {}, .headers = httpResponse->headers};
     if (httpResponse->body.empty())
         return parsed;
--- a/trefoilrouter/src/json_http_client.h
+++ b/trefoilrouter/src/json_http_client.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <configuration/settings.h>
@@ -15,6 +17,10 @@
 
 /// Client of one HTTP server with JSON responses. Keeps connections open and limits the rate of
 /// calls. Thread-safe.
+///
+/// Responses carry no id, so that a server that sends one twice answers the next call on that
+/// connection with it. A kept connection therefore serves the calls of one subject only, and what
+/// the caller knows of the subject has to tell an earlier response from the one that is due.
 class json_http_client
 {
 public:
@@ -48,9 +54,15 @@
         /// Lets another thread end the wait for the response, if set.
         response_wait *wait = nullptr;
     };
-    /// Sends @p request and returns the response. Errors: those of platform_errors; refused if the
-    /// call rate limit is exceeded, unknown-outcome if a write may have taken effect.
-    result<response> call(const http_request &request, const call_times &times);
+    /// Sends @p request and returns the response. Uses a connection that only calls of the same
+    /// @p subject have used, or one that no other call uses if it is empty. Errors: those of
+    /// platform_errors; refused if the call rate limit is exceeded, unknown-outcome if a write may
+    /// have taken effect.
+    result<response> call(const http_request &request, const call_times &times,
+                          std::string_view subject);
+    /// Closes the idle connections: the server that answered on one may answer wrongly again, and
+    /// one that failed may have taken the others with it.
+    void closeIdleConnections();
 
     /// Returns the call rate limiter, for metrics.
     const call_budget &budget() const { return m_budget; }
@@ -62,16 +74,15 @@
         timestamp since;
     };
 
-    http_connection takeConnection();
-    void returnConnection(http_connection connection);
-    /// Closes the idle connections: they may be as dead as the one that just failed.
-    void closeIdleConnections();
+    http_connection takeConnection(std::string_view subject);
+    void returnConnection(std::string_view subject, http_connection connection);
 
     endpoint m_address;
     call_budget m_budget;
     byte_budget *m_byteBudget;
     std::mutex m_mutex;
-    std::vector<idle_connection> m_idle;
+    /// Idle connections by subject.
+    std::map<std::string, std::vector<idle_connection>, std::less<>> m_idle;
 };
 
 } // namespace trefoil
