Relayed connections: a relay that is killed resets them

Callers would have seen a part of an answer as all of it: an answer without a length ends with its connection, and an instance that is cut off from the servers gets it through another one.

Cause: when a process is killed, or exits at the end of its grace period, the kernel ends its connections in order. The instance at the other end took that for the server's end of the answer. A relay passes a server's reset on, but not its own death.

Change: byte_stream::resetUnlessClosed() has the kernel reset the connection unless close() ends it, whatever becomes of the process. The relay sets it once the connection is established; an answer that the server has ended is still ended in order.

--- a/libs/http/include/http/byte_stream.h
+++ b/libs/http/include/http/byte_stream.h
@@ -61,6 +61,9 @@
     void abort();
     /// Shuts down the sending side; the remote side reads the end of the stream.
     void close();
+    /// From now on the connection is reset, as by abort(), unless close() ends it: also when this
+    /// object is destroyed or the process is killed.
+    void resetUnlessClosed();
 
     /// Returns the socket's descriptor, which this object owns.
     int descriptor() const { return m_socket.impl()->sockfd(); }
@@ -68,6 +71,8 @@
     std::string &buffer() { return m_buffer; }
 
 private:
+    /// Sets whether closing the socket resets the connection.
+    void setResetsOnClose(bool resets);
     /// Reads without waiting. Returns TimedOut if there is nothing to read.
     read_outcome receive();
 
@@ -75,6 +80,7 @@
     std::string m_buffer;
     /// Whether the remote side was seen to reset the connection.
     bool m_wasReset = false;
+    bool m_isResetUnlessClosed = false;
 };
 
 } // namespace trefoil
--- a/libs/http/src/byte_stream.cpp
+++ b/libs/http/src/byte_stream.cpp
@@ -147,10 +147,25 @@
     return m_buffer.empty() && ::poll(&wait, 1, 0) == 0;
 }
 
+void byte_stream::setResetsOnClose(bool resets)
+{
+    try {
+        m_socket.setLinger(resets, 0);
+    } catch (const Poco::Exception &) {
+        // The socket is closed already.
+    }
+}
+
+void byte_stream::resetUnlessClosed()
+{
+    m_isResetUnlessClosed = true;
+    setResetsOnClose(true);
+}
+
 void byte_stream::abort()
 {
+    setResetsOnClose(true);
     try {
-        m_socket.setLinger(true, 0);
         m_socket.close();
     } catch (const Poco::Exception &) {
         // The socket is closed already.
@@ -159,6 +174,8 @@
 
 void byte_stream::close()
 {
+    if (m_isResetUnlessClosed)
+        setResetsOnClose(false);
     try {
         m_socket.shutdownSend();
     } catch (const Poco::Exception &) {
--- a/libs/http/tests/byte_stream_test.cpp
+++ b/libs/http/tests/byte_stream_test.cpp
@@ -1,10 +1,13 @@
 #include <http/byte_stream.h>
 
+#include <csignal>
 #include <thread>
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace trefoil {
 
@@ -67,6 +70,41 @@
     EXPECT_EQ(outcome, read_outcome::Broken);
 }
 
+// The kernel closed the connections of a killed process in order: an answer that was cut looked
+// complete.
+TEST(ByteStream, ConnectionOfAKilledProcessIsReset)
+{
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    result<byte_stream> local = byte_stream::connect(
+        {.host = "127.0.0.1", .port = server.address().port()}, std::chrono::seconds(1));
+    ASSERT_TRUE(local);
+    pid_t child = 0;
+    {
+        byte_stream remote(server.acceptConnection());
+        remote.resetUnlessClosed();
+        child = ::fork();
+        ASSERT_GE(child, 0);
+        if (child == 0) {
+            ::pause();
+            ::_exit(0);
+        }
+    }
+    EXPECT_EQ(local->readMore(fromNow(100)), read_outcome::TimedOut);
+    ::kill(child, SIGKILL);
+    ::waitpid(child, nullptr, 0);
+    EXPECT_EQ(local->readMore(fromNow(1000)), read_outcome::Broken);
+}
+
+TEST(ByteStream, ConnectionThatIsClosedInOrderIsNotReset)
+{
+    connected_pair pair;
+    pair.remote.resetUnlessClosed();
+    ASSERT_TRUE(pair.remote.write("answer", fromNow(1000)));
+    pair.remote.close();
+    EXPECT_EQ(pair.local.readMore(fromNow(1000)), read_outcome::Bytes);
+    EXPECT_EQ(pair.local.readMore(fromNow(1000)), read_outcome::End);
+}
+
 TEST(ByteStream, ReadEndsWhenTheWatchedConnectionCloses)
 {
     connected_pair server;
--- a/trefoilrouter/src/edge/server_relay.cpp
+++ b/trefoilrouter/src/edge/server_relay.cpp
@@ -200,6 +200,8 @@
         caller.write(answerHead(status), boot_clock::now() + answerTimeout);
         caller.close();
     } else if (caller.write(answerHead(HTTPResponse::HTTP_OK), boot_clock::now() + answerTimeout)) {
+        // If this process is killed, an answer that ends with its connection must not look whole.
+        caller.resetUnlessClosed();
         const read_outcome end = forwardBothWays(state, caller, *server);
         if (end == read_outcome::End)
             caller.close();
