Stand-ins: answers that are sent twice, and the attempt's id in each answer

For tests of servers that stutter. {"repeat":"next"} at /admin sends each answer of the engine and of the service once more right before the next answer on that connection, {"repeat":"idle"} 20 ms later on the idle connection: plain answers, streams and the engine's states. /admin counts what was sent twice. The stand-ins return X-Attempt if the request has it.

--- a/standins/src/standin_engine.cpp
+++ b/standins/src/standin_engine.cpp
@@ -137,6 +137,7 @@
 
     void serveState(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
     {
+        m_stateRepeater.sendDue(request);
         const std::lock_guard<std::mutex> lock(m_mutex);
         const std::uint64_t firstSequence =
             std::strtoull(queryParameter(request, "from").c_str(), nullptr, 10);
@@ -150,7 +151,9 @@
         state["next_sequence"] = Json::UInt64(m_cache.nextSequence());
         state["events"] =
             firstSequence == 0 ? Json::Value(Json::arrayValue) : m_cache.eventsFrom(firstSequence);
-        sendJson(response, 200, writeJson(state));
+        const std::string body = writeJson(state);
+        sendJson(response, 200, body);
+        m_stateRepeater.arrange(request, response, body);
     }
 
     void serveLoadOrder(Poco::Net::HTTPServerRequest &request,
@@ -198,6 +201,9 @@
                 m_faultMode = textOr(*command, "mode", m_faultMode);
                 m_faultCount = static_cast<int>(integerOr(*command, "count", 1));
                 m_faultVersion = textOr(*command, "version");
+                const repeat_moment moment = parseRepeatMoment(textOr(*command, "repeat"));
+                m_repeater.setMoment(moment);
+                m_stateRepeater.setMoment(moment);
             }
         }
         Json::Value answer(Json::objectValue);
@@ -207,6 +213,8 @@
         for (const std::string &each : m_authorizations)
             answer["authorizations"].append(each);
         answer["version"] = m_version;
+        answer["repeated"] = Json::UInt64(m_repeater.count());
+        answer["repeated_states"] = Json::UInt64(m_stateRepeater.count());
         sendJson(response, 200, writeJson(answer));
     }
 
@@ -225,6 +233,7 @@
                          Poco::Net::HTTPServerResponse &response)
     {
         ++m_requestCount;
+        m_repeater.sendDue(request);
         std::string body = readRequestBody(request);
         body.reserve(body.size() + requestPadding);
         if (body.find("crash the server") != std::string::npos)
@@ -247,9 +256,9 @@
         m_runningCount.fetch_add(1);
         response.set("X-Cached-Tokens", std::to_string(job.cachedBlocks * 4000));
         if (job.isStream)
-            sendStream(job, faultMode, response);
+            sendStream(job, faultMode, request, response);
         else
-            sendCompletion(job, faultMode, response);
+            sendCompletion(job, faultMode, request, response);
         m_runningCount.fetch_sub(1);
     }
 
@@ -304,6 +313,7 @@
     }
 
     void sendCompletion(const generation_job &job, const std::string &faultMode,
+                        Poco::Net::HTTPServerRequest &request,
                         Poco::Net::HTTPServerResponse &response)
     {
         std::string text;
@@ -327,6 +337,7 @@
             return;
         }
         sendJson(response, 200, body);
+        m_repeater.arrange(request, response, body);
     }
 
     bool isCancelled(const std::string &attemptId)
@@ -336,11 +347,12 @@
     }
 
     void sendStream(const generation_job &job, const std::string &faultMode,
-                    Poco::Net::HTTPServerResponse &response)
+                    Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
     {
         response.setContentType("text/event-stream");
         response.setChunkedTransferEncoding(true);
         std::ostream &out = response.send();
+        std::string sent;
         for (int i = job.firstToken; i < job.tokenCount && faultMode != "empty"; ++i) {
             if (isCancelled(job.attemptId))
                 return;
@@ -355,13 +367,16 @@
                   "\"delta\":{\"content\":\""
                 + tokenText(job, i) + "\"}}]}\n\n";
             out << event << std::flush;
+            sent += event;
             if (faultMode == "twice")
                 out << event << std::flush;
             if (!out.good())
                 return;
             std::this_thread::sleep_for(std::chrono::milliseconds(m_options.tokenIntervalMs));
         }
-        out << "data: [DONE]\n\n" << std::flush;
+        constexpr std::string_view end = "data: [DONE]\n\n";
+        out << end << std::flush;
+        m_repeater.arrange(request, response, sent.append(end));
     }
 
     const standin_options &m_options;
@@ -375,6 +390,8 @@
     std::string m_faultVersion; // the only weights version that the fault applies to; empty for any
     std::set<std::string> m_cancelledAttempts;
     std::set<std::string> m_authorizations;
+    answer_repeater m_repeater;
+    answer_repeater m_stateRepeater;
     std::atomic<int> m_runningCount = 0;
     std::atomic<double> m_queuedTokens = 0;
     std::atomic<std::uint64_t> m_requestCount = 0;
--- a/standins/src/standin_server.cpp
+++ b/standins/src/standin_server.cpp
@@ -2,10 +2,13 @@
 
 #include <csignal>
 #include <iostream>
+#include <sstream>
 #include <thread>
+#include <utility>
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/URI.h>
 
 #include "http_util.h"
@@ -16,6 +19,25 @@
 
 constexpr std::size_t maxBodyBytes = 64 << 20;
 
+/// Delay of an answer that is sent again on the idle connection.
+constexpr duration idleRepeatDelay = std::chrono::milliseconds(20);
+
+Poco::Net::StreamSocket &connectionOf(Poco::Net::HTTPServerRequest &request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+}
+
+std::string encodeAnswer(const Poco::Net::HTTPServerResponse &response, std::string_view body)
+{
+    std::ostringstream text;
+    response.write(text);
+    if (response.getChunkedTransferEncoding())
+        text << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n\r\n";
+    else
+        text << body;
+    return text.str();
+}
+
 class function_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
@@ -25,6 +47,8 @@
                        Poco::Net::HTTPServerResponse &response) override
     {
         try {
+            if (request.has("X-Attempt"))
+                response.set("X-Attempt", request.get("X-Attempt"));
             if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_OPTIONS)
                 sendJson(response, 200, "{}"); // liveness probe
             else
@@ -55,6 +79,68 @@
 
 } // namespace
 
+repeat_moment parseRepeatMoment(std::string_view name)
+{
+    return name == "next" ? repeat_moment::NextAnswer
+        : name == "idle"  ? repeat_moment::Idle
+                          : repeat_moment::Never;
+}
+
+void answer_repeater::setMoment(repeat_moment moment)
+{
+    const std::lock_guard<std::mutex> lock(m_state->mutex);
+    m_state->moment = moment;
+    m_state->due.clear();
+}
+
+void answer_repeater::sendDue(Poco::Net::HTTPServerRequest &request)
+{
+    send(*m_state, connectionOf(request).impl());
+}
+
+void answer_repeater::arrange(Poco::Net::HTTPServerRequest &request,
+                              const Poco::Net::HTTPServerResponse &response, std::string_view body)
+{
+    const Poco::Net::StreamSocket &connection = connectionOf(request);
+    const void *key = connection.impl();
+    {
+        const std::lock_guard<std::mutex> lock(m_state->mutex);
+        if (m_state->moment == repeat_moment::Never)
+            return;
+        m_state->due.insert_or_assign(
+            key, due_answer {.connection = connection, .text = encodeAnswer(response, body)});
+        if (m_state->moment != repeat_moment::Idle)
+            return;
+    }
+    std::thread([shared = m_state, key] {
+        std::this_thread::sleep_for(idleRepeatDelay);
+        send(*shared, key);
+    }).detach();
+}
+
+std::uint64_t answer_repeater::count() const
+{
+    const std::lock_guard<std::mutex> lock(m_state->mutex);
+    return m_state->count;
+}
+
+void answer_repeater::send(state &shared, const void *connection)
+{
+    // The lock is held while writing, so that the next answer doesn't begin in the middle.
+    const std::lock_guard<std::mutex> lock(shared.mutex);
+    const auto found = shared.due.find(connection);
+    if (found == shared.due.end())
+        return;
+    due_answer due = std::move(found->second);
+    shared.due.erase(found);
+    try {
+        due.connection.sendBytes(due.text.data(), static_cast<int>(due.text.size()));
+        ++shared.count;
+    } catch (const Poco::Exception &) {
+        // The peer has closed the connection.
+    }
+}
+
 int runHttpServer(const endpoint &address, int threads, request_handler handler)
 {
     sigset_t signals;
--- a/standins/src/standin_server.h
+++ b/standins/src/standin_server.h
@@ -1,10 +1,16 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <string>
+#include <string_view>
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
 #include <configuration/settings.h>
 
 namespace trefoil {
@@ -13,6 +19,51 @@
 using request_handler =
     std::function<void(Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &)>;
 
+/// When a server that stutters sends an answer for the second time.
+enum class repeat_moment {
+    Never,
+    /// Right before the next answer on the connection.
+    NextAnswer,
+    /// A moment later, on the idle connection.
+    Idle
+};
+
+/// Returns the moment called @p name ("next" or "idle"), or Never for any other name. Thread-safe.
+repeat_moment parseRepeatMoment(std::string_view name);
+
+/// Sends answers for the second time on their connections. Thread-safe.
+class answer_repeater
+{
+public:
+    void setMoment(repeat_moment moment);
+    /// Sends what is due on the connection of @p request. Call before the request is answered.
+    void sendDue(Poco::Net::HTTPServerRequest &request);
+    /// Arranges for the second sending of the answer with @p body, which was sent as @p response.
+    void arrange(Poco::Net::HTTPServerRequest &request,
+                 const Poco::Net::HTTPServerResponse &response, std::string_view body);
+    /// Returns how many answers were sent twice.
+    std::uint64_t count() const;
+
+private:
+    struct due_answer
+    {
+        Poco::Net::StreamSocket connection;
+        std::string text;
+    };
+    struct state
+    {
+        std::mutex mutex;
+        repeat_moment moment = repeat_moment::Never;
+        std::map<const void *, due_answer> due;
+        std::uint64_t count = 0;
+    };
+
+    static void send(state &shared, const void *connection);
+
+    /// Shared with the threads that wait for a connection to be idle.
+    std::shared_ptr<state> m_state = std::make_shared<state>();
+};
+
 /// Serves HTTP on @p address until SIGTERM or SIGINT, then exits the process with status 0. Does
 /// not return.
 int runHttpServer(const endpoint &address, int threads, request_handler handler);
--- a/standins/src/standin_service.cpp
+++ b/standins/src/standin_service.cpp
@@ -24,6 +24,7 @@
     {
         const std::string path = Poco::URI(request.getURI()).getPath();
         const std::string body = readRequestBody(request);
+        m_repeater.sendDue(request);
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (path == "/admin") {
             serveAdmin(request, body, response);
@@ -32,7 +33,8 @@
         if (request.getMethod() == "GET") {
             Json::Value answer(Json::objectValue);
             answer["runs"] = Json::UInt64(m_runs.size());
-            sendJson(response, 200, writeJson(answer));
+            answer["path"] = path;
+            answerTo(request, 200, answer, response);
             return;
         }
         m_runs.push_back(body);
@@ -47,16 +49,26 @@
         }
         Json::Value answer(Json::objectValue);
         answer["number"] = Json::UInt64(m_runs.size());
-        sendJson(response, 201, writeJson(answer));
+        answerTo(request, 201, answer, response);
     }
 
 private:
+    void answerTo(Poco::Net::HTTPServerRequest &request, int status, const Json::Value &answer,
+                  Poco::Net::HTTPServerResponse &response)
+    {
+        const std::string body = writeJson(answer);
+        sendJson(response, status, body);
+        m_repeater.arrange(request, response, body);
+    }
+
     void serveAdmin(Poco::Net::HTTPServerRequest &request, const std::string &body,
                     Poco::Net::HTTPServerResponse &response)
     {
         if (request.getMethod() == "POST") {
             const result<Json::Value> command = parseJson(body, "an admin command");
             m_truncatesNextResponse = command && textOr(*command, "mode") == "cut";
+            m_repeater.setMoment(command ? parseRepeatMoment(textOr(*command, "repeat"))
+                                         : repeat_moment::Never);
         }
         Json::Value answer(Json::objectValue);
         answer["runs"] = Json::Value(Json::arrayValue);
@@ -65,6 +77,7 @@
         answer["authorizations"] = Json::Value(Json::arrayValue);
         for (const std::string &each : m_authorizations)
             answer["authorizations"].append(each);
+        answer["repeated"] = Json::UInt64(m_repeater.count());
         sendJson(response, 200, writeJson(answer));
     }
 
@@ -72,6 +85,7 @@
     std::vector<std::string> m_runs;
     std::set<std::string> m_authorizations;
     bool m_truncatesNextResponse = false;
+    answer_repeater m_repeater;
 };
 
 } // namespace
