serve: an instance's cancellation doesn't end the attempts of other instances

Callers saw streams that ended without an answer although nothing was wrong with the engine.

Cause: an engine is told to cancel an attempt by the value of X-Attempt, and each instance numbered its attempts from 1. When a caller of one instance gave up attempt 1, the engine ended attempt 1 of each other instance, and of the same instance after a restart.

An attempt now has 128 random bits as its id. An older instance beside it keeps its numbers, which are never 32 digits long, and an engine only compares the text.

BackendClient.AttemptIdsAreNeverUsedTwice: 10,000 different ids.

--- a/libs/control/include/control/request_coordinator.h
+++ b/libs/control/include/control/request_coordinator.h
@@ -93,8 +93,6 @@
     std::string server;
     endpoint address;
     std::string version;
-    /// Identifier of the attempt, unique within this instance.
-    std::uint64_t attempt = 0;
     /// Leading prompt blocks that the server is expected to have cached.
     std::size_t estimatedCachedBlocks = 0;
 };
@@ -264,7 +262,7 @@
     std::string m_zone;
     std::uint64_t m_incarnation;
     std::uint64_t m_randomSeed;
-    std::uint64_t m_nextAttempt = 1;
+    std::uint64_t m_attemptCount = 0; // of all requests
     std::shared_ptr<const configuration_snapshot> m_configuration;
     std::map<std::string, placement, std::less<>> m_pools;
     std::map<std::string, retry_budget, std::less<>> m_budgets;
--- a/libs/control/src/request_coordinator.cpp
+++ b/libs/control/src/request_coordinator.cpp
@@ -394,12 +394,12 @@
     state.sentAt = now;
     state.hasFirstToken = false;
     ++state.attempts;
+    ++m_attemptCount;
     m_decisions.push_back(
         {.id = state.request.id,
          .action = send_decision {.server = choice->server,
                                   .address = server->address,
                                   .version = choice->version,
-                                  .attempt = m_nextAttempt++,
                                   .estimatedCachedBlocks = choice->estimatedCachedBlocks},
          .validUntil = now + decisionValidity});
 }
@@ -469,7 +469,7 @@
     if (report.kind == attempt_failure::Crashed) {
         const crash_notice notice {.body = state->request.body,
                                    .event = m_instance + "/" + std::to_string(m_incarnation) + "/"
-                                       + std::to_string(m_nextAttempt) + "/" + server};
+                                       + std::to_string(m_attemptCount) + "/" + server};
         m_crashes.recordCrash(now, notice.body, notice.event);
         m_crashNotices.push_back(notice);
     }
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -17,6 +17,10 @@
 
 namespace trefoil {
 
+/// Returns the identifier of a new attempt, 32 hexadecimal digits. It is unique across instances
+/// and restarts: engines get the attempts and cancellations of all instances. Thread-safe.
+std::string newAttemptId();
+
 /// A request to a backend server.
 struct backend_request
 {
@@ -101,7 +105,8 @@
     /// Orders an engine to load a version. Errors: "stale-epoch" if the engine rejected the fencing
     /// token as outdated, "refused" for any other error status, and those of http_errors.
     result<void> sendLoadOrder(const server_order &order);
-    /// Asks an engine to cancel attempt @p attempt. Best effort: errors are ignored.
+    /// Asks an engine to cancel the attempt with identifier @p attempt. Best effort: errors are
+    /// ignored.
     void cancel(const endpoint &address, const std::string &credential, const std::string &attempt);
 
 private:
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -89,7 +89,7 @@
         if (outcome == attempt_result::CallerGone) {
             m_context.metrics.counterOf("trefoil_caller_gone_total").add();
             m_context.backends.cancel(sendDecision.address, m_request.targetPool->credential,
-                                      std::to_string(sendDecision.attempt));
+                                      m_attemptId);
             reportEnd(false);
             return;
         }
@@ -110,7 +110,7 @@
                                  .answer = std::move(m_responseBody)});
 }
 
-backend_request proxy::makeRequest(const send_decision &sendDecision) const
+backend_request proxy::makeRequest() const
 {
     backend_request request {.method = m_request.method,
                              .path = m_request.path,
@@ -123,7 +123,7 @@
         request.headers.emplace_back("Authorization", "Bearer " + m_request.targetPool->credential);
     request.headers.emplace_back("traceparent", toTraceparent(m_attemptTrace));
     if (m_request.isModel) {
-        request.headers.emplace_back("X-Attempt", std::to_string(sendDecision.attempt));
+        request.headers.emplace_back("X-Attempt", m_attemptId);
         if (!m_request.incoming.chain.blocks.empty())
             request.headers.emplace_back("X-Prefix-Blocks",
                                          prefixBlocksHeader(m_request.incoming.chain));
@@ -144,10 +144,11 @@
 {
     m_attemptTrace = childOf(m_request.trace);
     m_attempt = m_assembler.begin();
+    m_attemptId = newAttemptId();
     m_firstTokenReported = false;
     const std::unique_ptr<backend_exchange> exchange =
         m_context.backends.open(sendDecision.address, m_request.incoming.idempotent);
-    const result<void> started = exchange->start(makeRequest(sendDecision));
+    const result<void> started = exchange->start(makeRequest());
     if (!started) {
         if (started.error().code == backend_errors::callerGone)
             return attempt_result::CallerGone;
--- a/trefoilrouter/src/proxy.h
+++ b/trefoilrouter/src/proxy.h
@@ -83,7 +83,7 @@
     attempt_result relayResponse(backend_exchange &exchange);
     attempt_result relayStream(backend_exchange &exchange);
     attempt_result handleEvent(const sse_event &event);
-    backend_request makeRequest(const send_decision &sendDecision) const;
+    backend_request makeRequest() const;
     void reportFirstToken(const backend_exchange &exchange);
     void reportEnd(bool answered);
     void recordFailure(attempt_failure kind) { m_failure = kind; }
@@ -96,6 +96,7 @@
     response_writer &m_writer;
     stream_assembler m_assembler;
     std::uint64_t m_attempt = 0; // attempt number assigned by the assembler
+    std::string m_attemptId; // names the attempt to its backend server
     attempt_failure m_failure = attempt_failure::Truncated;
     trace_context m_attemptTrace;
     bool m_streamStarted = false;
--- a/trefoilrouter/tests/backend_client_test.cpp
+++ b/trefoilrouter/tests/backend_client_test.cpp
@@ -1,5 +1,6 @@
 #include "backend_client.h"
 
+#include <set>
 #include <thread>
 
 #include <Poco/Net/ServerSocket.h>
@@ -68,6 +69,18 @@
 
 } // namespace
 
+// Attempts were numbered by each instance, so that one instance's cancellation named the attempts
+// of the others.
+TEST(BackendClient, AttemptIdsAreNeverUsedTwice)
+{
+    constexpr std::size_t count = 10000;
+    std::set<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i)
+        ids.insert(newAttemptId());
+    EXPECT_EQ(ids.size(), count);
+    EXPECT_EQ(ids.begin()->size(), 32u);
+}
+
 // Guards against taking a crash for a connection loss. The kernel closes the sockets of an exiting
 // process one by one; on a busy machine the listener may outlive the request's connection for a
 // while.
