serve: a caller gets no answer to another request from a kept connection

Callers got the complete answer to somebody else's earlier question, with status 200, streams too; what was polled for the placement was an earlier state, with event numbers that went back.

Cause: backend_exchange and readState took the first answer on a kept connection for their own. A server that sends an answer once more, late, thereby answers the next request. byte_stream::isIdle sees only what has arrived before the connection is used again.

Each request to a backend server now names its attempt (X-Attempt, the unique id), and attempt_response_reader in libs/http, which backend_exchange and http_connection share, passes on only the answer that names it. On a kept connection answers with another id are skipped, within the attempt's time and without holding their bytes, and one without an id ends the attempt; the request is idempotent there, so it is tried again. On a new connection an answer with another id ends the attempt. HEAD always has a connection of its own.

--- a/libs/http/include/http/http_connection.h
+++ b/libs/http/include/http/http_connection.h
@@ -8,6 +8,7 @@
 #include <configuration/settings.h>
 #include <core/clock.h>
 #include <core/error.h>
+#include <http/attempt_response_reader.h>
 #include <http/byte_budget.h>
 #include <http/byte_stream.h>
 #include <http/message.h>
@@ -23,6 +24,10 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
+    /// Identifier of the attempt, sent as attemptField. With one, only a response that is known to
+    /// answer the attempt is returned, and the connection is reusable only if the response named
+    /// it. The method must not be HEAD then.
+    std::string attemptId;
 };
 
 /// Whole response to an http_request, held in memory.
@@ -31,6 +36,8 @@
     int status = 0;
     std::string body;
     header_list headers;
+    /// Responses to earlier requests on the connection that came before it.
+    int skippedResponses = 0;
 };
 
 /// Error codes of http_connection.
@@ -42,6 +49,8 @@
 /// The request was sent at least in part, but no whole response was received in time and within the
 /// limits.
 inline constexpr const char *broken = "broken";
+/// The request was sent, but the response is to another one, or may be.
+inline constexpr const char *foreign = attempt_errors::foreignResponse;
 } // namespace http_errors
 
 /// Bounds of one exchange.
@@ -78,11 +87,13 @@
     bool isReusable() const { return m_stream && m_stream->isIdle(); }
 
 private:
-    result<http_response> read(std::string_view method, bool isRequestWritten, timestamp deadline,
-                               const exchange_limits &limits);
+    result<http_response> read(const http_request &request, bool isRequestWritten,
+                               timestamp deadline, const exchange_limits &limits);
 
     endpoint m_address;
     std::optional<byte_stream> m_stream;
+    /// Whether the connection has carried a request before the current one.
+    bool m_isKept = false;
 };
 
 /// Sends @p request on a new connection to @p address and reads the response. Errors: those of
--- a/libs/http/src/http_connection.cpp
+++ b/libs/http/src/http_connection.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include <http/response_body.h>
-#include <http/response_head_reader.h>
 
 namespace trefoil {
 
@@ -33,6 +32,8 @@
         appendField(text, "Content-Type", request.contentType);
         appendField(text, "Content-Length", std::to_string(request.body.size()));
     }
+    if (!request.attemptId.empty())
+        appendField(text, attemptField, request.attemptId);
     for (const std::pair<std::string, std::string> &header : request.headers)
         appendField(text, header.first, header.second);
     return text + "\r\n" + request.body;
@@ -66,13 +67,15 @@
             m_held.emplace(*limits.budget);
     }
 
-    result<response_head> readHead()
+    result<response_head> readHead(attempt_response_reader &heads)
     {
-        response_head_reader heads(maxHeadBytes);
         while (true) {
             result<std::optional<response_head>> head = heads.feed(m_stream.buffer());
-            if (!head)
-                return failure(http_errors::broken, head.error().message);
+            if (!head) {
+                const bool isForeign = head.error().code == attempt_errors::foreignResponse;
+                return failure(isForeign ? http_errors::foreign : http_errors::broken,
+                               head.error().message);
+            }
             if (*head)
                 return std::move(**head);
             const read_outcome outcome = readMore();
@@ -157,6 +160,7 @@
                                             const exchange_limits &limits)
 {
     const timestamp deadline = after(boot_clock::now(), limits.total);
+    m_isKept = m_stream.has_value();
     if (!m_stream) {
         result<byte_stream> opened =
             byte_stream::connect(m_address, std::min(limits.connect, limits.total));
@@ -168,7 +172,7 @@
     const bool isWritten = m_stream->write(encodeRequest(m_address, request), deadline);
     result<http_response> response = !isWritten && m_stream->buffer().empty()
         ? failure(http_errors::broken, "the request could not be written")
-        : read(request.method, isWritten, deadline, limits);
+        : read(request, isWritten, deadline, limits);
     const bool isBodyUnread =
         response && !request.body.empty() && mayLeaveBodyUnread(response->status);
     if (!response || !isWritten || isBodyUnread)
@@ -176,14 +180,17 @@
     return response;
 }
 
-result<http_response> http_connection::read(std::string_view method, bool isRequestWritten,
+result<http_response> http_connection::read(const http_request &request, bool isRequestWritten,
                                             timestamp deadline, const exchange_limits &limits)
 {
     response_reader reader(*m_stream, deadline, limits);
-    result<response_head> head = reader.readHead();
+    attempt_response_reader heads({.attemptId = request.attemptId,
+                                   .isKeptConnection = m_isKept,
+                                   .maxHeadBytes = maxHeadBytes});
+    result<response_head> head = reader.readHead(heads);
     if (!head)
         return tl::unexpected(head.error());
-    const result<body_framing> framing = framingOf(*head, method);
+    const result<body_framing> framing = framingOf(*head, request.method);
     if (!framing)
         return failure(http_errors::broken, framing.error().message);
     result<std::string> body = reader.readBody(*framing);
@@ -192,10 +199,14 @@
     // The reset that ends the write may have lost a part of the body.
     if (framing->end == body_end::Close && !isRequestWritten)
         return failure(http_errors::broken, "the request could not be written");
-    if (framing->end == body_end::Close || !isKeepAlive(head->headers, head->isHttp10))
+    const bool mayBeReused = request.attemptId.empty() || heads.isNamed();
+    if (framing->end == body_end::Close || !mayBeReused
+        || !isKeepAlive(head->headers, head->isHttp10))
         m_stream.reset();
-    return http_response {
-        .status = head->status, .body = std::move(*body), .headers = std::move(head->headers)};
+    return http_response {.status = head->status,
+                          .body = std::move(*body),
+                          .headers = std::move(head->headers),
+                          .skippedResponses = heads.skippedResponses()};
 }
 
 result<http_response> sendHttpRequestOnNewConnection(const endpoint &address,
--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -8,7 +8,8 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <core/digest.h>
 #include <core/json.h>
-#include <http/response_head_reader.h>
+#include <http/attempt_response_reader.h>
+#include <telemetry/log.h>
 
 namespace trefoil {
 
@@ -96,9 +97,8 @@
     return toHex({.high = draw(), .low = draw()});
 }
 
-backend_exchange::backend_exchange(backend_client &client, endpoint address,
-                                   std::optional<byte_stream> idle)
-    : m_client(client), m_address(std::move(address)), m_stream(std::move(idle))
+backend_exchange::backend_exchange(backend_client &client, endpoint address)
+    : m_client(client), m_address(std::move(address))
 { }
 
 backend_exchange::~backend_exchange()
@@ -115,6 +115,13 @@
 
 result<void> backend_exchange::send(const backend_request &request, timestamp deadline)
 {
+    // Where a late answer to HEAD ends can't be told, so its connection carries nothing else.
+    const bool isHead = request.method == "HEAD";
+    m_mayBeKept = !isHead;
+    if (request.mayReuse && !isHead)
+        m_stream = m_client.takeIdle(m_client.m_idle, m_address,
+                                     [](const byte_stream &each) { return each.isIdle(); });
+    m_isKeptConnection = m_stream.has_value();
     if (!m_stream) {
         result<byte_stream> opened = byte_stream::connect(m_address, connectTimeout);
         if (!opened)
@@ -126,9 +133,10 @@
         size += segment.size();
     std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
     appendField(head, "Host", toString(m_address));
-    appendField(head, "Connection", "Keep-Alive");
+    appendField(head, "Connection", m_mayBeKept ? "Keep-Alive" : "close");
     appendField(head, "Content-Type", request.contentType);
     appendField(head, "Content-Length", std::to_string(size));
+    appendField(head, attemptField, request.attemptId);
     for (const std::pair<std::string, std::string> &header : request.headers)
         appendField(head, header.first, header.second);
     head += "\r\n";
@@ -171,18 +179,9 @@
     const timestamp deadline = boot_clock::now() + m_timeout;
     if (result<void> sent = send(request, deadline); !sent)
         return sent;
-    response_head_reader heads(maxHeadBytes);
-    std::optional<response_head> head;
-    while (!head) {
-        result<std::optional<response_head>> next = heads.feed(m_stream->buffer());
-        if (!next)
-            return failure(backend_errors::connectionLost, next.error().message);
-        head = std::move(*next);
-        if (head)
-            break;
-        if (result<void> more = readMore(deadline, request.isCallerGone); !more)
-            return more;
-    }
+    result<response_head> head = readHead(request, deadline);
+    if (!head)
+        return tl::unexpected(head.error());
     m_response = std::move(*head);
     const result<body_framing> framing = framingOf(m_response, request.method);
     if (!framing)
@@ -192,6 +191,31 @@
     return {};
 }
 
+result<response_head> backend_exchange::readHead(const backend_request &request, timestamp deadline)
+{
+    attempt_response_reader heads({.attemptId = request.attemptId,
+                                   .isKeptConnection = m_isKeptConnection,
+                                   .maxHeadBytes = maxHeadBytes});
+    int recorded = 0;
+    while (true) {
+        result<std::optional<response_head>> head = heads.feed(m_stream->buffer());
+        m_client.recordSkippedAnswers(m_address, heads.skippedResponses() - recorded);
+        recorded = heads.skippedResponses();
+        if (!head && head.error().code == attempt_errors::foreignResponse) {
+            m_client.recordRefusedAnswer(m_address, head.error().message);
+            return failure(backend_errors::foreignAnswer, head.error().message);
+        }
+        if (!head)
+            return failure(backend_errors::connectionLost, head.error().message);
+        if (*head) {
+            m_mayBeKept = m_mayBeKept && heads.isNamed();
+            return std::move(**head);
+        }
+        if (const result<void> more = readMore(deadline, request.isCallerGone); !more)
+            return tl::unexpected(more.error());
+    }
+}
+
 result<std::string> backend_exchange::read()
 {
     const timestamp deadline = boot_clock::now() + m_timeout;
@@ -215,8 +239,9 @@
     while (m_body->state() == body_state::Incomplete
            && m_stream->readMore(deadline) == read_outcome::Bytes)
         m_body->feed(m_stream->buffer());
-    m_isReusable = m_body->state() == body_state::Whole && m_framing.end != body_end::Close
-        && m_stream->buffer().empty() && isKeepAlive(m_response.headers, m_response.isHttp10);
+    m_isReusable = m_mayBeKept && m_body->state() == body_state::Whole
+        && m_framing.end != body_end::Close && m_stream->buffer().empty()
+        && isKeepAlive(m_response.headers, m_response.isHttp10);
 }
 
 template <typename Connection, typename IsReusable>
@@ -245,12 +270,30 @@
         idle.push_back(std::move(connection));
 }
 
-std::unique_ptr<backend_exchange> backend_client::open(const endpoint &address, bool mayReuse)
+backend_client::backend_client(metric_registry &metrics)
+    : m_skippedAnswers(metrics.counterOf("trefoil_foreign_answers_total", "reason=\"late\"")),
+      m_refusedAnswers(metrics.counterOf("trefoil_foreign_answers_total", "reason=\"refused\""))
+{ }
+
+std::unique_ptr<backend_exchange> backend_client::open(const endpoint &address)
 {
-    std::optional<byte_stream> idle;
-    if (mayReuse)
-        idle = takeIdle(m_idle, address, [](const byte_stream &each) { return each.isIdle(); });
-    return std::make_unique<backend_exchange>(*this, address, std::move(idle));
+    return std::make_unique<backend_exchange>(*this, address);
+}
+
+void backend_client::recordSkippedAnswers(const endpoint &address, int answers)
+{
+    if (answers == 0)
+        return;
+    m_skippedAnswers.add(static_cast<std::uint64_t>(answers));
+    logWarning("traffic",
+               "Late answers to earlier requests, from " + toString(address)
+                   + ", skipped: " + std::to_string(answers) + ".");
+}
+
+void backend_client::recordRefusedAnswer(const endpoint &address, const std::string &reason)
+{
+    m_refusedAnswers.add();
+    logWarning("traffic", "An answer from " + toString(address) + " was refused: " + reason + ".");
 }
 
 result<server_state_report> backend_client::readState(const server_poll &poll)
@@ -261,10 +304,15 @@
         }).value_or(http_connection(poll.address));
     const result<http_response> response =
         connection.send({.path = "/state?from=" + std::to_string(poll.fromSequence),
-                         .headers = authorizationHeaders(poll.credential)},
+                         .headers = authorizationHeaders(poll.credential),
+                         .attemptId = newAttemptId()},
                         {.total = stateTimeout, .maxBodyBytes = maxStateBytes});
-    if (!response)
+    if (!response) {
+        if (response.error().code == http_errors::foreign)
+            recordRefusedAnswer(poll.address, response.error().message);
         return tl::unexpected(response.error());
+    }
+    recordSkippedAnswers(poll.address, response->skippedResponses);
     keepIdle(m_idleStateConnections, poll.address, std::move(connection));
     const result<Json::Value> value = parseJson(response->body, "an engine's state");
     if (!value || !value->isObject())
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -14,6 +14,7 @@
 #include <core/error.h>
 #include <http/http_connection.h>
 #include <http/response_body.h>
+#include <telemetry/metrics.h>
 
 namespace trefoil {
 
@@ -29,8 +30,11 @@
     std::string contentType = "application/json";
     std::span<const std::string_view> body;
     std::vector<std::pair<std::string, std::string>> headers;
+    /// Names the attempt to the server. Precondition: not used before.
+    std::string attemptId = newAttemptId();
     /// Whether an idle connection may be reused. Must be false for requests that are not
-    /// idempotent: the server may close an idle connection while the request is being sent.
+    /// idempotent: the server may close an idle connection while the request is being sent. Has no
+    /// effect on HEAD, which always gets a connection of its own.
     bool mayReuse = true;
     duration timeout = std::chrono::seconds(30);
     /// Polled while waiting for the response; the attempt is abandoned once it returns true.
@@ -45,6 +49,8 @@
 inline constexpr const char *crashed = "crashed";
 /// The connection broke, but the server process is alive.
 inline constexpr const char *connectionLost = "cut";
+/// The server's answer is to another request, or may be.
+inline constexpr const char *foreignAnswer = "foreign-answer";
 inline constexpr const char *timeout = "timeout";
 /// The caller disconnected before the response began.
 inline constexpr const char *callerGone = "caller-gone";
@@ -53,17 +59,18 @@
 class backend_client;
 
 /// One HTTP request and its response. The connection is reused only if finish() found the end of
-/// the response. Not thread-safe.
+/// the response and the response named the attempt. Not thread-safe.
 class backend_exchange
 {
 public:
-    /// With @p idle the request is sent on that connection, else on a new one.
-    backend_exchange(backend_client &client, endpoint address, std::optional<byte_stream> idle);
+    /// Precondition: @p client outlives it.
+    backend_exchange(backend_client &client, endpoint address);
     ~backend_exchange();
     backend_exchange(const backend_exchange &) = delete;
     backend_exchange &operator=(const backend_exchange &) = delete;
 
-    /// Sends @p request and waits for the response head. Errors: those of backend_errors.
+    /// Sends @p request and waits for the head of the response to it: late answers to earlier
+    /// requests on the connection are skipped. Errors: those of backend_errors.
     result<void> start(const backend_request &request);
     /// Returns the response head. Precondition: start() succeeded.
     const response_head &response() const { return m_response; }
@@ -77,6 +84,8 @@
 
 private:
     result<void> send(const backend_request &request, timestamp deadline);
+    /// Reads up to the head of the response to @p request. Errors: those of backend_errors.
+    result<response_head> readHead(const backend_request &request, timestamp deadline);
     /// Reads more bytes until @p deadline. Errors: those of backend_errors but notSent.
     result<void> readMore(timestamp deadline, const std::function<bool()> &isCallerGone);
     tl::unexpected<error> classifyBrokenConnection(const std::string &message) const;
@@ -84,6 +93,10 @@
     backend_client &m_client;
     endpoint m_address;
     std::optional<byte_stream> m_stream;
+    /// Whether the connection carried another request before.
+    bool m_isKeptConnection = false;
+    /// Whether the connection may carry another request after this one.
+    bool m_mayBeKept = false;
     bool m_isRequestWritten = false;
     duration m_timeout {};
     response_head m_response;
@@ -97,10 +110,14 @@
 class backend_client
 {
 public:
-    /// Returns an exchange with @p address on an idle connection, if @p mayReuse, or a new one.
-    std::unique_ptr<backend_exchange> open(const endpoint &address, bool mayReuse);
-    /// Reads an engine's state and its cache events from @c poll.fromSequence on. Errors: those of
-    /// http_errors, and "bad-state" for a malformed state.
+    /// Precondition: @p metrics outlives it.
+    explicit backend_client(metric_registry &metrics);
+
+    /// Returns an exchange with @p address.
+    std::unique_ptr<backend_exchange> open(const endpoint &address);
+    /// Reads an engine's state and its cache events from @c poll.fromSequence on. Late answers to
+    /// earlier polls are skipped. Errors: those of http_errors, and "bad-state" for a malformed
+    /// state.
     result<server_state_report> readState(const server_poll &poll);
     /// Orders an engine to load a version. Errors: "stale-epoch" if the engine rejected the fencing
     /// token as outdated, "refused" for any other error status, and those of http_errors.
@@ -120,6 +137,13 @@
     void keepIdle(std::map<std::string, std::vector<Connection>> &pool, const endpoint &address,
                   Connection connection);
 
+    /// Count and log answers of the server at @p address to other requests. @{
+    void recordSkippedAnswers(const endpoint &address, int answers);
+    void recordRefusedAnswer(const endpoint &address, const std::string &reason);
+    /// @}
+
+    counter &m_skippedAnswers;
+    counter &m_refusedAnswers;
     std::mutex m_mutex;
     std::map<std::string, std::vector<byte_stream>> m_idle;
     std::map<std::string, std::vector<http_connection>> m_idleStateConnections;
--- a/trefoilrouter/src/instance.cpp
+++ b/trefoilrouter/src/instance.cpp
@@ -71,7 +71,7 @@
     explicit impl(settings instanceSettings)
         : options(std::move(instanceSettings)), control(makeControlOptions(options)),
           platform(options.platform, options.platformCallsPerSecond), peers(options.peerSecret),
-          spans(options.name, options.traceFile, options.traceEndpoint)
+          backends(metrics), spans(options.name, options.traceFile, options.traceEndpoint)
     { }
 
     void sendToPeer(peer_send action) override
@@ -188,9 +188,9 @@
     control_thread control;
     http_object_store platform;
     peer_client peers;
+    metric_registry metrics;
     backend_client backends;
     span_exporter spans;
-    metric_registry metrics;
 
 private:
     platform_answer runPlatformRequest(const platform_request &request)
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -117,13 +117,13 @@
                              .contentType = m_request.contentType,
                              .body = m_request.body,
                              .headers = m_request.headers,
+                             .attemptId = m_attemptId,
                              .mayReuse = m_request.incoming.idempotent,
                              .timeout = m_request.targetPool->responseTimeout};
     if (!m_request.targetPool->credential.empty())
         request.headers.emplace_back("Authorization", "Bearer " + m_request.targetPool->credential);
     request.headers.emplace_back("traceparent", toTraceparent(m_attemptTrace));
     if (m_request.isModel) {
-        request.headers.emplace_back("X-Attempt", m_attemptId);
         if (!m_request.incoming.chain.blocks.empty())
             request.headers.emplace_back("X-Prefix-Blocks",
                                          prefixBlocksHeader(m_request.incoming.chain));
@@ -147,7 +147,7 @@
     m_attemptId = newAttemptId();
     m_firstTokenReported = false;
     const std::unique_ptr<backend_exchange> exchange =
-        m_context.backends.open(sendDecision.address, m_request.incoming.idempotent);
+        m_context.backends.open(sendDecision.address);
     const result<void> started = exchange->start(makeRequest());
     if (!started) {
         if (started.error().code == backend_errors::callerGone)
--- a/trefoilrouter/tests/backend_client_test.cpp
+++ b/trefoilrouter/tests/backend_client_test.cpp
@@ -1,11 +1,17 @@
 #include "backend_client.h"
 
+#include <atomic>
+#include <functional>
+#include <mutex>
 #include <set>
 #include <thread>
+#include <vector>
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
+#include <http/chunked.h>
+#include <http/message.h>
 
 namespace trefoil {
 
@@ -57,10 +63,142 @@
     std::jthread m_thread;
 };
 
+/// A request as a scripted_server received it.
+struct received_request
+{
+    std::string method;
+    std::string path;
+    std::string attempt;
+    /// Number of its connection, and its number on the connection, each from 0.
+    int connection = 0;
+    int number = 0;
+};
+
+/// Backend server that keeps its connections and answers as a test tells it to.
+class scripted_server
+{
+public:
+    using script = std::function<void(byte_stream &stream, const received_request &request)>;
+
+    explicit scripted_server(script answer)
+        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0)), m_answer(std::move(answer)),
+          m_acceptor([this](const std::stop_token &stop) { accept(stop); })
+    { }
+
+    endpoint address() const { return {.host = "127.0.0.1", .port = m_socket.address().port()}; }
+    int connections() const { return m_connections.load(); }
+
+private:
+    void accept(const std::stop_token &stop)
+    {
+        std::vector<std::jthread> threads;
+        while (!stop.stop_requested()) {
+            if (!m_socket.poll(Poco::Timespan(0, 2000), Poco::Net::Socket::SELECT_READ))
+                continue;
+            const int connection = m_connections.fetch_add(1);
+            threads.emplace_back(
+                [this, connection, socket = m_socket.acceptConnection()](
+                    const std::stop_token &end) { serve(end, connection, byte_stream(socket)); });
+        }
+    }
+
+    void serve(const std::stop_token &stop, int connection, byte_stream stream)
+    {
+        for (int number = 0; !stop.stop_requested();) {
+            std::string text;
+            if (takeHead(stream.buffer(), 1 << 16, text) != head_state::Complete) {
+                const read_outcome outcome = stream.readMore(boot_clock::now() + 20ms);
+                if (outcome != read_outcome::Bytes && outcome != read_outcome::TimedOut)
+                    return;
+                continue;
+            }
+            const result<request_head> head = parseRequestHead(text);
+            ASSERT_TRUE(head) << text;
+            stream.buffer().clear(); // the requests of these tests have no body
+            m_answer(stream,
+                     {.method = head->method,
+                      .path = head->target,
+                      .attempt = std::string(head->headers.value("X-Attempt")),
+                      .connection = connection,
+                      .number = number++});
+        }
+    }
+
+    Poco::Net::ServerSocket m_socket;
+    script m_answer;
+    std::atomic<int> m_connections = 0;
+    std::jthread m_acceptor;
+};
+
+enum class answer_kind { Plain, Stream };
+
+/// Returns an answer with @p body that names @p attempt, or none if it is empty.
+std::string encodeAnswer(std::string_view attempt, std::string_view body,
+                         answer_kind kind = answer_kind::Plain)
+{
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    if (!attempt.empty())
+        appendField(text, "X-Attempt", attempt);
+    if (kind == answer_kind::Plain) {
+        appendField(text, "Content-Length", std::to_string(body.size()));
+        return text.append("\r\n").append(body);
+    }
+    text += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    appendChunk(text, "data: ");
+    appendChunk(text, body);
+    appendChunk(text, "\n\n");
+    return text.append(lastChunk);
+}
+
+void write(byte_stream &stream, std::string_view text)
+{
+    stream.write(text, boot_clock::now() + 1s);
+}
+
+/// Returns a server that sends each answer once more before the next one on the connection. @p
+/// bodyFor returns the body of the answer to a request.
+scripted_server::script
+answerTwice(std::function<std::string(const received_request &request)> bodyFor, answer_kind kind)
+{
+    return [bodyFor = std::move(bodyFor), kind, last = std::make_shared<std::string>()](
+               byte_stream &stream, const received_request &request) {
+        const std::string answer = encodeAnswer(request.attempt, bodyFor(request), kind);
+        write(stream, request.number == 0 ? answer : *last + answer);
+        *last = answer;
+    };
+}
+
+std::string pathOf(const received_request &request) { return request.path; }
+
+/// Returns the body of the answer to @p request, or the code of the error.
+std::string ask(backend_client &client, const endpoint &address, const backend_request &request)
+{
+    const std::unique_ptr<backend_exchange> exchange = client.open(address);
+    if (const result<void> started = exchange->start(request); !started)
+        return started.error().code;
+    std::string body;
+    while (true) {
+        const result<std::string> more = exchange->read();
+        if (!more)
+            return more.error().code;
+        if (more->empty())
+            break;
+        body += *more;
+    }
+    exchange->finish();
+    return body;
+}
+
+backend_request get(std::string path)
+{
+    return {.method = "GET", .path = std::move(path), .timeout = 2s};
+}
+
 std::string startErrorCode(const disconnecting_server &server)
 {
-    backend_client client;
-    const std::unique_ptr<backend_exchange> exchange = client.open(server.address(), false);
+    metric_registry metrics;
+    backend_client client(metrics);
+    const std::unique_ptr<backend_exchange> exchange = client.open(server.address());
     const std::string_view body = "{}";
     const result<void> outcome =
         exchange->start({.path = "/v1", .body = {&body, 1}, .timeout = 2s});
@@ -106,4 +244,133 @@
     EXPECT_EQ(startErrorCode(server), backend_errors::connectionLost);
 }
 
+// A server that sent its answers twice made the next callers on the connection get the answers to
+// earlier questions.
+TEST(BackendClient, AnswerSentTwiceIsNotTheNextRequestsAnswer)
+{
+    for (const answer_kind kind : {answer_kind::Plain, answer_kind::Stream}) {
+        const scripted_server server(answerTwice(pathOf, kind));
+        metric_registry metrics;
+        backend_client client(metrics);
+        for (int i = 0; i < 8; ++i) {
+            const std::string path = "/question-" + std::to_string(i);
+            const std::string expected =
+                kind == answer_kind::Plain ? path : "data: " + path + "\n\n";
+            EXPECT_EQ(ask(client, server.address(), get(path)), expected);
+        }
+        EXPECT_EQ(server.connections(), 1);
+        EXPECT_EQ(metrics.counterOf("trefoil_foreign_answers_total", "reason=\"late\"").value(),
+                  7u);
+    }
+}
+
+// A state that was sent twice became the state of the next poll: event numbers went back.
+TEST(BackendClient, StateSentTwiceIsNotTheNextPollsState)
+{
+    const scripted_server server(answerTwice(
+        [](const received_request &request) {
+            return "{\"next_sequence\":" + std::to_string(request.number + 1) + "}";
+        },
+        answer_kind::Plain));
+    metric_registry metrics;
+    backend_client client(metrics);
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        const result<server_state_report> report =
+            client.readState({.server = "engine-1", .address = server.address()});
+        ASSERT_TRUE(report) << report.error().message;
+        EXPECT_EQ(report->nextSequence, i);
+    }
+    EXPECT_EQ(server.connections(), 1);
+}
+
+// Whatever made the server answer another request on this connection, its answer is another
+// caller's.
+TEST(BackendClient, AnswerToAnotherAttemptOnANewConnectionIsNotPassedOn)
+{
+    const scripted_server server([](byte_stream &stream, const received_request &) {
+        write(stream, encodeAnswer(newAttemptId(), "another caller's"));
+    });
+    metric_registry metrics;
+    backend_client client(metrics);
+    EXPECT_EQ(ask(client, server.address(), get("/a")), backend_errors::foreignAnswer);
+    EXPECT_FALSE(client.readState({.server = "engine-1", .address = server.address()}));
+    EXPECT_EQ(metrics.counterOf("trefoil_foreign_answers_total", "reason=\"refused\"").value(), 2u);
+}
+
+// On a connection that is kept, an answer that names no attempt may be a late one.
+TEST(BackendClient, ConnectionsOfAServerThatNamesNoAttemptAreNotKept)
+{
+    const scripted_server server([](byte_stream &stream, const received_request &request) {
+        write(stream, encodeAnswer("", request.path == "/state?from=0" ? "{}" : request.path));
+    });
+    metric_registry metrics;
+    backend_client client(metrics);
+    EXPECT_EQ(ask(client, server.address(), get("/a")), "/a");
+    EXPECT_EQ(ask(client, server.address(), get("/b")), "/b");
+    EXPECT_EQ(server.connections(), 2);
+    for (int i = 0; i < 2; ++i)
+        EXPECT_TRUE(client.readState({.server = "engine-1", .address = server.address()}));
+    EXPECT_EQ(server.connections(), 4);
+}
+
+TEST(BackendClient, AnswerThatNamesNoAttemptOnAKeptConnectionIsNotPassedOn)
+{
+    const scripted_server server([](byte_stream &stream, const received_request &request) {
+        write(stream, encodeAnswer(request.number == 0 ? request.attempt : "", request.path));
+    });
+    metric_registry metrics;
+    backend_client client(metrics);
+    EXPECT_EQ(ask(client, server.address(), get("/a")), "/a");
+    EXPECT_EQ(ask(client, server.address(), get("/b")), backend_errors::foreignAnswer);
+    EXPECT_EQ(ask(client, server.address(), get("/c")), "/c");
+    EXPECT_EQ(server.connections(), 2);
+}
+
+// Where a late answer to HEAD ends can't be told: its length is that of a body that doesn't come.
+TEST(BackendClient, NoOtherRequestUsesTheConnectionOfAHead)
+{
+    std::mutex mutex;
+    std::vector<std::string> seen;
+    const scripted_server server([&](byte_stream &stream, const received_request &request) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            seen.push_back(request.method + " on " + std::to_string(request.connection));
+        }
+        const std::string answer = encodeAnswer(request.attempt, "body");
+        const std::size_t size = answer.size() - (request.method == "HEAD" ? 4 : 0);
+        write(stream, std::string_view(answer).substr(0, size));
+    });
+    metric_registry metrics;
+    backend_client client(metrics);
+    EXPECT_EQ(ask(client, server.address(), get("/a")), "body");
+    EXPECT_EQ(ask(client, server.address(), {.method = "HEAD", .path = "/a"}), "");
+    EXPECT_EQ(ask(client, server.address(), {.method = "HEAD", .path = "/a"}), "");
+    EXPECT_EQ(ask(client, server.address(), get("/a")), "body");
+    const std::lock_guard<std::mutex> lock(mutex);
+    EXPECT_EQ(seen, (std::vector<std::string> {"GET on 0", "HEAD on 1", "HEAD on 2", "GET on 0"}));
+}
+
+TEST(BackendClient, AttemptEndsInTimeBehindALateAnswerWithoutEnd)
+{
+    const scripted_server server([](byte_stream &stream, const received_request &request) {
+        const std::string answer = encodeAnswer(request.attempt, "a", answer_kind::Stream);
+        if (request.number == 0) {
+            write(stream, answer);
+            return;
+        }
+        const std::string piece = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+        write(stream, encodeAnswer(newAttemptId(), "a", answer_kind::Stream));
+        write(stream, "HTTP/1.1 200 OK\r\nX-Attempt: other\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while (stream.write(piece, boot_clock::now() + 200ms) && !stream.isClosedByRemote())
+            ;
+    });
+    metric_registry metrics;
+    backend_client client(metrics);
+    EXPECT_EQ(ask(client, server.address(), get("/a")), "data: a\n\n");
+    const timestamp start = boot_clock::now();
+    EXPECT_EQ(ask(client, server.address(), {.method = "GET", .path = "/b", .timeout = 300ms}),
+              backend_errors::timeout);
+    EXPECT_LT(boot_clock::now() - start, 2s);
+}
+
 } // namespace trefoil
