A late answer is skipped whole, and not held

What callers would see: 502 for a request whose own answer was coming behind a late one of more than 64 KiB, or while little memory was left for answers.

Cause: a late answer was held as it was read, within the limit for bodies of rejections.

response_body discards what it decodes if it is given maxDiscardedBytes. A late answer may be as long as the longest answer that the instance reads, all that precede one answer together; one that announces more ends the attempt at once. The request's deadline bounds the time as before.

--- a/libs/http/include/http/response_body.h
+++ b/libs/http/include/http/response_body.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,9 @@
     /// Name of a field that each answer of the server holds, by which a further answer behind a
     /// body that ends with its connection is recognised; "" if further answers aren't looked for.
     std::string_view answerField;
+    /// If set, the body is not used: its bytes are discarded as they are decoded, and more than
+    /// these break it off.
+    std::optional<std::uint64_t> maxDiscardedBytes;
 };
 
 /// Body of one server's answer, decoded incrementally: the only place that decides whether an
@@ -69,6 +73,8 @@
     std::string &plainBody() { return m_plain; }
     /// Returns the number of bytes held at present.
     std::size_t heldBytes() const;
+    /// Returns the number of bytes that were discarded.
+    std::uint64_t discardedBytes() const { return m_discardedBytes; }
 
 private:
     /// Appends the body's bytes in @p input to m_undecided and returns whether the framing ended.
@@ -77,6 +83,7 @@
     std::size_t certainBytes();
     /// Moves the first @p size bytes of m_undecided to the body and returns the events among them.
     std::string take(std::size_t size);
+    void discard();
     void breakOffByAnswer();
     void finish();
 
@@ -87,6 +94,7 @@
     /// Bytes of a chunk that has not ended, or of what may be the head of a further answer.
     std::string m_undecided;
     bool m_hasFurtherAnswer = false;
+    std::uint64_t m_discardedBytes = 0;
     sse_framer m_events;
     bool m_hasEvents = false;
     std::string m_plain;
--- a/libs/http/src/response_body.cpp
+++ b/libs/http/src/response_body.cpp
@@ -11,8 +11,12 @@
 {
     const bool isEmpty = options.framing.end == body_end::None
         || (options.framing.end == body_end::Length && options.framing.length == 0);
+    const bool isTooLong = options.maxDiscardedBytes && options.framing.end == body_end::Length
+        && options.framing.length > *options.maxDiscardedBytes;
     if (isEmpty)
         m_state = body_state::Whole;
+    else if (isTooLong)
+        m_state = body_state::BrokenOff;
 }
 
 std::size_t response_body::heldBytes() const
@@ -42,8 +46,13 @@
     if (m_state != body_state::Incomplete)
         return {};
     const bool hasFramingEnded = decode(input);
-    std::string events = take(certainBytes());
-    if (m_state == body_state::Incomplete && heldBytes() > m_options.maxHeldBytes)
+    std::string events;
+    if (m_options.maxDiscardedBytes)
+        discard();
+    else
+        events = take(certainBytes());
+    if (m_state == body_state::Incomplete && !m_options.maxDiscardedBytes
+        && heldBytes() > m_options.maxHeldBytes)
         m_state = body_state::BrokenOff;
     if (m_state == body_state::Incomplete && hasFramingEnded)
         finish();
@@ -74,6 +83,14 @@
     return events;
 }
 
+void response_body::discard()
+{
+    m_discardedBytes += m_undecided.size();
+    m_undecided.clear();
+    if (m_discardedBytes > *m_options.maxDiscardedBytes)
+        m_state = body_state::BrokenOff;
+}
+
 void response_body::breakOffByAnswer()
 {
     m_state = body_state::BrokenOff;
--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -386,6 +386,34 @@
     EXPECT_EQ(body.state(), body_state::Whole);
 }
 
+TEST(ResponseBody, UnusedBodyIsDiscardedUpToItsLimit)
+{
+    const std::string block(1000, 'x');
+    for (const body_end end : {body_end::Chunked, body_end::Length}) {
+        const std::string bytes = encoded(end, {block, block, block});
+        for (const std::uint64_t limit : {std::uint64_t {3000}, std::uint64_t {2999}}) {
+            response_body body({.framing = framingOf(end, 3000), .maxDiscardedBytes = limit});
+            std::string input;
+            for (std::size_t at = 0; at < bytes.size(); at += 300) {
+                input += bytes.substr(at, 300);
+                EXPECT_EQ(body.feed(input), "");
+                EXPECT_EQ(body.heldBytes(), 0u);
+            }
+            const bool isWithinLimit = limit == 3000;
+            EXPECT_EQ(body.state(), isWithinLimit ? body_state::Whole : body_state::BrokenOff);
+            EXPECT_EQ(body.plainBody(), "");
+        }
+    }
+    response_body endless(
+        {.framing = {.end = body_end::Chunked}, .maxDiscardedBytes = std::uint64_t {5000}});
+    std::string input = "ffffffff\r\n";
+    for (int i = 0; i < 6; ++i) {
+        input += block;
+        endless.feed(input);
+    }
+    EXPECT_EQ(endless.state(), body_state::BrokenOff);
+}
+
 TEST(ResponseBody, HoldsNoMoreThanItsLimit)
 {
     const std::string block(1000, 'x');
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -35,10 +35,9 @@
 constexpr std::size_t maxHeadBytes = 16 * 1024;
 /// Limit on one event of a stream.
 constexpr std::size_t maxEventBytes = 1u << 20;
-/// Limits on the body of an answer that is not passed on, after which its connection is closed
-/// instead.
-constexpr std::size_t maxUnusedBytes = 64 * 1024;
-constexpr duration maxUnusedTime = std::chrono::milliseconds(200);
+/// Limits on the body of a rejection, after which its connection is closed instead.
+constexpr std::size_t maxRejectionBytes = 64 * 1024;
+constexpr duration maxRejectionTime = std::chrono::milliseconds(200);
 /// A longer body is not copied to be written together with its head.
 constexpr std::size_t maxCopiedBytes = 64 * 1024;
 /// Time without requests for a server that rejected one. An engine is full or loads weights, which
@@ -319,6 +318,8 @@
 
 request_runner::attempt_end request_runner::readHead(attempt &current)
 {
+    // Late answers are like others, so as much of them is skipped as one answer may be long.
+    std::uint64_t skippableBytes = m_state.readBudget().maxMessageBytes();
     while (true) {
         response_head_reader heads(maxHeadBytes);
         std::optional<response_head> head;
@@ -346,8 +347,9 @@
             return attempt_end::Delivered;
         // A late answer to an earlier request on this connection precedes the one to this request.
         logSkipped(current);
-        response_body dropped({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
+        response_body dropped({.framing = current.framing, .maxDiscardedBytes = skippableBytes});
         const attempt_end skipped = readBody(current, dropped);
+        skippableBytes -= std::min(skippableBytes, dropped.discardedBytes());
         if (skipped != attempt_end::Delivered || current.framing.end == body_end::Close) {
             countRun(current);
             return skipped == attempt_end::Delivered ? attempt_end::Broken : skipped;
@@ -393,8 +395,8 @@
 
 request_runner::attempt_end request_runner::handleRejection(attempt &current)
 {
-    response_body body({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
-    current.readUntil = boot_clock::now() + maxUnusedTime;
+    response_body body({.framing = current.framing, .maxHeldBytes = maxRejectionBytes});
+    current.readUntil = boot_clock::now() + maxRejectionTime;
     if (readBody(current, body) == attempt_end::Delivered)
         returnConnection(current);
     const timestamp now = boot_clock::now();
