A late answer that is cut in its head is not joined with the next one

What callers would see: on a connection on which a server writes a part of an earlier answer's head once more, cut before that answer's id, a failure with status 500 came with status 200 and a signature, its body behind it; successes came with fields of another answer.

Cause: a head is read up to the first empty line. The status line of the right answer became a part of the cut one's reason phrase or last value, and the id that came behind it was the right one.

parseResponseHead() refuses a head with a status line inside its reason phrase or a value. Cuts at all other bytes were refused before: the joined line is no field then, or holds a bare CR.

Message.HeadsOfTwoResponsesAreNotTakenForOne.

--- a/libs/http/include/http/message.h
+++ b/libs/http/include/http/message.h
@@ -86,8 +86,9 @@
 /// backend server, would allow request smuggling. Error: "bad-request". Thread-safe.
 result<request_head> parseRequestHead(std::string_view text);
 
-/// Parses the head of a response without its final empty line. Error: "bad-response".
-/// Thread-safe.
+/// Parses the head of a response without its final empty line. A status line inside the reason
+/// phrase or a value is an error too: a head that was cut is followed by another one. Error:
+/// "bad-response". Thread-safe.
 result<response_head> parseResponseHead(std::string_view text);
 
 /// Returns the framing of the body that follows @p head. Error: "bad-request". Thread-safe.
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -61,6 +61,24 @@
     return line;
 }
 
+/// Returns whether @p text holds the begin of a status line, as a head does that was cut and is
+/// followed by another one.
+bool holdsStatusLine(std::string_view text)
+{
+    constexpr std::string_view name = "HTTP/1.";
+    constexpr std::size_t shapeBytes = std::string_view("HTTP/1.x NNN").size();
+    const auto isDigit = [](char c) { return std::isdigit(static_cast<unsigned char>(c)) != 0; };
+    for (std::size_t at = text.find(name); at != std::string_view::npos;
+         at = text.find(name, at + 1)) {
+        const std::string_view found = text.substr(at, shapeBytes);
+        const std::string_view rest = found.substr(name.size());
+        if (found.size() == shapeBytes && isDigit(rest[0]) && rest[1] == ' '
+            && std::all_of(rest.begin() + 2, rest.end(), isDigit))
+            return true;
+    }
+    return false;
+}
+
 /// Parses the lines of @p rest into @p headers. Returns an error message, or "" on success.
 std::string_view parseFields(std::string_view rest, header_list &headers)
 {
@@ -220,6 +238,12 @@
     const std::string_view problem = parseFields(text, head.headers);
     if (!problem.empty())
         return failure(code, std::string(problem));
+    const std::vector<header_field> &fields = head.headers.fields();
+    const bool isJoined = holdsStatusLine(head.reason)
+        || std::any_of(fields.begin(), fields.end(),
+                       [](const header_field &field) { return holdsStatusLine(field.value); });
+    if (isJoined)
+        return failure(code, "the head holds a second status line");
     return head;
 }
 
--- a/libs/http/tests/message_test.cpp
+++ b/libs/http/tests/message_test.cpp
@@ -81,6 +81,17 @@
         EXPECT_FALSE(parseResponseHead(text)) << text;
 }
 
+// A head that was cut lent its status and fields to the one behind it.
+TEST(Message, HeadsOfTwoResponsesAreNotTakenForOne)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nA: b\r\nC: d";
+    const std::string second = "HTTP/1.0 500\r\nE: f";
+    for (std::size_t size = 1; size <= first.size(); ++size)
+        EXPECT_FALSE(parseResponseHead(first.substr(0, size) + second)) << size;
+    for (const char *value : {"HTTP/1.1", "1.1 HTTP/1.1 20", "HTTP/1.1 2x0", "HTTP/1.1  200"})
+        EXPECT_TRUE(parseResponseHead("HTTP/1.1 200 OK\r\nVia: " + std::string(value))) << value;
+}
+
 TEST(Message, RecognisesConnectionSpecificFields)
 {
     const result<request_head> head =
