A refusal of a request with HEAD has no body

What callers would see: the text of a refused HEAD where the next answer on their connection begins, bytes that belong to no request.

Cause: the router's own answers were written with their body whatever the request's method.

RefusalOfAHeadHasNoBody failed before and passes.

--- a/trefoilrouter/src/edge/caller_response.cpp
+++ b/trefoilrouter/src/edge/caller_response.cpp
@@ -53,8 +53,12 @@
 bool caller_response::sendRefusal(int status, std::string_view requestId, std::string_view message,
                                   std::optional<duration> retryAfter)
 {
-    return writeWhole(encodeLocalAnswer(status, requestId, message, retryAfter, m_closesConnection),
-                      timestamp {});
+    std::string text =
+        encodeLocalAnswer(status, requestId, message, retryAfter, m_closesConnection);
+    // A body would stand where the caller's next answer begins.
+    if (m_request.method == "HEAD")
+        text.resize(text.find("\r\n\r\n") + std::string_view("\r\n\r\n").size());
+    return writeWhole(text, timestamp {});
 }
 
 bool caller_response::sendEvents(const response_head &head, std::string_view events, bool isLast,
