A caller of HTTP/1.0 gets no interim answer

What callers would see: "100 Continue" as the answer to a request of HTTP/1.0 with an Expect field, and the answer itself as bytes that belong to no request.

Cause: the version was not looked at. Version 1.0 has no interim answers, and the field means nothing there.

CallerOfHttp10GetsNoInterimAnswer failed before and passes.

--- a/trefoilrouter/src/edge/caller_session.cpp
+++ b/trefoilrouter/src/edge/caller_session.cpp
@@ -233,7 +233,8 @@
             reject(HTTPResponse::HTTP_EXPECTATION_FAILED, "the expectation is not known");
             return std::nullopt;
         }
-        if (m_caller.buffer().empty())
+        // Version 1.0 has no interim answers: this would be taken for the answer.
+        if (m_caller.buffer().empty() && !request.head.isHttp10)
             m_caller.write("HTTP/1.1 100 Continue\r\n\r\n", boot_clock::now() + ownAnswerTimeout);
     }
     if (!readBody(bounds, *framing, request, held))
--- a/trefoilrouter/tests/caller_session_test.cpp
+++ b/trefoilrouter/tests/caller_session_test.cpp
@@ -99,6 +99,33 @@
     EXPECT_TRUE(isAnswered(usual, 1s));
 }
 
+// A caller that doesn't know interim answers took one for the answer to its request.
+TEST(CallerSession, CallerOfHttp10GetsNoInterimAnswer)
+{
+    const endpoint address = unusedAddress();
+    edge_state state(makeSettings());
+    server_connection_pool connections;
+    const child_body listener = callerListener(state, connections, address, 4);
+    const std::jthread thread(
+        [&listener](const std::stop_token &stop) { static_cast<void>(listener(stop)); });
+    std::this_thread::sleep_for(200ms);
+    const auto beginOfAnswer = [&address](const std::string &version) {
+        byte_stream caller = *byte_stream::connect(address, 1s);
+        caller.write("POST /a HTTP/" + version
+                         + "\r\nHost: x\r\nX-Request-Id: r1\r\nExpect: 100-continue\r\n"
+                           "Content-Length: 2\r\n\r\n",
+                     boot_clock::now() + 1s);
+        caller.readMore(boot_clock::now() + 200ms);
+        caller.write("ab", boot_clock::now() + 1s);
+        while (caller.buffer().empty()
+               && caller.readMore(boot_clock::now() + 1s) == read_outcome::Bytes) {
+        }
+        return caller.buffer().substr(0, 13);
+    };
+    EXPECT_EQ(beginOfAnswer("1.1"), "HTTP/1.1 100 ");
+    EXPECT_EQ(beginOfAnswer("1.0"), "HTTP/1.1 503 ");
+}
+
 // A body that trickles in had no limit on its time as a whole, and a page's request none at all.
 TEST(PageListener, RequestsAreBoundedInSizeAndTime)
 {
