--- a/libs/http/src/response_body.cpp
+++ b/libs/http/src/response_body.cpp
@@ -105,7 +105,7 @@
         breakOffByAnswer();
         return;
     }
-    // What is left is the body's own. In a stream it is the begin of an event.
+    // What is left is the body's own. A stream is broken off by it, inside an event.
     take(m_options.framing.end == body_end::Close ? m_undecided.size() : 0);
     const bool endsWithConnection = m_options.framing.end == body_end::Close;
     const bool lacksEvents = m_options.isEventStream && !m_hasEvents;
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -129,7 +129,7 @@
 result<server_connection_pool::pooled_connection>
 request_runner::acquire(std::string_view name, const std::function<result<byte_stream>()> &open)
 {
-    if (!hasUsualFraming())
+    if (!mayShareConnection())
         return server_connection_pool::open(open);
     return m_connections.acquire(name, mayRepeat() ? maxIdleRepeatable : maxIdleNonRepeatable,
                                  open);
@@ -418,7 +418,7 @@
 
 void request_runner::returnConnection(attempt &current)
 {
-    const bool mayKeep = current.isRequestWritten && hasUsualFraming()
+    const bool mayKeep = current.isRequestWritten && mayShareConnection()
         && current.framing.end != body_end::Close
         && isKeepAlive(current.head.headers, current.head.isHttp10)
         && current.stream->buffer().empty();
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -154,10 +154,9 @@
     /// Takes a connection called @p name from the pool or opens one with @p open.
     result<server_connection_pool::pooled_connection>
     acquire(std::string_view name, const std::function<result<byte_stream>()> &open);
-    /// Returns whether the answers to the request's method are framed like most. A connection that
-    /// carries a request of another method carries no other one, since a late answer can be read
-    /// only by the method of its request, which it doesn't tell.
-    bool hasUsualFraming() const { return m_request.head.method != "HEAD"; }
+    /// Returns whether a connection may carry other requests beside this one. A late answer can be
+    /// read only by the method of its own request, which it doesn't tell: one to HEAD has no body.
+    bool mayShareConnection() const { return m_request.head.method != "HEAD"; }
     /// Returns whether the attempt must not be sent since a zone that it uses has been evacuated.
     bool usesEvacuatedZone(const attempt &current);
     attempt_end readHead(attempt &current);
