serve: a late answer of the platform isn't the answer to the next call

A platform, or a proxy before it, that sends an answer once more made the next call on the connection get the earlier one: another object, an older list, the version of another write, or a conflict that wasn't one.

Each call now names an attempt (the id's generator moves to http_util), with the same rules as for backend servers: a connection is kept only if the platform returns X-Attempt, which costs at most calls_per_second connections otherwise. A write whose answer is to another call has an unknown outcome.

--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -1,12 +1,10 @@
 #include "backend_client.h"
 
 #include <algorithm>
-#include <random>
 #include <thread>
 #include <utility>
 
 #include <Poco/Net/HTTPResponse.h>
-#include <core/digest.h>
 #include <core/json.h>
 #include <http/attempt_response_reader.h>
 #include <telemetry/log.h>
@@ -87,16 +85,6 @@
 
 } // namespace
 
-std::string newAttemptId()
-{
-    // On Linux, std::random_device has no state and each call reads the processor's or the kernel's
-    // generator.
-    static_assert(sizeof(std::random_device::result_type) == sizeof(std::uint32_t));
-    std::random_device source;
-    const auto draw = [&source] { return std::uint64_t {source()} << 32 | source(); };
-    return toHex({.high = draw(), .low = draw()});
-}
-
 backend_exchange::backend_exchange(backend_client &client, endpoint address)
     : m_client(client), m_address(std::move(address))
 { }
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -16,11 +16,9 @@
 #include <http/response_body.h>
 #include <telemetry/metrics.h>
 
-namespace trefoil {
+#include "http_util.h"
 
-/// Returns the identifier of a new attempt, 32 hexadecimal digits. It is unique across instances
-/// and restarts: engines get the attempts and cancellations of all instances. Thread-safe.
-std::string newAttemptId();
+namespace trefoil {
 
 /// A request to a backend server.
 struct backend_request
--- a/trefoilrouter/src/http_object_store.cpp
+++ b/trefoilrouter/src/http_object_store.cpp
@@ -42,8 +42,9 @@
     : m_client(std::move(address), callsPerSecond)
 { }
 
-result<Json::Value> http_object_store::call(const http_request &request, duration timeout)
+result<Json::Value> http_object_store::call(http_request request, duration timeout)
 {
+    request.attemptId = newAttemptId();
     const result<json_http_client::response> response =
         m_client.call(request, {.idle = timeout, .total = timeout * 2});
     if (!response)
--- a/trefoilrouter/src/http_object_store.h
+++ b/trefoilrouter/src/http_object_store.h
@@ -30,7 +30,9 @@
     const call_budget &budget() const { return m_client.budget(); }
 
 private:
-    result<Json::Value> call(const http_request &request, duration timeout);
+    /// Sends @p request with an attempt identifier of its own: the first response on a kept
+    /// connection may be a late one to an earlier call.
+    result<Json::Value> call(http_request request, duration timeout);
 
     json_http_client m_client;
 };
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -4,10 +4,12 @@
 #include <condition_variable>
 #include <istream>
 #include <mutex>
+#include <random>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/ThreadPool.h>
+#include <core/digest.h>
 
 namespace trefoil {
 
@@ -68,6 +70,16 @@
     return "";
 }
 
+std::string newAttemptId()
+{
+    // On Linux, std::random_device has no state and each call reads the processor's or the kernel's
+    // generator.
+    static_assert(sizeof(std::random_device::result_type) == sizeof(std::uint32_t));
+    std::random_device source;
+    const auto draw = [&source] { return std::uint64_t {source()} << 32 | source(); };
+    return toHex({.high = draw(), .low = draw()});
+}
+
 Poco::Net::ServerSocket listenOn(const endpoint &address, int backlog)
 {
     Poco::Net::ServerSocket socket;
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -37,6 +37,10 @@
 /// Returns the first value of parameter @p name in @p uri, or "". Thread-safe.
 std::string queryValue(const Poco::URI &uri, std::string_view name);
 
+/// Returns the identifier of a new attempt, 32 hexadecimal digits. It is unique across instances
+/// and restarts: servers get the attempts of all instances. Thread-safe.
+std::string newAttemptId();
+
 /// Returns a socket that listens on @p address. Throws Poco::Exception on failure.
 Poco::Net::ServerSocket listenOn(const endpoint &address, int backlog);
 
--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -70,7 +70,9 @@
     if (!httpResponse) {
         closeIdleConnections();
         const bool isWrite = request.method != "GET";
-        const bool mayHaveArrived = isWrite && httpResponse.error().code == http_errors::broken;
+        const std::string &code = httpResponse.error().code;
+        const bool mayHaveArrived =
+            isWrite && (code == http_errors::broken || code == http_errors::foreign);
         return failure(mayHaveArrived ? platform_errors::unknownOutcome
                                       : platform_errors::unavailable,
                        httpResponse.error().message);
--- a/trefoilrouter/tests/backend_client_test.cpp
+++ b/trefoilrouter/tests/backend_client_test.cpp
@@ -1,7 +1,5 @@
 #include "backend_client.h"
 
-#include <atomic>
-#include <functional>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -10,8 +8,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
-#include <http/chunked.h>
-#include <http/message.h>
+
+#include "kept_connection_server.h"
 
 namespace trefoil {
 
@@ -63,112 +61,7 @@
     std::jthread m_thread;
 };
 
-/// A request as a scripted_server received it.
-struct received_request
-{
-    std::string method;
-    std::string path;
-    std::string attempt;
-    /// Number of its connection, and its number on the connection, each from 0.
-    int connection = 0;
-    int number = 0;
-};
-
-/// Backend server that keeps its connections and answers as a test tells it to.
-class scripted_server
-{
-public:
-    using script = std::function<void(byte_stream &stream, const received_request &request)>;
-
-    explicit scripted_server(script answer)
-        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0)), m_answer(std::move(answer)),
-          m_acceptor([this](const std::stop_token &stop) { accept(stop); })
-    { }
-
-    endpoint address() const { return {.host = "127.0.0.1", .port = m_socket.address().port()}; }
-    int connections() const { return m_connections.load(); }
-
-private:
-    void accept(const std::stop_token &stop)
-    {
-        std::vector<std::jthread> threads;
-        while (!stop.stop_requested()) {
-            if (!m_socket.poll(Poco::Timespan(0, 2000), Poco::Net::Socket::SELECT_READ))
-                continue;
-            const int connection = m_connections.fetch_add(1);
-            threads.emplace_back(
-                [this, connection, socket = m_socket.acceptConnection()](
-                    const std::stop_token &end) { serve(end, connection, byte_stream(socket)); });
-        }
-    }
-
-    void serve(const std::stop_token &stop, int connection, byte_stream stream)
-    {
-        for (int number = 0; !stop.stop_requested();) {
-            std::string text;
-            if (takeHead(stream.buffer(), 1 << 16, text) != head_state::Complete) {
-                const read_outcome outcome = stream.readMore(boot_clock::now() + 20ms);
-                if (outcome != read_outcome::Bytes && outcome != read_outcome::TimedOut)
-                    return;
-                continue;
-            }
-            const result<request_head> head = parseRequestHead(text);
-            ASSERT_TRUE(head) << text;
-            stream.buffer().clear(); // the requests of these tests have no body
-            m_answer(stream,
-                     {.method = head->method,
-                      .path = head->target,
-                      .attempt = std::string(head->headers.value("X-Attempt")),
-                      .connection = connection,
-                      .number = number++});
-        }
-    }
-
-    Poco::Net::ServerSocket m_socket;
-    script m_answer;
-    std::atomic<int> m_connections = 0;
-    std::jthread m_acceptor;
-};
-
-enum class answer_kind { Plain, Stream };
-
-/// Returns an answer with @p body that names @p attempt, or none if it is empty.
-std::string encodeAnswer(std::string_view attempt, std::string_view body,
-                         answer_kind kind = answer_kind::Plain)
-{
-    std::string text = "HTTP/1.1 200 OK\r\n";
-    if (!attempt.empty())
-        appendField(text, "X-Attempt", attempt);
-    if (kind == answer_kind::Plain) {
-        appendField(text, "Content-Length", std::to_string(body.size()));
-        return text.append("\r\n").append(body);
-    }
-    text += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    appendChunk(text, "data: ");
-    appendChunk(text, body);
-    appendChunk(text, "\n\n");
-    return text.append(lastChunk);
-}
-
-void write(byte_stream &stream, std::string_view text)
-{
-    stream.write(text, boot_clock::now() + 1s);
-}
-
-/// Returns a server that sends each answer once more before the next one on the connection. @p
-/// bodyFor returns the body of the answer to a request.
-scripted_server::script
-answerTwice(std::function<std::string(const received_request &request)> bodyFor, answer_kind kind)
-{
-    return [bodyFor = std::move(bodyFor), kind, last = std::make_shared<std::string>()](
-               byte_stream &stream, const received_request &request) {
-        const std::string answer = encodeAnswer(request.attempt, bodyFor(request), kind);
-        write(stream, request.number == 0 ? answer : *last + answer);
-        *last = answer;
-    };
-}
-
-std::string pathOf(const received_request &request) { return request.path; }
+std::string pathOf(const scripted_request &request) { return request.path; }
 
 /// Returns the body of the answer to @p request, or the code of the error.
 std::string ask(backend_client &client, const endpoint &address, const backend_request &request)
@@ -249,7 +142,7 @@
 TEST(BackendClient, AnswerSentTwiceIsNotTheNextRequestsAnswer)
 {
     for (const answer_kind kind : {answer_kind::Plain, answer_kind::Stream}) {
-        const scripted_server server(answerTwice(pathOf, kind));
+        const kept_connection_server server(answerTwice(pathOf, kind));
         metric_registry metrics;
         backend_client client(metrics);
         for (int i = 0; i < 8; ++i) {
@@ -267,8 +160,8 @@
 // A state that was sent twice became the state of the next poll: event numbers went back.
 TEST(BackendClient, StateSentTwiceIsNotTheNextPollsState)
 {
-    const scripted_server server(answerTwice(
-        [](const received_request &request) {
+    const kept_connection_server server(answerTwice(
+        [](const scripted_request &request) {
             return "{\"next_sequence\":" + std::to_string(request.number + 1) + "}";
         },
         answer_kind::Plain));
@@ -287,7 +180,7 @@
 // caller's.
 TEST(BackendClient, AnswerToAnotherAttemptOnANewConnectionIsNotPassedOn)
 {
-    const scripted_server server([](byte_stream &stream, const received_request &) {
+    const kept_connection_server server([](byte_stream &stream, const scripted_request &) {
         write(stream, encodeAnswer(newAttemptId(), "another caller's"));
     });
     metric_registry metrics;
@@ -300,7 +193,7 @@
 // On a connection that is kept, an answer that names no attempt may be a late one.
 TEST(BackendClient, ConnectionsOfAServerThatNamesNoAttemptAreNotKept)
 {
-    const scripted_server server([](byte_stream &stream, const received_request &request) {
+    const kept_connection_server server([](byte_stream &stream, const scripted_request &request) {
         write(stream, encodeAnswer("", request.path == "/state?from=0" ? "{}" : request.path));
     });
     metric_registry metrics;
@@ -315,7 +208,7 @@
 
 TEST(BackendClient, AnswerThatNamesNoAttemptOnAKeptConnectionIsNotPassedOn)
 {
-    const scripted_server server([](byte_stream &stream, const received_request &request) {
+    const kept_connection_server server([](byte_stream &stream, const scripted_request &request) {
         write(stream, encodeAnswer(request.number == 0 ? request.attempt : "", request.path));
     });
     metric_registry metrics;
@@ -331,7 +224,7 @@
 {
     std::mutex mutex;
     std::vector<std::string> seen;
-    const scripted_server server([&](byte_stream &stream, const received_request &request) {
+    const kept_connection_server server([&](byte_stream &stream, const scripted_request &request) {
         {
             const std::lock_guard<std::mutex> lock(mutex);
             seen.push_back(request.method + " on " + std::to_string(request.connection));
@@ -352,7 +245,7 @@
 
 TEST(BackendClient, AttemptEndsInTimeBehindALateAnswerWithoutEnd)
 {
-    const scripted_server server([](byte_stream &stream, const received_request &request) {
+    const kept_connection_server server([](byte_stream &stream, const scripted_request &request) {
         const std::string answer = encodeAnswer(request.attempt, "a", answer_kind::Stream);
         if (request.number == 0) {
             write(stream, answer);
