serve: a late answer of another instance isn't the answer to the next call

Calls between instances use kept connections, and libjsonrpccpp gives each call the id 1 and doesn't compare it, so an answer that arrives once more (a proxy or a relay between zones) was the answer to the next call: a grant or a confirmation of a lease that wasn't given.

--- /dev/null
+++ b/trefoilrouter/tests/peer_rpc_test.cpp
@@ -0,0 +1,53 @@
+#include "peer_rpc.h"
+
+#include <core/json.h>
+#include <gtest/gtest.h>
+#include <rpc/rpc.h>
+
+#include "kept_connection_server.h"
+
+namespace trefoil {
+
+namespace {
+
+/// Answers the request of an instance for its peer's copy of an object.
+std::string copyFor(const scripted_request &request)
+{
+    rpc_server server([](const Json::Value &message) {
+        const config_fetch fetch = std::get<config_fetch>(*peerRequestFromJson(message));
+        return toJson(peer_answer(object {.name = fetch.name, .version = 1, .value = "x"}));
+    });
+    return server.answer(request.body);
+}
+
+} // namespace
+
+// JSON-RPC calls all have the id 1: an answer that was sent twice became the answer to the next
+// call, such as a grant or a confirmation that was not given.
+TEST(PeerClient, AnswerSentTwiceIsNotTheNextCallsAnswer)
+{
+    const kept_connection_server server(answerTwice(copyFor));
+    peer_client peers("");
+    for (int i = 0; i < 8; ++i) {
+        const std::string name = "config/" + std::to_string(i);
+        const result<peer_answer> answer =
+            peers.call(toString(server.address()), config_fetch {.name = name});
+        ASSERT_TRUE(answer) << answer.error().message;
+        EXPECT_EQ(std::get<object>(*answer).name, name);
+    }
+    EXPECT_EQ(server.connections(), 1);
+}
+
+// Instances of earlier versions name no attempt.
+TEST(PeerClient, EachCallToAPeerThatNamesNoAttemptHasItsOwnConnection)
+{
+    const kept_connection_server server([](byte_stream &stream, const scripted_request &request) {
+        write(stream, encodeAnswer("", copyFor(request)));
+    });
+    peer_client peers("");
+    for (int i = 0; i < 4; ++i)
+        EXPECT_TRUE(peers.call(toString(server.address()), config_fetch {.name = "config/routes"}));
+    EXPECT_EQ(server.connections(), 4);
+}
+
+} // namespace trefoil
