serve: the events of two runs of a stream aren't joined

Callers saw pieces of a stream twice, or the text of two runs in one stream, complete and in order by its ids, after the first engine had failed.

Cause: stream_assembler numbered events without ids from the client's position on, whatever the engine did with X-Resume-From; it dropped events with lower ids without comparing them, so that a run with another text was joined in its middle; and the end marker of a run that had begun again and was shorter completed the stream.

A run after the first has no position until its first id or a returned X-Resume-From states one; an event without both ends the attempt, and so does an end marker before the client's position. Events that the client has must have the same data, and ids may not skip. Engines that neither number their events nor return the position can't be resumed: the caller gets attempts-failed instead of a joined text. trefoil_streams_not_continued_total and a line in the log count them.

StreamAssembler.NumbersEventsWithoutId demanded that a second run without any position is joined, which is the fault; it now demands that it is with a stated one, and that without it is not, in RunThatDoesNotTellWhereItResumesIsNotJoined.

Evidence: StreamAssembler.RunThatDoesNotTellWhereItResumesIsNotJoined, .RunsWithDifferentTextsAreNotJoined, .ShorterRunDoesNotCompleteTheStream, .IdsThatSkipOrGoBackToAnotherTextEndTheAttempt failed before and pass.

--- a/libs/delivery/tests/stream_assembler_test.cpp
+++ b/libs/delivery/tests/stream_assembler_test.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-sse_event token(std::string_view id) { return {.id = id, .data = "{}"}; }
+sse_event token(std::string_view id, std::string_view data = "{}")
+{
+    return {.id = id, .data = data};
+}
 
 const sse_event endMarker {.id = "", .data = streamEnd};
 
@@ -60,11 +63,82 @@
     stream_assembler stream;
     std::uint64_t attempt = stream.begin();
     EXPECT_EQ(stream.take(attempt, token("")), stream_step::Deliver);
+    EXPECT_EQ(stream.take(attempt, token("")), stream_step::Deliver);
     attempt = stream.begin();
+    stream.setPosition(attempt, 2);
     EXPECT_EQ(stream.take(attempt, token("")), stream_step::Deliver);
+    EXPECT_EQ(stream.next(), 3u);
+    EXPECT_EQ(stream.take(attempt, endMarker), stream_step::Complete);
+}
+
+// An engine that ignored the resume position began again, without ids: its first events became the
+// continuation of the events before.
+TEST(StreamAssembler, RunThatDoesNotTellWhereItResumesIsNotJoined)
+{
+    stream_assembler stream;
+    std::uint64_t attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("", "a")), stream_step::Deliver);
+    EXPECT_EQ(stream.take(attempt, token("", "b")), stream_step::Deliver);
+    attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("", "a")), stream_step::Gap);
+    attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, endMarker), stream_step::Gap);
+    attempt = stream.begin();
+    stream.setPosition(attempt, 3);
+    EXPECT_EQ(stream.take(attempt, token("", "d")), stream_step::Gap);
     EXPECT_EQ(stream.next(), 2u);
 }
 
+// An engine began again with ids and another text: the events of both runs were joined.
+TEST(StreamAssembler, RunsWithDifferentTextsAreNotJoined)
+{
+    for (const bool hasIds : {true, false}) {
+        stream_assembler stream;
+        std::uint64_t attempt = stream.begin();
+        EXPECT_EQ(stream.take(attempt, token("0", "a")), stream_step::Deliver);
+        EXPECT_EQ(stream.take(attempt, token("1", "b")), stream_step::Deliver);
+        attempt = stream.begin();
+        if (!hasIds)
+            stream.setPosition(attempt, 0);
+        EXPECT_EQ(stream.take(attempt, token(hasIds ? "0" : "", "a")), stream_step::Repeated);
+        EXPECT_EQ(stream.take(attempt, token(hasIds ? "1" : "", "x")), stream_step::Gap);
+        attempt = stream.begin();
+        EXPECT_EQ(stream.take(attempt, token("0", "a")), stream_step::Repeated);
+        EXPECT_EQ(stream.take(attempt, token("1", "b")), stream_step::Repeated);
+        EXPECT_EQ(stream.take(attempt, token("2", "c")), stream_step::Deliver);
+    }
+}
+
+// A run that began again and ended before the position that the client had reached made the joined
+// stream complete.
+TEST(StreamAssembler, ShorterRunDoesNotCompleteTheStream)
+{
+    stream_assembler stream;
+    std::uint64_t attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("0")), stream_step::Deliver);
+    EXPECT_EQ(stream.take(attempt, token("1")), stream_step::Deliver);
+    attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("0")), stream_step::Repeated);
+    EXPECT_EQ(stream.take(attempt, endMarker), stream_step::Gap);
+    attempt = stream.begin();
+    stream.setPosition(attempt, 2);
+    EXPECT_EQ(stream.take(attempt, endMarker), stream_step::Complete);
+}
+
+// Ids that skip events which the client has make the run's text another one.
+TEST(StreamAssembler, IdsThatSkipOrGoBackToAnotherTextEndTheAttempt)
+{
+    stream_assembler stream;
+    std::uint64_t attempt = stream.begin();
+    for (const char *id : {"0", "1", "2"})
+        EXPECT_EQ(stream.take(attempt, token(id, id)), stream_step::Deliver);
+    EXPECT_EQ(stream.take(attempt, token("1", "1")), stream_step::Repeated);
+    EXPECT_EQ(stream.take(attempt, token("1", "x")), stream_step::Gap);
+    attempt = stream.begin();
+    EXPECT_EQ(stream.take(attempt, token("0", "0")), stream_step::Repeated);
+    EXPECT_EQ(stream.take(attempt, token("3", "3")), stream_step::Gap);
+}
+
 /// Whichever events are lost, repeated, reordered or from an earlier attempt, the client gets
 /// tokens 0, 1, 2, ... once each.
 TEST(StreamAssembler, DeliversEachTokenOnceInOrderAcrossAttempts)
--- a/standins/src/standin_engine.cpp
+++ b/standins/src/standin_engine.cpp
@@ -349,21 +349,26 @@
     void sendStream(const generation_job &job, const std::string &faultMode,
                     Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
     {
+        // Such an engine has no ids and doesn't resume.
+        const bool isForgetful = faultMode == "forgetful";
+        const int firstToken = isForgetful ? 0 : job.firstToken;
+        if (!isForgetful && request.has("X-Resume-From"))
+            response.set("X-Resume-From", std::to_string(firstToken));
         response.setContentType("text/event-stream");
         response.setChunkedTransferEncoding(true);
         std::ostream &out = response.send();
         std::string sent;
-        for (int i = job.firstToken; i < job.tokenCount && faultMode != "empty"; ++i) {
+        for (int i = firstToken; i < job.tokenCount && faultMode != "empty"; ++i) {
             if (isCancelled(job.attemptId))
                 return;
-            if (faultMode == "cut" && i - job.firstToken == job.tokenCount / 2) {
+            if ((faultMode == "cut" || isForgetful) && i - job.firstToken == job.tokenCount / 2) {
                 response.setKeepAlive(false);
                 return;
             }
             if (faultMode == "die" && i - job.firstToken == job.tokenCount / 2)
                 std::_Exit(1);
-            const std::string event = "id: " + std::to_string(i)
-                + "\ndata: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,"
+            const std::string event = (isForgetful ? "" : "id: " + std::to_string(i) + "\n")
+                + "data: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,"
                   "\"delta\":{\"content\":\""
                 + tokenText(job, i) + "\"}}]}\n\n";
             out << event << std::flush;
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -15,6 +15,10 @@
 /// Time for such a response as a whole, as a multiple of the time to its first byte.
 constexpr int wholeResponseTimeouts = 10;
 
+/// Field that names the first event that the engine shall send, and in the answer the first that it
+/// sends.
+constexpr const char *resumeField = "X-Resume-From";
+
 /// Returns the value of X-Prefix-Blocks: the digests of the prompt's blocks, by which the engine
 /// identifies them in its cache events.
 std::string prefixBlocksHeader(const prefix_chain &chain)
@@ -128,7 +132,7 @@
             request.headers.emplace_back("X-Prefix-Blocks",
                                          prefixBlocksHeader(m_request.incoming.chain));
         if (m_request.stream && m_assembler.next() > 0)
-            request.headers.emplace_back("X-Resume-From", std::to_string(m_assembler.next()));
+            request.headers.emplace_back(resumeField, std::to_string(m_assembler.next()));
     }
     request.isCallerGone = [this] { return m_writer.isDisconnected(); };
     return request;
@@ -210,6 +214,10 @@
 
 proxy::attempt_result proxy::relayStream(backend_exchange &exchange)
 {
+    const std::optional<std::uint64_t> position =
+        parseDecimal(exchange.response().headers.value(resumeField));
+    if (position)
+        m_assembler.setPosition(m_attempt, *position);
     sse_parser parser;
     attempt_result outcome = attempt_result::Continue;
     const auto onEvent = [&](const sse_event &event) {
@@ -259,6 +267,10 @@
         recordFailure(attempt_failure::Empty);
         return attempt_result::Failed;
     case stream_step::Gap:
+        m_context.metrics.counterOf("trefoil_streams_not_continued_total").add();
+        logWarning("traffic",
+                   "A stream was not continued: after " + std::to_string(m_assembler.next())
+                       + " events came one with id \"" + std::string(event.id) + "\".");
         recordFailure(attempt_failure::Truncated);
         return attempt_result::Failed;
     case stream_step::Repeated:
