serve: the unread body of a refused request isn't the caller's next request

Callers that sent a body with a request that was refused early got one answer too many on that connection: the answers to their next requests were those to the requests before. What was hidden in a body ran as a request, which matters where a proxy sends the requests of several teams on one connection.

Cause: 401, 403, 404, 413 and the answers of /v1/models and /v1/entry were sent before the body was read, and POCO's server took what was left of it for the next request. It also leaves the trailer fields of a chunked body unread.

An answer that is sent before the body was read now ends the connection, after up to 0.5 s in which the body is read and dropped, so that a reset doesn't cost the caller the answer. A request with Transfer-Encoding always ends its connection: callers that send chunked bodies need one connection for each request.

--- a/trefoilrouter/src/callers_handler.cpp
+++ b/trefoilrouter/src/callers_handler.cpp
@@ -25,6 +25,9 @@
 constexpr const char *bearerScheme = "Bearer ";
 constexpr const char *idempotencyHeader = "Idempotency-Key";
 
+/// How long the body of a refused request is read before the connection is closed.
+constexpr duration unreadBodyTimeout = std::chrono::milliseconds(500);
+
 /// Caller headers that are not forwarded to backend servers: hop-by-hop headers, headers that this
 /// process sets itself, and all that may carry the caller's credentials.
 const std::set<std::string> &unforwardedHeaders()
@@ -86,17 +89,40 @@
     return body;
 }
 
+/// Returns whether the body of @p request is chunked, or framed in a way that POCO doesn't know.
+bool hasTransferEncoding(const Poco::Net::HTTPServerRequest &request)
+{
+    return request.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+}
+
+/// Returns whether @p request announces a body.
+bool hasBody(const Poco::Net::HTTPServerRequest &request)
+{
+    return hasTransferEncoding(request)
+        || (request.hasContentLength() && request.getContentLength64() > 0);
+}
+
 /// Writes responses to a caller's HTTP connection.
 class http_response_writer : public response_writer
 {
 public:
     http_response_writer(Poco::Net::HTTPServerRequest &request,
                          Poco::Net::HTTPServerResponse &response, const traffic_snapshot &snapshot)
-        : m_request(request), m_response(response), m_snapshot(snapshot)
-    { }
+        : m_request(request), m_response(response), m_snapshot(snapshot),
+          m_isBodyUnread(hasBody(request))
+    {
+        // POCO leaves the trailer fields of a chunked body unread.
+        if (hasTransferEncoding(request))
+            m_response.setKeepAlive(false);
+    }
+
+    /// Records that the request's body was read to its end.
+    void recordBodyRead() { m_isBodyUnread = false; }
 
     void sendResponse(int status, const std::string &contentType, const std::string &body) override
     {
+        if (m_isBodyUnread)
+            endConnection();
         m_response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
         m_response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(m_response.getStatus()));
         m_response.setContentType(contentType);
@@ -148,9 +174,21 @@
     }
 
 private:
+    /// Makes the connection end with the response: what is left of the body would be taken for the
+    /// caller's next request. Reads the body for a while, since a connection that is closed with
+    /// unread bytes is reset, which may cost the caller the response.
+    void endConnection()
+    {
+        m_response.setKeepAlive(false);
+        static_cast<Poco::Net::HTTPServerRequestImpl &>(m_request).socket().setReceiveTimeout(
+            toTimespan(unreadBodyTimeout));
+        discardBody(m_request.stream(), boot_clock::now() + unreadBodyTimeout);
+    }
+
     Poco::Net::HTTPServerRequest &m_request;
     Poco::Net::HTTPServerResponse &m_response;
     const traffic_snapshot &m_snapshot;
+    bool m_isBodyUnread;
     std::ostream *m_stream = nullptr;
 };
 
@@ -346,6 +384,8 @@
                            .code = "body-too-long",
                            .message = "the body is longer than "
                                + std::to_string(m_settings.maxBodyBytes) + " bytes"});
+        else
+            writer.recordBodyRead();
         return isWithinLimit;
     }
 
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -1,6 +1,7 @@
 #include "http_util.h"
 
 #include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <istream>
 #include <mutex>
@@ -54,6 +55,13 @@
     return true;
 }
 
+void discardBody(std::istream &input, timestamp deadline)
+{
+    std::array<char, 16 << 10> discarded {};
+    while (boot_clock::now() < deadline && readAvailable(input, discarded) > 0)
+        ;
+}
+
 std::string encodeUri(std::string_view text)
 {
     std::string encoded;
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -31,6 +31,10 @@
 /// @p maxBytes or @p deadline has passed.
 bool readBody(std::istream &input, std::size_t maxBytes, timestamp deadline, std::string &body);
 
+/// Reads @p input and drops the bytes until its end or @p deadline. Blocks for longer only if a
+/// read does.
+void discardBody(std::istream &input, timestamp deadline);
+
 /// Percent-encodes all characters of @p text except letters, digits and -_.~. Thread-safe.
 std::string encodeUri(std::string_view text);
 
