--- a/trefoilrouter/src/http_object_store.h
+++ b/trefoilrouter/src/http_object_store.h
@@ -30,9 +30,9 @@
     const call_budget &budget() const { return m_client.budget(); }
 
 private:
-    /// Calls the platform, with @p subject as in json_http_client::call().
-    result<Json::Value> call(const http_request &request, duration timeout,
-                             std::string_view subject);
+    /// Sends @p request with an attempt identifier of its own: the first response on a kept
+    /// connection may be a late one to an earlier call.
+    result<Json::Value> call(http_request request, duration timeout);
 
     json_http_client m_client;
 };
--- a/trefoilrouter/src/http_util.cpp
+++ b/trefoilrouter/src/http_util.cpp
@@ -1,13 +1,16 @@
 #include "http_util.h"
 
 #include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <istream>
 #include <mutex>
+#include <random>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/ThreadPool.h>
+#include <core/digest.h>
 
 namespace trefoil {
 
@@ -52,6 +55,13 @@
     return true;
 }
 
+void discardBody(std::istream &input, timestamp deadline)
+{
+    std::array<char, 16 << 10> discarded {};
+    while (boot_clock::now() < deadline && readAvailable(input, discarded) > 0)
+        ;
+}
+
 std::string encodeUri(std::string_view text)
 {
     std::string encoded;
@@ -68,6 +78,16 @@
     return "";
 }
 
+std::string newAttemptId()
+{
+    // On Linux, std::random_device has no state and each call reads the processor's or the kernel's
+    // generator.
+    static_assert(sizeof(std::random_device::result_type) == sizeof(std::uint32_t));
+    std::random_device source;
+    const auto draw = [&source] { return std::uint64_t {source()} << 32 | source(); };
+    return toHex({.high = draw(), .low = draw()});
+}
+
 Poco::Net::ServerSocket listenOn(const endpoint &address, int backlog)
 {
     Poco::Net::ServerSocket socket;
--- a/trefoilrouter/src/http_util.h
+++ b/trefoilrouter/src/http_util.h
@@ -31,12 +31,20 @@
 /// @p maxBytes or @p deadline has passed.
 bool readBody(std::istream &input, std::size_t maxBytes, timestamp deadline, std::string &body);
 
+/// Reads @p input and drops the bytes until its end or @p deadline. Blocks for longer only if a
+/// read does.
+void discardBody(std::istream &input, timestamp deadline);
+
 /// Percent-encodes all characters of @p text except letters, digits and -_.~. Thread-safe.
 std::string encodeUri(std::string_view text);
 
 /// Returns the first value of parameter @p name in @p uri, or "". Thread-safe.
 std::string queryValue(const Poco::URI &uri, std::string_view name);
 
+/// Returns the identifier of a new attempt, 32 hexadecimal digits. It is unique across instances
+/// and restarts: servers get the attempts of all instances. Thread-safe.
+std::string newAttemptId();
+
 /// Returns a socket that listens on @p address. Throws Poco::Exception on failure.
 Poco::Net::ServerSocket listenOn(const endpoint &address, int backlog);
 
