serve: calls between instances go by the id of JSON-RPC alone

Instances of earlier versions return only JSON-RPC's, so that X-Attempt cost them one connection for each call of a new instance. X-Attempt is taken out here again; a call that meets an earlier call's answer fails, and its connection isn't used again.

--- a/trefoilrouter/src/peer_rpc.cpp
+++ b/trefoilrouter/src/peer_rpc.cpp
@@ -33,8 +33,6 @@
                        Poco::Net::HTTPServerResponse &response) override
     {
         std::string body;
-        if (request.has(attemptField))
-            response.set(attemptField, request.get(attemptField));
         if (request.get(peerSecretHeader, "") != m_secret) {
             response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_FORBIDDEN);
             response.setContentLength(0);
@@ -119,8 +117,7 @@
             connection.send({.method = "POST",
                              .path = "/rpc",
                              .body = text,
-                             .headers = {{peerSecretHeader, m_secret}},
-                             .attemptId = newAttemptId()},
+                             .headers = {{peerSecretHeader, m_secret}}},
                             {.total = peerTimeout * 2,
                              .connect = peerTimeout,
                              .idle = peerTimeout,
