serve: a connection on which a server may not have read the body isn't kept

A backend server that refuses a request before it has read the body, as servers built on POCO do, takes the rest of the body, which the caller has written, for the next request on the connection and runs it. Its answer names no attempt and isn't passed on since, but the request has run.

backend_exchange keeps the connection of a request with a body only if the answer's status is below 400. http_connection had such a rule for 413, 429 and 5xx already.

Evidence: BackendClient.ConnectionWithABodyThatMayBeUnreadIsNotKept: before, 1 connection for the statuses 400, 401, 404, 413, 429, 500 and 503, expected 7; passes.

--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -76,6 +76,10 @@
     return digests;
 }
 
+/// Returns whether a server may have answered with @p status without reading the request's body: it
+/// would take what is left of the body for the next request.
+bool mayLeaveBodyUnread(int status) { return status >= HTTPResponse::HTTP_BAD_REQUEST; }
+
 std::vector<std::pair<std::string, std::string>> authorizationHeaders(const std::string &credential)
 {
     if (credential.empty())
@@ -119,6 +123,7 @@
     std::size_t size = 0;
     for (const std::string_view segment : request.body)
         size += segment.size();
+    m_hasBody = size > 0;
     std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
     appendField(head, "Host", toString(m_address));
     appendField(head, "Connection", m_mayBeKept ? "Keep-Alive" : "close");
@@ -196,7 +201,8 @@
         if (!head)
             return failure(backend_errors::connectionLost, head.error().message);
         if (*head) {
-            m_mayBeKept = m_mayBeKept && heads.isNamed();
+            const bool isBodyUnread = m_hasBody && mayLeaveBodyUnread((*head)->status);
+            m_mayBeKept = m_mayBeKept && heads.isNamed() && !isBodyUnread;
             return std::move(**head);
         }
         if (const result<void> more = readMore(deadline, request.isCallerGone); !more)
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -95,6 +95,7 @@
     bool m_isKeptConnection = false;
     /// Whether the connection may carry another request after this one.
     bool m_mayBeKept = false;
+    bool m_hasBody = false;
     bool m_isRequestWritten = false;
     duration m_timeout {};
     response_head m_response;
--- a/trefoilrouter/tests/backend_client_test.cpp
+++ b/trefoilrouter/tests/backend_client_test.cpp
@@ -219,6 +219,34 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// A server that answers before it has read the body takes the rest of it for the next request on
+// the connection.
+TEST(BackendClient, ConnectionWithABodyThatMayBeUnreadIsNotKept)
+{
+    std::string status;
+    const kept_connection_server server([&](byte_stream &stream, const scripted_request &request) {
+        std::string answer = encodeAnswer(request.attempt, "a");
+        write(stream, answer.replace(answer.find("200"), 3, status));
+    });
+    metric_registry metrics;
+    backend_client client(metrics);
+    const std::string_view body = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+    int connections = 0;
+    for (const char *each : {"400", "401", "404", "413", "429", "500", "503"}) {
+        status = each;
+        EXPECT_EQ(ask(client, server.address(), {.path = "/a", .body = {&body, 1}}), "a");
+        EXPECT_EQ(server.connections(), ++connections) << each;
+    }
+    status = "200";
+    for (int i = 0; i < 2; ++i)
+        EXPECT_EQ(ask(client, server.address(), {.path = "/a", .body = {&body, 1}}), "a");
+    EXPECT_EQ(server.connections(), ++connections);
+    status = "404";
+    for (int i = 0; i < 2; ++i)
+        EXPECT_EQ(ask(client, server.address(), get("/a")), "a");
+    EXPECT_EQ(server.connections(), connections);
+}
+
 // Where a late answer to HEAD ends can't be told: its length is that of a body that doesn't come.
 TEST(BackendClient, NoOtherRequestUsesTheConnectionOfAHead)
 {
