--- a/trefoilrouter/tests/backend_client_test.cpp
+++ b/trefoilrouter/tests/backend_client_test.cpp
@@ -271,6 +271,26 @@
     EXPECT_EQ(seen, (std::vector<std::string> {"GET on 0", "HEAD on 1", "HEAD on 2", "GET on 0"}));
 }
 
+// A body that ends with its connection was passed on with the second answer that the server wrote
+// behind it.
+TEST(BackendClient, SecondAnswerBehindABodyWithoutFramingIsNoPartOfIt)
+{
+    for (const bool isStream : {false, true}) {
+        const scripted_server server([&](byte_stream &stream, const received_request &request) {
+            std::string text = "HTTP/1.1 200 OK\r\n";
+            appendField(text, "X-Attempt", request.attempt);
+            if (isStream)
+                appendField(text, "Content-Type", "text/event-stream");
+            text += isStream ? "\r\nid: 0\ndata: own\n\n" : "\r\nown";
+            write(stream, text + text);
+            stream.close();
+        });
+        metric_registry metrics;
+        backend_client client(metrics);
+        EXPECT_EQ(ask(client, server.address(), get("/a")), backend_errors::connectionLost);
+    }
+}
+
 TEST(BackendClient, AttemptEndsInTimeBehindALateAnswerWithoutEnd)
 {
     const kept_connection_server server([](byte_stream &stream, const scripted_request &request) {
