--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -180,7 +180,8 @@
     if (!framing)
         return failure(backend_errors::connectionLost, framing.error().message);
     m_framing = *framing;
-    m_body.emplace(response_body_options {.framing = m_framing, .maxHeldBytes = maxHeldBytes});
+    m_body.emplace(response_body_options {
+        .framing = m_framing, .maxHeldBytes = maxHeldBytes, .answerField = attemptField});
     return {};
 }
 
