Test that fails: the interim answer of a second answer is passed on as an event

ResponseBody.InterimAnswerOfAFurtherAnswerIsNoPartOfTheBody, on: got.passedOn holds "HTTP/1.1 100 Continue\r\n\r\n" behind the last event; an interim answer alone leaves the body Whole.

--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -318,6 +318,30 @@
     }
 }
 
+// An interim answer has no field that tells its request: what was written of it before the further
+// answer's own head was passed on as an event.
+TEST(ResponseBody, InterimAnswerOfAFurtherAnswerIsNoPartOfTheBody)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string own = concatenated();
+    for (const bool isEventStream : {false, true}) {
+        const response_body_options options {.framing = {.end = body_end::Close},
+                                             .isEventStream = isEventStream,
+                                             .maxHeldBytes = maxHeldBytes,
+                                             .answerField = "X-Id"};
+        for (const std::string &further : {interim + furtherHead, interim + interim + furtherHead,
+                                           interim + furtherHead.substr(0, 14), interim}) {
+            for (const std::size_t pieceSize :
+                 {std::size_t {1}, std::size_t {7}, std::size_t {4096}}) {
+                const attempt_result got =
+                    attempt(options, own + further, pieceSize, cut::OrderlyEnd);
+                EXPECT_EQ(got.state, body_state::BrokenOff) << further;
+                EXPECT_TRUE(own.starts_with(got.passedOn)) << got.passedOn;
+            }
+        }
+    }
+}
+
 TEST(ResponseBody, FurtherAnswerThatIsCutInItsHeadBreaksTheBodyOff)
 {
     constexpr std::size_t versionBytes = std::string_view("HTTP/1.1 ").size();
