--- a/libs/http/src/head_search.cpp
+++ b/libs/http/src/head_search.cpp
@@ -77,6 +77,10 @@
     if (end == std::string_view::npos)
         return mayBecomeHead(text) ? head_presence::Begun : head_presence::None;
     const result<response_head> head = parseResponseHead(text.substr(0, end));
+    constexpr int firstFinalStatus = 200;
+    // An interim answer has no field of its own; the head of the answer follows it.
+    if (head && head->status < firstFinalStatus)
+        return headAtBegin(text.substr(end + headEnd.size()), field);
     return head && head->headers.has(field) ? head_presence::Complete : head_presence::None;
 }
 
