--- a/libs/http/tests/stream_progress_test.cpp
+++ b/libs/http/tests/stream_progress_test.cpp
@@ -33,6 +33,21 @@
     EXPECT_FALSE(progress.canContinue());
 }
 
+// An id that an event without data takes back left nothing to go on after, so that the next server
+// wrote the stream from its begin.
+TEST(StreamProgress, IdThatIsTakenBackCantBeContinuedAfter)
+{
+    stream_progress progress;
+    progress.record("id:\n\n");
+    EXPECT_TRUE(progress.canContinue());
+    progress.record("id: 7\ndata: a\n\n");
+    EXPECT_TRUE(progress.canContinue());
+    progress.record("id:\n\n");
+    EXPECT_FALSE(progress.canContinue());
+    progress.record("id: 8\ndata: b\n\n");
+    EXPECT_TRUE(progress.canContinue());
+}
+
 TEST(StreamProgress, EventsAreInOrderUpToOneWhoseIdGoesBack)
 {
     struct order_case
