--- a/libs/http/include/http/stream_progress.h
+++ b/libs/http/include/http/stream_progress.h
@@ -26,7 +26,7 @@
     /// Returns the id of the last event that had one, or "".
     const std::string &lastEventId() const { return m_lastEventId; }
     /// Returns whether another server can go on without a gap and without repeating an event: no
-    /// event was passed on, or the last one had an id.
+    /// event was passed on, or the last one had an id that no later event took back.
     bool canContinue() const { return m_canContinue; }
 
 private:
--- a/libs/http/src/stream_progress.cpp
+++ b/libs/http/src/stream_progress.cpp
@@ -79,6 +79,8 @@
         const event_fields event = takeEvent(events);
         if (event.hasData)
             m_canContinue = event.id && !event.id->empty();
+        else if (event.id && event.id->empty() && !m_lastEventId.empty())
+            m_canContinue = false;
         if (event.id) {
             m_order.accept(*event.id, event.hasData);
             m_lastEventId = std::string(*event.id);
