--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include <core/clock.h>
 #include <gtest/gtest.h>
 
 namespace trefoil {
@@ -391,6 +392,47 @@
     }
 }
 
+/// Returns the processor time of this thread.
+duration processorTime()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_nsec / 1000);
+}
+
+// A text that repeats a status line was searched in time that grew with the square of a line.
+TEST(ResponseBody, SearchForAFurtherAnswerIsFasterThanALink)
+{
+    constexpr std::size_t bodyBytes = 8u << 20;
+    constexpr std::size_t pieceBytes = 16 << 10;
+    // That of a link of 100 Mbit a second.
+    constexpr duration linkTime = std::chrono::milliseconds(670);
+    const auto repeated = [](const std::string &text, std::size_t size) {
+        std::string all;
+        while (all.size() < size)
+            all += text;
+        return all;
+    };
+    const std::string line = "HTTP/1.1 200 ";
+    const std::vector<std::string> texts {
+        "H", line, repeated(line, 16'000) + "\n", repeated(line + "OK\r\na:b\r\n", 16'000),
+        line + "\r\n" + repeated("a: " + line + "\r\n", 15'000) + "\r\n"};
+    for (const std::string &text : texts) {
+        const std::string bytes = repeated(text, bodyBytes);
+        response_body body({.framing = {.end = body_end::Close},
+                            .maxHeldBytes = bodyBytes * 2,
+                            .answerField = "X-Id"});
+        const duration start = processorTime();
+        std::string input;
+        for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+            input.append(bytes, at, pieceBytes);
+            body.feed(input);
+        }
+        EXPECT_LT(toMilliseconds(processorTime() - start), toMilliseconds(linkTime))
+            << text.substr(0, 40);
+    }
+}
+
 // What may become a head is held only while it may.
 TEST(ResponseBody, EndlessBeginOfAHeadIsNotHeldPastItsLimit)
 {
