--- a/trefoilrouter/tests/backend_client_test.cpp
+++ b/trefoilrouter/tests/backend_client_test.cpp
@@ -276,15 +276,16 @@
 TEST(BackendClient, SecondAnswerBehindABodyWithoutFramingIsNoPartOfIt)
 {
     for (const bool isStream : {false, true}) {
-        const scripted_server server([&](byte_stream &stream, const received_request &request) {
-            std::string text = "HTTP/1.1 200 OK\r\n";
-            appendField(text, "X-Attempt", request.attempt);
-            if (isStream)
-                appendField(text, "Content-Type", "text/event-stream");
-            text += isStream ? "\r\nid: 0\ndata: own\n\n" : "\r\nown";
-            write(stream, text + text);
-            stream.close();
-        });
+        const kept_connection_server server(
+            [&](byte_stream &stream, const scripted_request &request) {
+                std::string text = "HTTP/1.1 200 OK\r\n";
+                appendField(text, "X-Attempt", request.attempt);
+                if (isStream)
+                    appendField(text, "Content-Type", "text/event-stream");
+                text += isStream ? "\r\nid: 0\ndata: own\n\n" : "\r\nown";
+                write(stream, text + text);
+                stream.close();
+            });
         metric_registry metrics;
         backend_client client(metrics);
         EXPECT_EQ(ask(client, server.address(), get("/a")), backend_errors::connectionLost);
