An answer with a length that was cut is not filled up by the one behind it

What callers would see: an answer cut by its server, whose missing bytes were those of the status line, fields and body of the next answer on that connection, with status 200 and a signature.

Cause: a body with a length is whole once it has that many bytes, whoever's they are.

response_body looks for the head of a further answer in a plain body with a length if bytes follow the body, as the rest of the second answer does; nothing follows a sound one, so a body that only quotes an answer stays whole. In a stream with a length such a head breaks the stream off as in one without. Not told: a second answer whose rest arrives only after the body's end, or that fits exactly; bytes that are no answer. A cut chunk is malformed and was refused before.

--- a/libs/http/include/http/response_body.h
+++ b/libs/http/include/http/response_body.h
@@ -31,8 +31,8 @@
     /// Limit on the bytes that are held: a whole plain body, or one event and one chunk of a
     /// stream.
     std::size_t maxHeldBytes = 0;
-    /// Name of a field that each answer of the server holds, by which a further answer behind a
-    /// body that ends with its connection is recognised; "" if further answers aren't looked for.
+    /// Name of a field that each answer of the server holds, by which a further answer inside a
+    /// body is recognised; "" if further answers aren't looked for.
     std::string_view answerField;
     /// If set, the body is not used: its bytes are discarded as they are decoded, and more than
     /// these break it off.
@@ -51,7 +51,12 @@
 /// decided. At the connection's end it breaks the body off if it goes beyond the version in the
 /// status line, and its reason phrase consists of words; less is taken for the body's own. A body
 /// that quotes a whole answer, its lines ended with CR LF, or that ends with a status line is
-/// broken off in vain; JSON and the data of events aren't. Not thread-safe.
+/// broken off in vain; JSON and the data of events aren't.
+///
+/// A further answer may also fill a body that was cut up to its length. A stream with a length is
+/// broken off by its head as one without is. A plain body is broken off if such a head begins
+/// inside it and bytes follow the body: without them the length proves that the body is whole.
+/// Bytes that aren't there yet when the body ends are missed. Not thread-safe.
 class response_body
 {
 public:
@@ -83,6 +88,9 @@
     std::size_t certainBytes();
     /// Moves the first @p size bytes of m_undecided to the body and returns the events among them.
     std::string take(std::size_t size);
+    /// Returns whether a plain body with a length was filled by a further answer, the rest of which
+    /// is @p behind it.
+    bool isFilledByAnswer(std::string_view behind) const;
     void discard();
     void breakOffByAnswer();
     void finish();
--- a/libs/http/src/response_body.cpp
+++ b/libs/http/src/response_body.cpp
@@ -54,15 +54,34 @@
     if (m_state == body_state::Incomplete && !m_options.maxDiscardedBytes
         && heldBytes() > m_options.maxHeldBytes)
         m_state = body_state::BrokenOff;
-    if (m_state == body_state::Incomplete && hasFramingEnded)
-        finish();
+    if (m_state == body_state::Incomplete && hasFramingEnded) {
+        events += take(m_undecided.size());
+        if (isFilledByAnswer(input))
+            breakOffByAnswer();
+        else
+            finish();
+    }
     return events;
 }
 
+bool response_body::isFilledByAnswer(std::string_view behind) const
+{
+    if (m_options.framing.end != body_end::Length || m_options.answerField.empty()
+        || behind.empty())
+        return false;
+    const head_place inside = findHead(m_plain, m_options.answerField);
+    if (inside.presence != head_presence::Begun)
+        return inside.presence == head_presence::Complete;
+    const std::string rest = m_plain.substr(inside.at);
+    const head_place across = findHead(rest + std::string(behind), m_options.answerField);
+    return across.presence == head_presence::Complete && across.at < rest.size();
+}
+
 std::size_t response_body::certainBytes()
 {
     const bool isWithoutFraming = m_options.framing.end == body_end::Close;
-    if (!isWithoutFraming || m_options.answerField.empty())
+    const bool isSizedStream = m_options.framing.end == body_end::Length && m_options.isEventStream;
+    if (m_options.answerField.empty() || !(isWithoutFraming || isSizedStream))
         return m_undecided.size() - m_chunks.openChunkBytes();
     const head_place head = findHead(m_undecided, m_options.answerField);
     if (head.presence == head_presence::Complete)
--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -334,6 +334,42 @@
     }
 }
 
+// An answer that was cut looked whole, filled up to its length by the one behind it.
+TEST(ResponseBody, FurtherAnswerThatFillsABodyWithALengthBreaksItOff)
+{
+    const std::string next = furtherHead + std::string(100, 'y');
+    for (const std::size_t own : {std::size_t {0}, std::size_t {30}}) {
+        for (std::size_t filled = 1; filled < next.size(); ++filled) {
+            response_body body({.framing = {.end = body_end::Length, .length = own + filled},
+                                .maxHeldBytes = maxHeldBytes,
+                                .answerField = "X-Id"});
+            std::string input = std::string(own, 'x') + next;
+            body.feed(input);
+            EXPECT_EQ(body.state(), body_state::BrokenOff) << filled;
+            EXPECT_TRUE(body.hasFurtherAnswer()) << filled;
+        }
+    }
+    // Nothing follows a body that quotes an answer, or what follows is no part of the quotation.
+    const std::vector<std::pair<std::string, std::string>> whole {
+        {furtherHead, ""},
+        {"see " + furtherHead + "and so on", ""},
+        {"see " + furtherHead.substr(0, 20), ""},
+        {"{\"text\": \"HTTP/1.1 200 OK\"}", furtherHead},
+        {"HTTP/1.1 200 OK", furtherHead},
+        {"a text", next},
+        {"HH", "HTTP/1.1 200"}};
+    for (const std::pair<std::string, std::string> &each : whole) {
+        response_body body({.framing = {.end = body_end::Length, .length = each.first.size()},
+                            .maxHeldBytes = maxHeldBytes,
+                            .answerField = "X-Id"});
+        std::string input = each.first + each.second;
+        body.feed(input);
+        EXPECT_EQ(body.state(), body_state::Whole) << each.first;
+        EXPECT_EQ(body.plainBody(), each.first);
+        EXPECT_EQ(input, each.second);
+    }
+}
+
 TEST(ResponseBody, TextThatIsNoAnswerBelongsToTheBody)
 {
     const std::vector<std::string> texts {
