serve: the unread message of a rejected peer isn't its next request

A call without the right secret, or with a message that is too long, was refused before the message was read, and the connection was kept: POCO took the rest of the message for the next request, so that a peer with a wrong secret got answers out of step. Such a refusal now closes the connection.

Evidence: PeersHandler.MessageOfARejectedCallIsNotTheNextRequest: two answers to one request before, one after. The error's message is printed now.

--- a/trefoilrouter/src/peer_rpc.cpp
+++ b/trefoilrouter/src/peer_rpc.cpp
@@ -36,16 +36,12 @@
         if (request.has(attemptField))
             response.set(attemptField, request.get(attemptField));
         if (request.get(peerSecretHeader, "") != m_secret) {
-            response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_FORBIDDEN);
-            response.setContentLength(0);
-            response.send();
+            refuse(Poco::Net::HTTPResponse::HTTP_FORBIDDEN, response);
             return;
         }
         if (!readBody(request.stream(), maxMessageBytes, boot_clock::now() + messageTimeout,
                       body)) {
-            response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE);
-            response.setContentLength(0);
-            response.send();
+            refuse(Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, response);
             return;
         }
         // A cheap object; creating one for each request avoids a lock.
@@ -56,6 +52,17 @@
     }
 
 private:
+    /// Closes the connection with the response, since the rest of the message would be taken for
+    /// the next request.
+    static void refuse(Poco::Net::HTTPResponse::HTTPStatus status,
+                       Poco::Net::HTTPServerResponse &response)
+    {
+        response.setStatusAndReason(status);
+        response.setKeepAlive(false);
+        response.setContentLength(0);
+        response.send();
+    }
+
     Json::Value handleMessage(const Json::Value &message)
     {
         Json::Value empty(Json::objectValue);
--- a/trefoilrouter/tests/peer_rpc_test.cpp
+++ b/trefoilrouter/tests/peer_rpc_test.cpp
@@ -1,5 +1,8 @@
 #include "peer_rpc.h"
 
+#include <stop_token>
+#include <thread>
+
 #include <core/json.h>
 #include <gtest/gtest.h>
 #include <rpc/rpc.h>
@@ -45,9 +48,37 @@
         write(stream, encodeAnswer("", copyFor(request)));
     });
     peer_client peers("");
-    for (int i = 0; i < 4; ++i)
-        EXPECT_TRUE(peers.call(toString(server.address()), config_fetch {.name = "config/routes"}));
+    for (int i = 0; i < 4; ++i) {
+        const result<peer_answer> answer =
+            peers.call(toString(server.address()), config_fetch {.name = "config/routes"});
+        EXPECT_TRUE(answer) << answer.error().message;
+    }
     EXPECT_EQ(server.connections(), 4);
 }
 
+// The message of a call with the wrong secret was not read, and its rest was taken for the next
+// request on the connection, which got an answer of its own.
+TEST(PeersHandler, MessageOfARejectedCallIsNotTheNextRequest)
+{
+    Poco::Net::ServerSocket unused(Poco::Net::SocketAddress("127.0.0.1", 0));
+    const endpoint address {.host = "127.0.0.1", .port = unused.address().port()};
+    unused.close();
+    control_thread control({});
+    const child_body listener = makeHttpListener(
+        {.address = address, .factory = makePeersHandlerFactory(control, "secret")});
+    const std::jthread thread([&](const std::stop_token &stop) { EXPECT_TRUE(listener(stop)); });
+    result<byte_stream> stream = failure("", "");
+    while (!(stream = byte_stream::connect(address, std::chrono::seconds(1))))
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    write(*stream,
+          "POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Length: 31\r\n\r\n"
+          "POST /rpc HTTP/1.1\r\nHost: x\r\n\r\n");
+    while (stream->readMore(boot_clock::now() + std::chrono::milliseconds(500))
+           == read_outcome::Bytes)
+        ;
+    const std::string &answers = stream->buffer();
+    EXPECT_TRUE(answers.starts_with("HTTP/1.1 403 ")) << answers;
+    EXPECT_EQ(answers.find("HTTP/1.1", 1), std::string::npos) << answers;
+}
+
 } // namespace trefoil
