--- a/libs/http/src/head_search.cpp
+++ b/libs/http/src/head_search.cpp
@@ -32,6 +32,22 @@
     }
 }
 
+/// Returns whether as much of a status line as @p text holds begins it.
+bool mayBeginStatusLine(std::string_view text)
+{
+    const std::size_t compared = std::min(text.size(), statusLineShape.size());
+    const bool fits = std::equal(text.begin(), text.begin() + compared, statusLineShape.begin(),
+                                 [](char c, char shape) { return fitsShape(shape, c); });
+    return fits && (text.size() == compared || text[compared] == ' ' || text[compared] == '\r');
+}
+
+/// Returns whether @p text begins with a status line up to a status of the class @p statusClass.
+bool holdsStatus(std::string_view text, char statusClass)
+{
+    return text.size() > statusLineShape.size() && text[versionBytes] == statusClass
+        && mayBeginStatusLine(text);
+}
+
 /// Returns whether @p name may be the begin of a field's name.
 bool mayBecomeName(std::string_view name)
 {
@@ -124,15 +140,10 @@
 head_presence head_finder::headAt(std::size_t at)
 {
     m_next = at + 1;
-    const std::string_view begin = m_text.substr(at, statusLineShape.size() + 1);
-    const std::size_t compared = std::min(begin.size(), statusLineShape.size());
-    if (!std::equal(begin.begin(), begin.begin() + compared, statusLineShape.begin(),
-                    [](char c, char shape) { return fitsShape(shape, c); }))
+    if (!mayBeginStatusLine(m_text.substr(at)))
         return head_presence::None;
-    if (begin.size() <= statusLineShape.size())
+    if (m_text.size() - at <= statusLineShape.size())
         return head_presence::Begun;
-    if (begin.back() != ' ' && begin.back() != '\r')
-        return head_presence::None;
     const bool isTooLong = m_text.size() - at > maxHeadBytes;
     if (m_fieldsEnd <= at) {
         findLineEnd(at);
@@ -164,20 +175,26 @@
 head_presence head_finder::completeHead(std::size_t at)
 {
     constexpr int firstFinalStatus = 200;
+    constexpr std::string_view interimBegin = "HTTP/1.";
     const result<response_head> head = parseResponseHead(m_text.substr(at, m_fieldsEnd - 2 - at));
     if (!head)
         return head_presence::None;
     if (head->headers.has(m_field))
         return head_presence::Complete;
     const std::size_t end = m_fieldsEnd + 2;
+    const head_presence following = m_interimAnswers < maxInterimAnswers
+        ? head_finder(m_text.substr(end), m_field, m_interimAnswers + 1).headAt(0)
+        : head_presence::None;
+    if (following == head_presence::None)
+        return noneBefore(end);
     // An interim answer has no such field; the head of the answer follows it.
-    if (head->status < firstFinalStatus && m_interimAnswers < maxInterimAnswers) {
-        const head_presence following =
-            head_finder(m_text.substr(end), m_field, m_interimAnswers + 1).headAt(0);
-        if (following != head_presence::None)
-            return following;
-    }
-    return noneBefore(end);
+    if (head->status < firstFinalStatus)
+        return following;
+    // Its status line may stand inside what only looks like a field.
+    std::size_t interim = m_text.find(interimBegin, at + 1);
+    while (interim < end && !holdsStatus(m_text.substr(interim), '1'))
+        interim = m_text.find(interimBegin, interim + 1);
+    return noneBefore(std::min(interim, end));
 }
 
 } // namespace
--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -2,7 +2,9 @@
 #include <http/stream_progress.h>
 
 #include <array>
+#include <ctime>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include <core/clock.h>
@@ -428,6 +430,90 @@
     }
 }
 
+/// Returns where the first head in @p text begins that holds the field X-Id or follows interim
+/// answers, by trying each place.
+std::optional<std::size_t> firstHead(std::string_view text)
+{
+    const auto isHead = [](std::string_view from) {
+        constexpr int maxHeads = 5;
+        for (int i = 0; i < maxHeads; ++i) {
+            const std::size_t end = from.find("\r\n\r\n");
+            if (end == std::string_view::npos)
+                return false;
+            const result<response_head> head = parseResponseHead(from.substr(0, end));
+            if (!head || (head->status >= 200 && !head->headers.has("X-Id")))
+                return false;
+            if (head->headers.has("X-Id"))
+                return true;
+            from.remove_prefix(end + 4);
+        }
+        return false;
+    };
+    for (std::size_t at = text.find('H'); at != std::string_view::npos;
+         at = text.find('H', at + 1)) {
+        if (isHead(text.substr(at)))
+            return at;
+    }
+    return std::nullopt;
+}
+
+TEST(ResponseBody, FurtherAnswerIsFoundInRandomTexts)
+{
+    const std::vector<std::string> parts {"HTTP/1.1 200",
+                                          "HTTP/1.1 200 OK\r\n",
+                                          "HTTP/1.1 200 OK\r\n",
+                                          "HTTP/1.0 503 Busy\r\n",
+                                          "HTTP/1.1 100 Continue\r\n\r\n",
+                                          "HTTP/1.1 200 OK\r\na: ",
+                                          "HTTP/",
+                                          "H",
+                                          " ",
+                                          "\r",
+                                          "\n",
+                                          "\r\n",
+                                          "\r\n",
+                                          "\r\n\r\n",
+                                          "X-Id: r\r\n",
+                                          "X-Id: r\r\n\r\n",
+                                          "X-Id: r\r\n\r\n",
+                                          "a: b\r\n",
+                                          "a: HTTP/1.1 200 x\r\n",
+                                          "a: HTTP/1.1 199 x\r\n",
+                                          "no field\r\n",
+                                          "x-id : 1\r\n",
+                                          ":\r\n",
+                                          "\x01",
+                                          "HTTP/1.1 700 x\r\n",
+                                          "HTTP/1.1 2000\r\n",
+                                          "data: HTTP/1.1 200 OK\n\n"};
+    std::mt19937 random(11);
+    constexpr int texts = 40'000;
+    int heads = 0;
+    for (int i = 0; i < texts; ++i) {
+        std::string text;
+        for (std::size_t count = 1 + random() % 12; count > 0; --count)
+            text += parts[random() % parts.size()];
+        const std::optional<std::size_t> at = firstHead(text);
+        heads += at ? 1 : 0;
+        const std::size_t pieceSize = 1 + random() % text.size();
+        response_body body({.framing = {.end = body_end::Close},
+                            .maxHeldBytes = maxHeldBytes,
+                            .answerField = "X-Id"});
+        std::string input;
+        for (std::size_t from = 0; from < text.size(); from += pieceSize) {
+            input += text.substr(from, pieceSize);
+            body.feed(input);
+        }
+        ASSERT_LE(body.plainBody().size(), at.value_or(text.size())) << text;
+        ASSERT_TRUE(body.hasFurtherAnswer() || !at || body.heldBytes() > body.plainBody().size())
+            << text;
+        ASSERT_TRUE(!body.hasFurtherAnswer() || at) << text;
+        body.end(true);
+        ASSERT_TRUE(body.hasFurtherAnswer() || !at) << text;
+    }
+    EXPECT_GT(heads, texts / 100);
+}
+
 /// Returns the processor time of this thread.
 duration processorTime()
 {
