The search for a second answer goes on at the last status line of a joined head

Only the last status line before an empty line may begin a head that ends there. That also finds the interim answer inside what looks like a field, for which had code of its own.

--- a/libs/http/src/head_search.cpp
+++ b/libs/http/src/head_search.cpp
@@ -41,13 +41,6 @@
     return fits && (text.size() == compared || text[compared] == ' ' || text[compared] == '\r');
 }
 
-/// Returns whether @p text begins with a status line up to a status of the class @p statusClass.
-bool holdsStatus(std::string_view text, char statusClass)
-{
-    return text.size() > statusLineShape.size() && text[versionBytes] == statusClass
-        && mayBeginStatusLine(text);
-}
-
 /// Returns whether @p name may be the begin of a field's name.
 bool mayBecomeName(std::string_view name)
 {
@@ -123,6 +116,8 @@
             || (m_lineEnd + 1 == m_text.size() && m_text.back() == '\r');
     }
     bool isLineEnded() const { return m_text.substr(m_lineEnd, 2) == "\r\n"; }
+    /// Returns where the last status line in the text from @p from up to @p end begins, or @p end.
+    std::size_t lastStatusLine(std::size_t from, std::size_t end) const;
     /// Returns how much of a head the text from @p at up to the empty line at m_fieldsEnd holds.
     head_presence completeHead(std::size_t at);
 
@@ -172,29 +167,33 @@
     return head_presence::None;
 }
 
+std::size_t head_finder::lastStatusLine(std::size_t from, std::size_t end) const
+{
+    const std::string_view text = m_text.substr(0, end);
+    std::size_t at = text.rfind(statusLineShape.front());
+    while (at != std::string_view::npos && at >= from && !mayBeginStatusLine(text.substr(at)))
+        at = at == 0 ? std::string_view::npos : text.rfind(statusLineShape.front(), at - 1);
+    return at == std::string_view::npos || at < from ? end : at;
+}
+
 head_presence head_finder::completeHead(std::size_t at)
 {
     constexpr int firstFinalStatus = 200;
-    constexpr std::string_view interimBegin = "HTTP/1.";
     const result<response_head> head = parseResponseHead(m_text.substr(at, m_fieldsEnd - 2 - at));
+    // A head holds no second status line, so only the last one may begin a head that ends here.
     if (!head)
-        return head_presence::None;
+        return noneBefore(lastStatusLine(at + 1, m_fieldsEnd));
     if (head->headers.has(m_field))
         return head_presence::Complete;
     const std::size_t end = m_fieldsEnd + 2;
-    const head_presence following = m_interimAnswers < maxInterimAnswers
-        ? head_finder(m_text.substr(end), m_field, m_interimAnswers + 1).headAt(0)
-        : head_presence::None;
-    if (following == head_presence::None)
-        return noneBefore(end);
     // An interim answer has no such field; the head of the answer follows it.
-    if (head->status < firstFinalStatus)
-        return following;
-    // Its status line may stand inside what only looks like a field.
-    std::size_t interim = m_text.find(interimBegin, at + 1);
-    while (interim < end && !holdsStatus(m_text.substr(interim), '1'))
-        interim = m_text.find(interimBegin, interim + 1);
-    return noneBefore(std::min(interim, end));
+    if (head->status < firstFinalStatus && m_interimAnswers < maxInterimAnswers) {
+        const head_presence following =
+            head_finder(m_text.substr(end), m_field, m_interimAnswers + 1).headAt(0);
+        if (following != head_presence::None)
+            return following;
+    }
+    return noneBefore(end);
 }
 
 } // namespace
