Relayed connections: a request that lost bytes on the way is not continued

A server would have got a request with a hole in its body, and taken the beginning of the next request on that connection for the rest: another caller's request, changed.

Cause: when a write to a server that doesn't read had failed after 5 s, the relay dropped what it had not written. If the server had sent a part of an early answer during that write, the relay passed that on and then continued with the next bytes of the request.

Change: after a failed write nothing more is written to the server. What it still sends is passed on until it ends or pauses, then the connection ends.

--- a/trefoilrouter/src/edge/server_relay.cpp
+++ b/trefoilrouter/src/edge/server_relay.cpp
@@ -60,6 +60,17 @@
     return bytes.empty() || to.write(bytes, boot_clock::now() + maxWriteTime, &caller);
 }
 
+/// Passes on what the server still sends, until it ends or pauses. Returns as forwardBothWays().
+read_outcome forwardRest(byte_stream &server, byte_stream &caller)
+{
+    while (forwardBytes(server, caller, caller)) {
+        const read_outcome outcome = server.readMore(boot_clock::now() + answerTimeout, &caller);
+        if (outcome != read_outcome::Bytes)
+            return outcome == read_outcome::End ? outcome : read_outcome::Broken;
+    }
+    return read_outcome::Bytes;
+}
+
 /// Passes bytes on until either side ends. Returns how the server's side ended, or Bytes if the
 /// caller's side ended first or the connection was closed here.
 read_outcome forwardBothWays(edge_state &state, byte_stream &caller, byte_stream &server)
@@ -85,9 +96,13 @@
         }
         // Bytes that were read while the other side was written to are in the buffers too.
         while (!caller.buffer().empty() || !server.buffer().empty()) {
-            if (!forwardBytes(caller, server, caller)
-                && (server.buffer().empty() || caller.isClosedByRemote()))
-                return read_outcome::Broken;
+            if (!forwardBytes(caller, server, caller)) {
+                if (server.buffer().empty() || caller.isClosedByRemote())
+                    return read_outcome::Broken;
+                // The server has answered before it read the request. What is left of that can't
+                // follow what was lost of it.
+                return forwardRest(server, caller);
+            }
             if (!forwardBytes(server, caller, caller))
                 return read_outcome::Bytes;
         }
