Configuration contact: what was found last is also set last

Not seen, argued from the code: callers of unknown routes and keys would get 503 instead of 404 or 401, and other instances no confirmation from this one, until the next configuration.

Cause: the thread of the reports and that of the configuration's watch both find whether another instance has a newer configuration, under one lock, and set it under another. Between the two the other thread may find and set something newer; the earlier finding was then set for good, because only a change of the finding is set.

Change: finding and setting are one step, under a lock of their own.

Evidence: none by a test, the window is two instructions between two locks. daemon_tests pass.

--- a/trefoilrouter/src/edge/store_watch.cpp
+++ b/trefoilrouter/src/edge/store_watch.cpp
@@ -324,6 +324,7 @@
 
 void store_watch::updateConfigurationContact(timestamp now)
 {
+    const std::lock_guard<std::mutex> contactLock(m_contactMutex);
     std::optional<timestamp> since;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
--- a/trefoilrouter/src/edge/store_watch.h
+++ b/trefoilrouter/src/edge/store_watch.h
@@ -159,6 +159,8 @@
     store_client &m_store;
     std::mutex m_mutex;
     std::map<std::string, watched_kind, std::less<>> m_kinds;
+    /// Serialises updateConfigurationContact(): what was found last must also be set last.
+    std::mutex m_contactMutex;
     /// Serialises apply(), so that an older copy can't overwrite a newer one.
     std::mutex m_applyMutex;
     std::map<std::string, std::string, std::less<>> m_serverConditions;
