Streams without chunks: an instance that ends resets them

Callers that speak HTTP/1.0 would have seen a part of a stream as all of it: without chunks a stream ends with its connection, and when the instance was killed, or reached the end of its grace period with the stream open, the kernel ended the connection in order.

Cause: as with relays that are killed; answers with a length and chunks show the cut themselves.

Change: such a stream's connection is reset unless the stream is completed, whatever becomes of the process.

Evidence: CallerSession.StreamWithoutChunksIsResetIfTheInstanceEnds failed before, passes after.

--- a/trefoilrouter/src/edge/caller_response.cpp
+++ b/trefoilrouter/src/edge/caller_response.cpp
@@ -67,6 +67,9 @@
     std::string text;
     if (m_state == state::NothingSent) {
         m_closesConnection = m_closesConnection || !isChunked;
+        // If this process ends before the stream does, the part must not look whole.
+        if (!isChunked)
+            m_caller.resetUnlessClosed();
         text = encodeCallerAnswer(head, isChunked ? "Transfer-Encoding: chunked\r\n" : "",
                                   m_closesConnection);
     }
--- a/trefoilrouter/tests/caller_session_test.cpp
+++ b/trefoilrouter/tests/caller_session_test.cpp
@@ -5,6 +5,9 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include "edge/caller_response.h"
 
 namespace trefoil {
 
@@ -144,4 +147,29 @@
     EXPECT_TRUE(state.isTooLateToServe());
 }
 
+// A stream without chunks ends with its connection. When the instance ended first, the kernel
+// closed the connection in order, and the part looked whole.
+TEST(CallerSession, StreamWithoutChunksIsResetIfTheInstanceEnds)
+{
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    byte_stream caller =
+        *byte_stream::connect({.host = "127.0.0.1", .port = server.address().port()}, 1s);
+    byte_stream router(server.acceptConnection());
+    const request_head head = *parseRequestHead("GET /a HTTP/1.0\r\nHost: x");
+    caller_response response(router, head, false);
+    ASSERT_TRUE(response.sendEvents({.status = 200}, "id: 1\n\n", false, boot_clock::now() + 1s));
+    linger set {};
+    socklen_t size = sizeof(set);
+    ASSERT_EQ(::getsockopt(router.descriptor(), SOL_SOCKET, SO_LINGER, &set, &size), 0);
+    EXPECT_EQ(set.l_onoff, 1);
+    EXPECT_EQ(set.l_linger, 0);
+    // A stream that is complete is closed in order.
+    ASSERT_TRUE(response.sendEvents({.status = 200}, "id: 2\n\n", true, boot_clock::now() + 1s));
+    router.close();
+    while (caller.readMore(boot_clock::now() + 1s) == read_outcome::Bytes) {
+    }
+    EXPECT_TRUE(caller.buffer().ends_with("id: 2\n\n"));
+    EXPECT_EQ(caller.readMore(boot_clock::now() + 1s), read_outcome::End);
+}
+
 } // namespace trefoil
