--- a/trefoilrouter/src/edge/server_relay.cpp
+++ b/trefoilrouter/src/edge/server_relay.cpp
@@ -18,17 +18,15 @@
 
 using Poco::Net::HTTPResponse;
 
-/// Connect timeout of a relay for the server: less than the time for which its
-/// caller waits.
+/// Connect timeout of a relay for the server: less than the time for which its caller waits.
 constexpr duration serverConnectTimeout = std::chrono::milliseconds(250);
 constexpr duration answerTimeout = std::chrono::seconds(1);
 /// Time to write what was read from the other side.
 constexpr duration maxWriteTime = std::chrono::seconds(5);
-/// A relayed connection without bytes for this time carries no request. The
-/// longest pause inside an answer for which a caller waits is shorter.
+/// A relayed connection without bytes for this time carries no request. The longest pause inside an
+/// answer for which a caller waits is shorter.
 constexpr duration quietTime = std::chrono::seconds(5);
-/// Connections without bytes for this time are closed: servers close idle ones
-/// sooner.
+/// Connections without bytes for this time are closed: servers close idle ones sooner.
 constexpr duration maxIdleTime = std::chrono::seconds(60);
 constexpr duration checkInterval = std::chrono::milliseconds(250);
 constexpr std::size_t maxHeadBytes = 4 * 1024;
@@ -54,28 +52,27 @@
     bool m_isSet = false;
 };
 
-/// Writes what was read from @p from to @p to. Returns false on failure, or if
-/// @p caller closes its connection in the meantime.
+/// Writes what was read from @p from to @p to. Returns false on failure, or if @p caller closes its
+/// connection in the meantime.
 bool forwardBytes(byte_stream &from, byte_stream &to, const byte_stream &caller)
 {
     const std::string bytes = std::exchange(from.buffer(), {});
     return bytes.empty() || to.write(bytes, boot_clock::now() + maxWriteTime, &caller);
 }
 
-/// Passes on what the server still sends, until it ends or pauses. Returns as
-/// forwardBothWays().
+/// Passes on what the server still sends, until it ends or pauses. Returns as forwardBothWays().
 read_outcome forwardRest(byte_stream &server, byte_stream &caller)
 {
     while (forwardBytes(server, caller, caller)) {
-        const read_outcome outcome = server.readMore(boot_clock::now() + quietTime, &caller);
+        const read_outcome outcome = server.readMore(boot_clock::now() + answerTimeout, &caller);
         if (outcome != read_outcome::Bytes)
             return outcome == read_outcome::End ? outcome : read_outcome::Broken;
     }
     return read_outcome::Bytes;
 }
 
-/// Passes bytes on until either side ends. Returns how the server's side ended,
-/// or Bytes if the caller's side ended first or the connection was closed here.
+/// Passes bytes on until either side ends. Returns how the server's side ended, or Bytes if the
+/// caller's side ended first or the connection was closed here.
 read_outcome forwardBothWays(edge_state &state, byte_stream &caller, byte_stream &server)
 {
     open_request request(state);
@@ -97,14 +94,13 @@
             serverOutcome = server.readMore(now);
             activeAt = now;
         }
-        // Bytes that were read while the other side was written to are in the
-        // buffers too.
+        // Bytes that were read while the other side was written to are in the buffers too.
         while (!caller.buffer().empty() || !server.buffer().empty()) {
             if (!forwardBytes(caller, server, caller)) {
                 if (server.buffer().empty() || caller.isClosedByRemote())
                     return read_outcome::Broken;
-                // The server has answered before it read the request. What is left of
-                // that can't follow what was lost of it.
+                // The server has answered before it read the request. What is left of that can't
+                // follow what was lost of it.
                 return forwardRest(server, caller);
             }
             if (!forwardBytes(server, caller, caller))
@@ -120,8 +116,8 @@
     }
 }
 
-/// Connects to the server at @p target on behalf of another instance. Returns
-/// nothing, with the status to answer in @p status, if that isn't possible.
+/// Connects to the server at @p target on behalf of another instance. Returns nothing, with the
+/// status to answer in @p status, if that isn't possible.
 std::optional<byte_stream> connectToServer(edge_state &state, std::string_view target, int &status)
 {
     endpoint address;
@@ -219,8 +215,7 @@
         caller.write(answerHead(status), boot_clock::now() + answerTimeout);
         caller.close();
     } else if (caller.write(answerHead(HTTPResponse::HTTP_OK), boot_clock::now() + answerTimeout)) {
-        // If this process is killed, an answer that ends with its connection must
-        // not look whole.
+        // If this process is killed, an answer that ends with its connection must not look whole.
         caller.resetUnlessClosed();
         const read_outcome end = forwardBothWays(state, caller, *server);
         if (end == read_outcome::End)
