Store: the second copy of a refusal answers no later call

An update that the store had made was reported as not made, and a watch's history as gone, if the refusal of an earlier call came once more on the kept connection: a refusal tells no revision by which it could be known. A connection that carried one isn't used again.

--- a/trefoilrouter/src/json_http_client.cpp
+++ b/trefoilrouter/src/json_http_client.cpp
@@ -17,6 +17,8 @@
 constexpr duration maxIdleTime = std::chrono::milliseconds(500);
 /// Limit on a response: several times a page of a list.
 constexpr std::size_t maxResponseBytes = 4 << 20;
+/// Lowest status of a response that doesn't tell of success.
+constexpr int firstRedirect = 300;
 
 } // namespace
 
@@ -88,7 +90,9 @@
                                       : platform_errors::unavailable,
                        httpResponse.error().message);
     }
-    returnConnection(subject, std::move(connection));
+    // A refusal tells no revision by which a second copy of it could be known.
+    if (httpResponse->status < firstRedirect)
+        returnConnection(subject, std::move(connection));
     response parsed {.status = httpResponse->status, .body = {}, .headers = httpResponse->headers};
     if (httpResponse->body.empty())
         return parsed;
