--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -150,6 +151,13 @@
     /// Takes or opens a connection to the server of @p current, through another instance if this
     /// one is cut off from the servers and another takes it.
     result<server_connection_pool::pooled_connection> connect(timestamp now, attempt &current);
+    /// Takes a connection called @p name from the pool or opens one with @p open.
+    result<server_connection_pool::pooled_connection>
+    acquire(std::string_view name, const std::function<result<byte_stream>()> &open);
+    /// Returns whether the answers to the request's method are framed like most. A connection that
+    /// carries a request of another method carries no other one, since a late answer can be read
+    /// only by the method of its request, which it doesn't tell.
+    bool hasUsualFraming() const { return m_request.head.method != "HEAD"; }
     /// Returns whether the attempt must not be sent since a zone that it uses has been evacuated.
     bool usesEvacuatedZone(const attempt &current);
     attempt_end readHead(attempt &current);
@@ -166,7 +174,7 @@
     void countRun(attempt &current);
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
-    void recordEvents(attempt &current, const std::string &events);
+    void recordEvents(attempt &current, std::string_view events);
     silence_limits silenceLimitsOf(const attempt &current, bool canRetry) const;
     /// Returns whether the attempt ends because its server has been silent for too long. If another
     /// server takes the request, it ends sooner and its retry has been taken from the budget.
@@ -206,6 +214,10 @@
     void logNotAllowed(timestamp now, int status, std::string_view reason) const;
     void logKept(const attempt &current, std::string_view obstacle) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
+    /// Logs that an answer of another request, which @p current holds, is skipped.
+    void logSkipped(const attempt &current) const;
+    /// Logs that the first of @p events isn't passed on, since it doesn't follow the last one.
+    void logOutOfOrder(const attempt &current, std::string_view events) const;
     void logBrokenOff(const attempt &current, const response_body &body, const char *reason) const;
     void logEnd(std::string_view outcome, int status) const;
 
