A resumed run that leaves an event out is noticed after a single event too

What callers would see: a stream that broke off after its first event went on with the third one elsewhere, with a proper end.

Cause: ids may jump, and one id alone doesn't tell whether a stream's do. The complete streams of a service tell it: if nearly all had consecutive ids, a resumed run must begin with the next one. One stream in fifty may jump; a service of which fewer than twenty streams are known is treated as before.

StreamProgress.RunLeavesNoEventOutAfterASingleOneWhereIdsAreKnownToBeConsecutive, EventIdSteps.*.

--- a/libs/http/src/stream_progress.cpp
+++ b/libs/http/src/stream_progress.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// Streams after which it is known whether their ids are consecutive, and the streams with other
+/// ids that may be among them: one in so many.
+constexpr int minStreams = 20;
+constexpr int streamsPerJump = 50;
+/// Streams after which all counts are halved, so that a service may change its ids.
+constexpr int maxStreams = 1000;
+
 /// What an event tells about its place in the stream.
 struct event_fields
 {
@@ -40,7 +47,7 @@
     if (number && last) {
         const bool isRepeated = *number == *last;
         const bool isNext = *number == *last + 1;
-        const bool isConsecutive = hasSteps && !hasJumps;
+        const bool isConsecutive = (hasSteps || isUsuallyConsecutive) && !hasJumps;
         if (*number < *last || (isRepeated && hasData))
             return false;
         if (isRunBegin && isConsecutive && !isRepeated && !isNext)
@@ -48,16 +55,26 @@
         hasSteps = hasSteps || isNext;
         hasJumps = hasJumps || (!isRepeated && !isNext);
         isRunBegin = isRunBegin && isRepeated;
+    } else {
+        isRunBegin = false;
     }
     last = number;
     return true;
 }
 
-void stream_progress::beginRun(std::string_view callerHas)
+void stream_progress::beginRun(std::string_view callerHas, bool areIdsConsecutive)
 {
     if (m_lastEventId.empty())
         m_order.last = parseDecimal(callerHas);
     m_order.isRunBegin = true;
+    m_order.isUsuallyConsecutive = areIdsConsecutive;
+}
+
+std::optional<bool> stream_progress::hasConsecutiveIds() const
+{
+    if (!m_order.hasSteps && !m_order.hasJumps)
+        return std::nullopt;
+    return !m_order.hasJumps;
 }
 
 std::string_view stream_progress::inOrder(std::string_view events) const
@@ -88,4 +105,22 @@
     }
 }
 
+void event_id_steps::record(const stream_progress &stream)
+{
+    const std::optional<bool> isConsecutive = stream.hasConsecutiveIds();
+    if (!isConsecutive)
+        return;
+    ++m_streams;
+    m_streamsWithJumps += *isConsecutive ? 0 : 1;
+    if (m_streams < maxStreams)
+        return;
+    m_streams /= 2;
+    m_streamsWithJumps /= 2;
+}
+
+bool event_id_steps::areConsecutive() const
+{
+    return m_streams >= minStreams && m_streamsWithJumps * streamsPerJump <= m_streams;
+}
+
 } // namespace trefoil
--- a/libs/http/tests/stream_progress_test.cpp
+++ b/libs/http/tests/stream_progress_test.cpp
@@ -83,9 +83,9 @@
 {
     const auto goesOn = [](std::string_view callerHas, std::string_view first, int next) {
         stream_progress progress;
-        progress.beginRun(callerHas);
+        progress.beginRun(callerHas, false);
         progress.record(first);
-        progress.beginRun(callerHas);
+        progress.beginRun(callerHas, false);
         const std::string event = "id: " + std::to_string(next) + "\ndata: x\n\n";
         return progress.inOrder(event) == event;
     };
@@ -105,4 +105,46 @@
     EXPECT_TRUE(goesOn("x", "", 0));
 }
 
+// A run that left an event out was passed on if the stream had broken off after a single event.
+TEST(StreamProgress, RunLeavesNoEventOutAfterASingleOneWhereIdsAreKnownToBeConsecutive)
+{
+    const auto goesOn = [](std::string_view callerHas, std::string_view first, int next) {
+        stream_progress progress;
+        progress.beginRun(callerHas, true);
+        progress.record(first);
+        progress.beginRun(callerHas, true);
+        const std::string event = "id: " + std::to_string(next) + "\ndata: x\n\n";
+        return progress.inOrder(event) == event;
+    };
+    EXPECT_TRUE(goesOn("", "id: 1\ndata: a\n\n", 2));
+    EXPECT_FALSE(goesOn("", "id: 1\ndata: a\n\n", 3));
+    EXPECT_FALSE(goesOn("4", "", 6));
+    EXPECT_TRUE(goesOn("", "", 7)) << "a stream may begin with any id";
+    EXPECT_TRUE(goesOn("", "id: 1\ndata: a\n\nid: 3\ndata: b\n\n", 5)) << "its own ids jump";
+}
+
+TEST(EventIdSteps, AreConsecutiveIfNearlyAllStreamsAre)
+{
+    const auto stream = [](std::string_view events) {
+        stream_progress progress;
+        progress.record(events);
+        return progress;
+    };
+    const stream_progress consecutive = stream("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    const stream_progress jumping = stream("id: 1\ndata: a\n\nid: 3\ndata: b\n\n");
+    event_id_steps steps;
+    for (int i = 0; i < 100; ++i)
+        steps.record(stream("id: 1\ndata: a\n\n"));
+    EXPECT_FALSE(steps.areConsecutive()) << "a single id tells nothing";
+    for (int i = 0; i < 100; ++i)
+        steps.record(consecutive);
+    EXPECT_TRUE(steps.areConsecutive());
+    for (int i = 0; i < 3; ++i)
+        steps.record(jumping);
+    EXPECT_FALSE(steps.areConsecutive());
+    for (int i = 0; i < 2000; ++i)
+        steps.record(consecutive);
+    EXPECT_TRUE(steps.areConsecutive()) << "what is long past is forgotten";
+}
+
 } // namespace trefoil
--- a/trefoilrouter/src/edge/edge_state.h
+++ b/trefoilrouter/src/edge/edge_state.h
@@ -22,6 +22,7 @@
 #include <dispatch/serving_tables.h>
 #include <dispatch/team_limits.h>
 #include <http/byte_budget.h>
+#include <http/stream_progress.h>
 #include <platform/outage_detector.h>
 #include <routing/crash_attribution.h>
 #include <routing/crash_tracker.h>
@@ -49,6 +50,8 @@
     /// Retry budgets by service.
     std::map<std::string, windowed_retry_budget, std::less<>> retryBudgets;
     windowed_retry_budget_options retryBudgetOptions;
+    /// How the event ids of streams follow each other, by service.
+    std::map<std::string, event_id_steps, std::less<>> eventIdSteps;
     /// Divides the extra retries of the fleet among @p instances.
     void divideExtraRetries(const platform_settings &settings, std::size_t instances);
     /// Servers that load weights on another leader's orders, by id, with the time when that leader
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -465,7 +465,10 @@
                         .maxHeldBytes = maxEventBytes,
                         .answerField = requestIdName});
     // Only a server that resumes streams is known to go by the caller's field.
-    m_progress.beginRun(m_admitted.route->isResumable ? m_fields.lastEventId : "");
+    m_progress.beginRun(m_admitted.route->isResumable ? m_fields.lastEventId : "",
+                        m_state.with([this](routing_state &routing) {
+                            return routing.eventIdSteps[m_admitted.service].areConsecutive();
+                        }));
     while (true) {
         const std::string received = body.feed(current.stream->buffer());
         const std::string_view events = m_progress.inOrder(received);
@@ -484,6 +487,9 @@
         }
         if (isWhole) {
             current.timer->onComplete();
+            m_state.with([this](routing_state &routing) {
+                routing.eventIdSteps[m_admitted.service].record(m_progress);
+            });
             m_status = current.head.status;
             returnConnection(current);
             logEnd("answered", m_status);
