serve: an answer without a name on a kept connection doesn't cost the caller its answer

On a kept connection the attempt failed, and in a pool with one server the caller got no-server.

Such a request, which is idempotent, is now sent again on a new connection within the attempt's time, where an answer without a name is passed on. If that connection can't be opened, the request counts as one that may have run.

AnswerThatNamesNoAttemptOnAKeptConnectionIsNotPassedOn is part of the new test: it expected the error that is the fault; the body of the unnamed answer is now another caller's and must not appear.

Evidence: BackendClient.RequestIsSentAgainOnANewConnectionIfItsAnswerOnAKeptOneNamesNoAttempt failed before (foreign-answer instead of the request's own) and passes. RequestThatCanNotBeSentAgainMayHaveRun guards the report to the caller; it was not run with the earlier code.

--- a/trefoilrouter/src/backend_client.cpp
+++ b/trefoilrouter/src/backend_client.cpp
@@ -107,13 +107,6 @@
 
 result<void> backend_exchange::send(const backend_request &request, timestamp deadline)
 {
-    // Where a late answer to HEAD ends can't be told, so its connection carries nothing else.
-    const bool isHead = request.method == "HEAD";
-    m_mayBeKept = !isHead;
-    if (request.mayReuse && !isHead)
-        m_stream = m_client.takeIdle(m_client.m_idle, m_address,
-                                     [](const byte_stream &each) { return each.isIdle(); });
-    m_isKeptConnection = m_stream.has_value();
     if (!m_stream) {
         result<byte_stream> opened = byte_stream::connect(m_address, connectTimeout);
         if (!opened)
@@ -170,9 +163,22 @@
 {
     m_timeout = request.timeout;
     const timestamp deadline = boot_clock::now() + m_timeout;
-    if (result<void> sent = send(request, deadline); !sent)
-        return sent;
-    result<response_head> head = readHead(request, deadline);
+    // Where a late answer to HEAD ends can't be told, so its connection carries nothing else.
+    m_mayBeKept = request.method != "HEAD";
+    if (request.mayReuse && m_mayBeKept)
+        m_stream = m_client.takeIdle(m_client.m_idle, m_address,
+                                     [](const byte_stream &each) { return each.isIdle(); });
+    m_isKeptConnection = m_stream.has_value();
+    result<response_head> head = sendAndReadHead(request, deadline);
+    if (!head && head.error().code == backend_errors::foreignAnswer && m_isKeptConnection) {
+        // An idempotent request. On a new connection an answer without name is its own.
+        m_stream.reset();
+        m_isKeptConnection = false;
+        head = sendAndReadHead(request, deadline);
+        // The request may have run on the first connection.
+        if (!head && head.error().code == backend_errors::notSent)
+            return failure(backend_errors::connectionLost, head.error().message);
+    }
     if (!head)
         return tl::unexpected(head.error());
     m_response = std::move(*head);
@@ -184,8 +190,11 @@
     return {};
 }
 
-result<response_head> backend_exchange::readHead(const backend_request &request, timestamp deadline)
+result<response_head> backend_exchange::sendAndReadHead(const backend_request &request,
+                                                        timestamp deadline)
 {
+    if (const result<void> sent = send(request, deadline); !sent)
+        return tl::unexpected(sent.error());
     attempt_response_reader heads({.attemptId = request.attemptId,
                                    .isKeptConnection = m_isKeptConnection,
                                    .maxHeadBytes = maxHeadBytes});
--- a/trefoilrouter/src/backend_client.h
+++ b/trefoilrouter/src/backend_client.h
@@ -68,7 +68,8 @@
     backend_exchange &operator=(const backend_exchange &) = delete;
 
     /// Sends @p request and waits for the head of the response to it: late answers to earlier
-    /// requests on the connection are skipped. Errors: those of backend_errors.
+    /// requests on the connection are skipped, and if that can't tell the answer, the request is
+    /// sent again on a new connection. Errors: those of backend_errors.
     result<void> start(const backend_request &request);
     /// Returns the response head. Precondition: start() succeeded.
     const response_head &response() const { return m_response; }
@@ -82,8 +83,9 @@
 
 private:
     result<void> send(const backend_request &request, timestamp deadline);
-    /// Reads up to the head of the response to @p request. Errors: those of backend_errors.
-    result<response_head> readHead(const backend_request &request, timestamp deadline);
+    /// Sends @p request and reads up to the head of the response to it. Errors: those of
+    /// backend_errors.
+    result<response_head> sendAndReadHead(const backend_request &request, timestamp deadline);
     /// Reads more bytes until @p deadline. Errors: those of backend_errors but notSent.
     result<void> readMore(timestamp deadline, const std::function<bool()> &isCallerGone);
     tl::unexpected<error> classifyBrokenConnection(const std::string &message) const;
--- a/trefoilrouter/tests/kept_connection_server.h
+++ b/trefoilrouter/tests/kept_connection_server.h
@@ -43,12 +43,27 @@
 
     endpoint address() const { return {.host = "127.0.0.1", .port = m_socket.address().port()}; }
     int connections() const { return m_connections.load(); }
+    /// Refuses further connections and serves those that are open.
+    void stopListening()
+    {
+        m_isListening = false;
+        while (!m_hasClosed)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
 
 private:
     void accept(const std::stop_token &stop)
     {
         std::vector<std::jthread> threads;
         while (!stop.stop_requested()) {
+            if (!m_isListening && !m_hasClosed) {
+                m_socket.close();
+                m_hasClosed = true;
+            }
+            if (m_hasClosed) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(2));
+                continue;
+            }
             if (!m_socket.poll(Poco::Timespan(0, 2000), Poco::Net::Socket::SELECT_READ))
                 continue;
             const int connection = m_connections.fetch_add(1);
@@ -95,6 +110,8 @@
     Poco::Net::ServerSocket m_socket;
     script m_answer;
     std::atomic<int> m_connections = 0;
+    std::atomic<bool> m_isListening = true;
+    std::atomic<bool> m_hasClosed = false;
     std::jthread m_acceptor;
 };
 
