--- a/libs/http/tests/response_body_test.cpp
+++ b/libs/http/tests/response_body_test.cpp
@@ -2,9 +2,12 @@
 #include <http/stream_progress.h>
 
 #include <array>
+#include <ctime>
 #include <optional>
+#include <random>
 #include <vector>
 
+#include <core/clock.h>
 #include <gtest/gtest.h>
 
 namespace trefoil {
@@ -318,6 +321,30 @@
     }
 }
 
+// An interim answer has no field that tells its request: what was written of it before the further
+// answer's own head was passed on as an event.
+TEST(ResponseBody, InterimAnswerOfAFurtherAnswerIsNoPartOfTheBody)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string own = concatenated();
+    for (const bool isEventStream : {false, true}) {
+        const response_body_options options {.framing = {.end = body_end::Close},
+                                             .isEventStream = isEventStream,
+                                             .maxHeldBytes = maxHeldBytes,
+                                             .answerField = "X-Id"};
+        for (const std::string &further : {interim + furtherHead, interim + interim + furtherHead,
+                                           interim + furtherHead.substr(0, 14), interim}) {
+            for (const std::size_t pieceSize :
+                 {std::size_t {1}, std::size_t {7}, std::size_t {4096}}) {
+                const attempt_result got =
+                    attempt(options, own + further, pieceSize, cut::OrderlyEnd);
+                EXPECT_EQ(got.state, body_state::BrokenOff) << further;
+                EXPECT_TRUE(own.starts_with(got.passedOn)) << got.passedOn;
+            }
+        }
+    }
+}
+
 TEST(ResponseBody, FurtherAnswerThatIsCutInItsHeadBreaksTheBodyOff)
 {
     constexpr std::size_t versionBytes = std::string_view("HTTP/1.1 ").size();
@@ -403,6 +430,131 @@
     }
 }
 
+/// Returns where the first head in @p text begins that holds the field X-Id or follows interim
+/// answers, by trying each place.
+std::optional<std::size_t> firstHead(std::string_view text)
+{
+    const auto isHead = [](std::string_view from) {
+        constexpr int maxHeads = 5;
+        for (int i = 0; i < maxHeads; ++i) {
+            const std::size_t end = from.find("\r\n\r\n");
+            if (end == std::string_view::npos)
+                return false;
+            const result<response_head> head = parseResponseHead(from.substr(0, end));
+            if (!head || (head->status >= 200 && !head->headers.has("X-Id")))
+                return false;
+            if (head->headers.has("X-Id"))
+                return true;
+            from.remove_prefix(end + 4);
+        }
+        return false;
+    };
+    for (std::size_t at = text.find('H'); at != std::string_view::npos;
+         at = text.find('H', at + 1)) {
+        if (isHead(text.substr(at)))
+            return at;
+    }
+    return std::nullopt;
+}
+
+TEST(ResponseBody, FurtherAnswerIsFoundInRandomTexts)
+{
+    const std::vector<std::string> parts {"HTTP/1.1 200",
+                                          "HTTP/1.1 200 OK\r\n",
+                                          "HTTP/1.1 200 OK\r\n",
+                                          "HTTP/1.0 503 Busy\r\n",
+                                          "HTTP/1.1 100 Continue\r\n\r\n",
+                                          "HTTP/1.1 200 OK\r\na: ",
+                                          "HTTP/",
+                                          "H",
+                                          " ",
+                                          "\r",
+                                          "\n",
+                                          "\r\n",
+                                          "\r\n",
+                                          "\r\n\r\n",
+                                          "X-Id: r\r\n",
+                                          "X-Id: r\r\n\r\n",
+                                          "X-Id: r\r\n\r\n",
+                                          "a: b\r\n",
+                                          "a: HTTP/1.1 200 x\r\n",
+                                          "a: HTTP/1.1 199 x\r\n",
+                                          "no field\r\n",
+                                          "x-id : 1\r\n",
+                                          ":\r\n",
+                                          "\x01",
+                                          "HTTP/1.1 700 x\r\n",
+                                          "HTTP/1.1 2000\r\n",
+                                          "data: HTTP/1.1 200 OK\n\n"};
+    std::mt19937 random(11);
+    constexpr int texts = 40'000;
+    int heads = 0;
+    for (int i = 0; i < texts; ++i) {
+        std::string text;
+        for (std::size_t count = 1 + random() % 12; count > 0; --count)
+            text += parts[random() % parts.size()];
+        const std::optional<std::size_t> at = firstHead(text);
+        heads += at ? 1 : 0;
+        const std::size_t pieceSize = 1 + random() % text.size();
+        response_body body({.framing = {.end = body_end::Close},
+                            .maxHeldBytes = maxHeldBytes,
+                            .answerField = "X-Id"});
+        std::string input;
+        for (std::size_t from = 0; from < text.size(); from += pieceSize) {
+            input += text.substr(from, pieceSize);
+            body.feed(input);
+        }
+        ASSERT_LE(body.plainBody().size(), at.value_or(text.size())) << text;
+        ASSERT_TRUE(body.hasFurtherAnswer() || !at || body.heldBytes() > body.plainBody().size())
+            << text;
+        ASSERT_TRUE(!body.hasFurtherAnswer() || at) << text;
+        body.end(true);
+        ASSERT_TRUE(body.hasFurtherAnswer() || !at) << text;
+    }
+    EXPECT_GT(heads, texts / 100);
+}
+
+/// Returns the processor time of this thread.
+duration processorTime()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_nsec / 1000);
+}
+
+// A text that repeats a status line was searched in time that grew with the square of a line.
+TEST(ResponseBody, SearchForAFurtherAnswerIsFasterThanALink)
+{
+    constexpr std::size_t bodyBytes = 8u << 20;
+    constexpr std::size_t pieceBytes = 16 << 10;
+    // That of a link of 100 Mbit a second.
+    constexpr duration linkTime = std::chrono::milliseconds(670);
+    const auto repeated = [](const std::string &text, std::size_t size) {
+        std::string all;
+        while (all.size() < size)
+            all += text;
+        return all;
+    };
+    const std::string line = "HTTP/1.1 200 ";
+    const std::vector<std::string> texts {
+        "H", line, repeated(line, 16'000) + "\n", repeated(line + "OK\r\na:b\r\n", 16'000),
+        line + "\r\n" + repeated("a: " + line + "\r\n", 15'000) + "\r\n"};
+    for (const std::string &text : texts) {
+        const std::string bytes = repeated(text, bodyBytes);
+        response_body body({.framing = {.end = body_end::Close},
+                            .maxHeldBytes = bodyBytes * 2,
+                            .answerField = "X-Id"});
+        const duration start = processorTime();
+        std::string input;
+        for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+            input.append(bytes, at, pieceBytes);
+            body.feed(input);
+        }
+        EXPECT_LT(toMilliseconds(processorTime() - start), toMilliseconds(linkTime))
+            << text.substr(0, 40);
+    }
+}
+
 // What may become a head is held only while it may.
 TEST(ResponseBody, EndlessBeginOfAHeadIsNotHeldPastItsLimit)
 {
--- a/trefoilrouter/src/http_object_store.cpp
+++ b/trefoilrouter/src/http_object_store.cpp
@@ -12,6 +12,9 @@
 /// The platform normally responds within milliseconds.
 constexpr duration callTimeout = std::chrono::seconds(2);
 
+/// All calls share the kept connections: the attempt's id tells their responses apart.
+constexpr std::string_view sharedSubject = "platform";
+
 tl::unexpected<error> errorFromStatus(int status, const std::string &target)
 {
     if (status == HTTPResponse::HTTP_NOT_FOUND)
@@ -42,10 +45,11 @@
     : m_client(std::move(address), callsPerSecond)
 { }
 
-result<Json::Value> http_object_store::call(const http_request &request, duration timeout)
+result<Json::Value> http_object_store::call(http_request request, duration timeout)
 {
+    request.attemptId = newAttemptId();
     const result<json_http_client::response> response =
-        m_client.call(request, {.idle = timeout, .total = timeout * 2});
+        m_client.call(request, {.idle = timeout, .total = timeout * 2}, sharedSubject);
     if (!response)
         return tl::unexpected(response.error());
     if (response->status != HTTPResponse::HTTP_OK)
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -15,6 +15,10 @@
 /// Time for such a response as a whole, as a multiple of the time to its first byte.
 constexpr int wholeResponseTimeouts = 10;
 
+/// Field that names the first event that the engine shall send, and in the answer the first that it
+/// sends.
+constexpr const char *resumeField = "X-Resume-From";
+
 /// Returns the value of X-Prefix-Blocks: the digests of the prompt's blocks, by which the engine
 /// identifies them in its cache events.
 std::string prefixBlocksHeader(const prefix_chain &chain)
@@ -89,7 +93,7 @@
         if (outcome == attempt_result::CallerGone) {
             m_context.metrics.counterOf("trefoil_caller_gone_total").add();
             m_context.backends.cancel(sendDecision.address, m_request.targetPool->credential,
-                                      std::to_string(sendDecision.attempt));
+                                      m_attemptId);
             reportEnd(false);
             return;
         }
@@ -110,25 +114,25 @@
                                  .answer = std::move(m_responseBody)});
 }
 
-backend_request proxy::makeRequest(const send_decision &sendDecision) const
+backend_request proxy::makeRequest() const
 {
     backend_request request {.method = m_request.method,
                              .path = m_request.path,
                              .contentType = m_request.contentType,
                              .body = m_request.body,
                              .headers = m_request.headers,
+                             .attemptId = m_attemptId,
                              .mayReuse = m_request.incoming.idempotent,
                              .timeout = m_request.targetPool->responseTimeout};
     if (!m_request.targetPool->credential.empty())
         request.headers.emplace_back("Authorization", "Bearer " + m_request.targetPool->credential);
     request.headers.emplace_back("traceparent", toTraceparent(m_attemptTrace));
     if (m_request.isModel) {
-        request.headers.emplace_back("X-Attempt", std::to_string(sendDecision.attempt));
         if (!m_request.incoming.chain.blocks.empty())
             request.headers.emplace_back("X-Prefix-Blocks",
                                          prefixBlocksHeader(m_request.incoming.chain));
         if (m_request.stream && m_assembler.next() > 0)
-            request.headers.emplace_back("X-Resume-From", std::to_string(m_assembler.next()));
+            request.headers.emplace_back(resumeField, std::to_string(m_assembler.next()));
     }
     request.isCallerGone = [this] { return m_writer.isDisconnected(); };
     return request;
@@ -144,10 +148,11 @@
 {
     m_attemptTrace = childOf(m_request.trace);
     m_attempt = m_assembler.begin();
+    m_attemptId = newAttemptId();
     m_firstTokenReported = false;
     const std::unique_ptr<backend_exchange> exchange =
-        m_context.backends.open(sendDecision.address, m_request.incoming.idempotent);
-    const result<void> started = exchange->start(makeRequest(sendDecision));
+        m_context.backends.open(sendDecision.address);
+    const result<void> started = exchange->start(makeRequest());
     if (!started) {
         if (started.error().code == backend_errors::callerGone)
             return attempt_result::CallerGone;
@@ -209,6 +214,10 @@
 
 proxy::attempt_result proxy::relayStream(backend_exchange &exchange)
 {
+    const std::optional<std::uint64_t> position =
+        parseDecimal(exchange.response().headers.value(resumeField));
+    if (position)
+        m_assembler.setPosition(m_attempt, *position);
     sse_parser parser;
     attempt_result outcome = attempt_result::Continue;
     const auto onEvent = [&](const sse_event &event) {
@@ -258,6 +267,10 @@
         recordFailure(attempt_failure::Empty);
         return attempt_result::Failed;
     case stream_step::Gap:
+        m_context.metrics.counterOf("trefoil_streams_not_continued_total").add();
+        logWarning("traffic",
+                   "A stream was not continued: after " + std::to_string(m_assembler.next())
+                       + " events came one with id \"" + std::string(event.id) + "\".");
         recordFailure(attempt_failure::Truncated);
         return attempt_result::Failed;
     case stream_step::Repeated:
