--- a/libs/dispatch/tests/member_table_test.cpp
+++ b/libs/dispatch/tests/member_table_test.cpp
@@ -150,6 +150,21 @@
     EXPECT_TRUE(members.reportedLeadership("b", 3));
 }
 
+// An incarnation is the time of the start. After a step back of the clock the reports of an
+// instance that started again were ignored, as those of its earlier incarnation.
+TEST(MemberTable, InstanceThatStartedAgainAfterItsClockWasSetBackIsHeard)
+{
+    member_table members({.self = "a", .zone = "z1"});
+    const timestamp now {};
+    member_entry entry = makeEntry("b", "z1", 2);
+    entry.incarnation = 60'000;
+    members.setListed(now, {makeEntry("a", "z1", 1), entry});
+    EXPECT_TRUE(members.recordReport(now, "b", 60'000, 50, false, 0));
+    entry.incarnation = 50'000;
+    members.setListed(now, {makeEntry("a", "z1", 1), entry});
+    EXPECT_TRUE(members.recordReport(now, "b", 50'000, 1, false, 0));
+}
+
 TEST(MemberTable, ReportsWhetherSelfIsListedAndALeaderIsHeard)
 {
     member_table members({.self = "a", .zone = "z1"});
