--- a/libs/rpc/src/rpc.cpp
+++ b/libs/rpc/src/rpc.cpp
@@ -1,6 +1,7 @@
 #include <rpc/rpc.h>
 
 #include <atomic>
+#include <memory>
 
 #include <json/reader.h>
 #include <json/writer.h>
@@ -120,11 +121,13 @@
         errorMessage = "the peer's answer is not a JSON object";
         return false;
     }
-    if (response["id"] != Json::Value(id)) {
+    // A peer that can't read a call reports an error without its id.
+    const bool isUnnamedError = response["id"].isNull() && response.isMember("error");
+    if (!isUnnamedError && response["id"] != Json::Value(id)) {
         errorMessage = "the peer's answer is that to another call";
         return false;
     }
-    if (!response.isMember("result")) {
+    if (isUnnamedError || !response.isMember("result")) {
         errorMessage = "the peer reported an error: " + toText(response["error"]);
         return false;
     }
