--- a/libs/http/src/head_search.cpp
+++ b/libs/http/src/head_search.cpp
@@ -80,8 +80,8 @@
     });
 }
 
-/// Looks for the head of an answer at one place of a text after the other. What is found of a line
-/// is kept for the places behind, so that the time grows with the length of the text only.
+/// Looks for the head of an answer at increasing offsets of a text. What is known of a line is kept
+/// for the offsets behind, so that the whole search takes linear time.
 class head_finder
 {
 public:
--- a/standins/src/standin_engine.cpp
+++ b/standins/src/standin_engine.cpp
@@ -349,10 +349,10 @@
     void sendStream(const generation_job &job, const std::string &faultMode,
                     Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
     {
-        // Such an engine has no ids and doesn't resume.
-        const bool isForgetful = faultMode == "forgetful";
-        const int firstToken = isForgetful ? 0 : job.firstToken;
-        if (!isForgetful && request.has("X-Resume-From"))
+        // Such an engine sends no event ids and begins each run at the first token.
+        const bool ignoresResume = faultMode == "no-resume";
+        const int firstToken = ignoresResume ? 0 : job.firstToken;
+        if (!ignoresResume && request.has("X-Resume-From"))
             response.set("X-Resume-From", std::to_string(firstToken));
         response.setContentType("text/event-stream");
         response.setChunkedTransferEncoding(true);
@@ -361,13 +361,13 @@
         for (int i = firstToken; i < job.tokenCount && faultMode != "empty"; ++i) {
             if (isCancelled(job.attemptId))
                 return;
-            if ((faultMode == "cut" || isForgetful) && i - job.firstToken == job.tokenCount / 2) {
+            if ((faultMode == "cut" || ignoresResume) && i - job.firstToken == job.tokenCount / 2) {
                 response.setKeepAlive(false);
                 return;
             }
             if (faultMode == "die" && i - job.firstToken == job.tokenCount / 2)
                 std::_Exit(1);
-            const std::string event = (isForgetful ? "" : "id: " + std::to_string(i) + "\n")
+            const std::string event = (ignoresResume ? "" : "id: " + std::to_string(i) + "\n")
                 + "data: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,"
                   "\"delta\":{\"content\":\""
                 + tokenText(job, i) + "\"}}]}\n\n";
--- a/standins/src/standin_server.h
+++ b/standins/src/standin_server.h
@@ -19,7 +19,7 @@
 using request_handler =
     std::function<void(Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &)>;
 
-/// When a server that stutters sends an answer for the second time.
+/// When a server that sends each answer twice sends it for the second time.
 enum class repeat_moment {
     Never,
     /// Right before the next answer on the connection.
@@ -35,6 +35,7 @@
 class answer_repeater
 {
 public:
+    /// Sets when answers are sent for the second time from now on, and drops those that are due.
     void setMoment(repeat_moment moment);
     /// Sends what is due on the connection of @p request. Call before the request is answered.
     void sendDue(Poco::Net::HTTPServerRequest &request);
--- a/tests/sessions/resumption.sh
+++ b/tests/sessions/resumption.sh
@@ -13,7 +13,7 @@
 echo "engines that resume: $(check_stream "$work/answer" 12), $([ "$(text_of "$work/answer")" = "$(text_of "$work/reference")" ] && echo "the same text" || echo "another text")"
 for i in 1 2 3 4; do engine_admin "$i" '{"mode":"none","count":0}'; done
 # Engines without ids begin again.
-for i in 1 2 3 4; do engine_admin "$i" '{"mode":"forgetful","count":8}'; done
+for i in 1 2 3 4; do engine_admin "$i" '{"mode":"no-resume","count":8}'; done
 chat 1 "$key_reef" "$work/body" >"$work/answer"
 echo "engines that don't resume: $(text_of "$work/answer" | wc -w) tokens, the beginning of the answer: $(is_beginning_of "$work/answer" "$work/reference"), end marker: $(grep -q '^data: \[DONE\]$' "$work/answer" && echo yes || echo no)"
 echo "the caller learns: $(sed -n 's/^data: {"error/{"error/p' "$work/answer" | format_refusal)"
