--- a/standins/src/standin_server.cpp
+++ b/standins/src/standin_server.cpp
@@ -21,6 +21,8 @@
 
 /// Delay of an answer that is sent again on the idle connection.
 constexpr duration idleRepeatDelay = std::chrono::milliseconds(20);
+/// Pause inside an answer that is sent again in parts.
+constexpr duration partDelay = std::chrono::milliseconds(20);
 
 Poco::Net::StreamSocket &connectionOf(Poco::Net::HTTPServerRequest &request)
 {
@@ -82,6 +84,7 @@
 repeat_moment parseRepeatMoment(std::string_view name)
 {
     return name == "next" ? repeat_moment::NextAnswer
+        : name == "parts" ? repeat_moment::NextAnswerInParts
         : name == "idle"  ? repeat_moment::Idle
                           : repeat_moment::Never;
 }
@@ -133,8 +136,15 @@
         return;
     due_answer due = std::move(found->second);
     shared.due.erase(found);
+    const bool isInParts = shared.moment == repeat_moment::NextAnswerInParts;
+    const std::size_t partBytes = isInParts ? due.text.size() / 2 : due.text.size();
     try {
-        due.connection.sendBytes(due.text.data(), static_cast<int>(due.text.size()));
+        due.connection.sendBytes(due.text.data(), static_cast<int>(partBytes));
+        if (isInParts) {
+            std::this_thread::sleep_for(partDelay);
+            due.connection.sendBytes(due.text.data() + partBytes,
+                                     static_cast<int>(due.text.size() - partBytes));
+        }
         ++shared.count;
     } catch (const Poco::Exception &) {
         // The peer has closed the connection.
--- a/standins/src/standin_server.h
+++ b/standins/src/standin_server.h
@@ -24,11 +24,14 @@
     Never,
     /// Right before the next answer on the connection.
     NextAnswer,
+    /// The same, in two parts with a pause between them.
+    NextAnswerInParts,
     /// A moment later, on the idle connection.
     Idle
 };
 
-/// Returns the moment called @p name ("next" or "idle"), or Never for any other name. Thread-safe.
+/// Returns the moment called @p name ("next", "parts" or "idle"), or Never for any other name.
+/// Thread-safe.
 repeat_moment parseRepeatMoment(std::string_view name);
 
 /// Sends answers for the second time on their connections. Thread-safe.
--- a/tests/sessions/repeated_answers.sh
+++ b/tests/sessions/repeated_answers.sh
@@ -1,5 +1,5 @@
-# Backend servers that send each answer twice: before the next answer on the connection, or a moment
-# later on the idle connection. Each caller must get the answer to its own question.
+# Backend servers that send each answer twice: before the next answer on the connection, whole or in
+# parts, or a moment later on the idle connection. Each caller must get the answer to its own question.
 . "$(dirname "$0")/common.sh.inc"
 session_start
 questions=24
@@ -17,7 +17,7 @@
   text_of "$work/answer" >"$work/reference.$n"
 done
 echo "different answers: $(md5sum "$work"/reference.* | cut -d' ' -f1 | sort -u | wc -l)"
-set_repeats() { # next|idle|none
+set_repeats() { # next|parts|idle|none
   for i in 1 2 3 4; do engine_admin "$i" "{\"mode\":\"none\",\"count\":0,\"repeat\":\"$1\"}"; done
   curl -s -m 5 -d "{\"repeat\":\"$1\"}" "http://$service/admin" >/dev/null
 }
@@ -37,7 +37,7 @@
   done
   echo "$1: $own of $questions callers got their own answer"
 }
-for moment in next idle; do
+for moment in next parts idle; do
   set_repeats "$moment"
   ask_all "$moment, plain" body
   ask_all "$moment, streams" stream
