--- a/review/rig-2/case-7.cpp
+++ b/review/rig-2/case-7.cpp
@@ -15,6 +15,7 @@
         const std::size_t cut = answer.headBytes + answer.number % bodyBytes;
         return {.parts = {answer.first.substr(0, cut) + answer.second}};
     };
-    return runStock(arguments[1], arguments[2],
-                    {.isChunked = true, .bodyBytes = 400, .spoil = spoil});
+    return runStock(
+        arguments[1], arguments[2],
+        {.isChunked = true, .bodyBytes = 200, .time = std::chrono::seconds(80), .spoil = spoil});
 }
