--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -10,6 +10,7 @@
 #include <http/response_body.h>
 #include <http/response_head_reader.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -209,6 +210,8 @@
         m_processes[instance] = process;
         return;
     }
+    // Also when this process is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = ::open((path + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
