edge: a failure of a request that ran is no promise that it did not

What callers saw: 503 for a booking that their server had made.

Cause: request_runner knows whether the server states that a request did not run (X-Not-Executed, 421), but used that only to choose the next step. What was written to the caller was any status the server had sent, and 408, 429 and 503 make that statement by themselves. So two different questions, "what did the server say?" and "what will the caller conclude?", had one answer. All routes whose requests run at most once were concerned, streams that can't be resumed too, also through a relay.

Evidence: the log of a booking made twice: "placed" at i-0, then "ended" with outcome "answered", status 503 and runs 1; so it was the server's answer, not a refusal of the router's, and the run came before it, not after.

Change: if a request that may not be repeated has run, an answer with such a status ends the attempt as Withheld. The caller gets 502 from the router, which states nothing, without a field of the server's answer and without Retry-After, as soon as the head has arrived. What the server states of itself counts as before, the attempt counts as a failure of the server and its release, and the log (attempt_ended, end "withheld") and trefoil_answers_withheld_total keep the server's status. Answers to requests that may be repeated, other failures, and rejections that the server states are passed on or tried elsewhere as before.

Why this works: the statement now depends on the server's statement and nothing else, at the one place through which all counted answers pass before they are read.

--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 #include <adapter/headers.h>
+#include <delivery/not_run_status.h>
 #include <http/response_head_reader.h>
 #include <telemetry/event_log.h>
 
@@ -35,9 +36,10 @@
 constexpr std::size_t maxHeadBytes = 16 * 1024;
 /// Limit on one event of a stream.
 constexpr std::size_t maxEventBytes = 1u << 20;
-/// Limits on the body of a rejection, after which its connection is closed instead.
-constexpr std::size_t maxRejectionBytes = 64 * 1024;
-constexpr duration maxRejectionTime = std::chrono::milliseconds(200);
+/// Limits on the body of an answer that is not passed on, after which its connection is closed
+/// instead.
+constexpr std::size_t maxUnusedBytes = 64 * 1024;
+constexpr duration maxUnusedTime = std::chrono::milliseconds(200);
 /// A longer body is not copied to be written together with its head.
 constexpr std::size_t maxCopiedBytes = 64 * 1024;
 /// Time without requests for a server that rejected one. An engine is full or loads weights, which
@@ -83,6 +85,8 @@
     if (current.fields.wasNotRun)
         return handleRejection(current);
     countRun(current);
+    if (statesNotRun(current.head.status) && !mayRepeat())
+        return withhold(current);
     const bool isSuccess =
         current.head.status >= HTTPResponse::HTTP_OK && current.head.status < firstRedirect;
     const bool isForThisRequest = current.fields.requestId == m_fields.requestId;
@@ -393,12 +397,28 @@
     }
 }
 
-request_runner::attempt_end request_runner::handleRejection(attempt &current)
+void request_runner::discardBody(attempt &current)
 {
-    response_body body({.framing = current.framing, .maxHeldBytes = maxRejectionBytes});
-    current.readUntil = boot_clock::now() + maxRejectionTime;
+    response_body body({.framing = current.framing, .maxHeldBytes = maxUnusedBytes});
+    current.readUntil = boot_clock::now() + maxUnusedTime;
     if (readBody(current, body) == attempt_end::Delivered)
         returnConnection(current);
+}
+
+request_runner::attempt_end request_runner::withhold(attempt &current)
+{
+    m_state.metrics()
+        .counterOf("trefoil_answers_withheld_total",
+                   "route=\"" + m_admitted.route->name + "\",status=\""
+                       + std::to_string(current.head.status) + "\"")
+        .add();
+    discardBody(current);
+    return attempt_end::Withheld;
+}
+
+request_runner::attempt_end request_runner::handleRejection(attempt &current)
+{
+    discardBody(current);
     const timestamp now = boot_clock::now();
     m_state.with([&](routing_state &routing) {
         const bool isOtherServer =
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -106,9 +106,9 @@
     const std::int64_t silentMs = current.wasSent ? toMilliseconds(now - current.progressAt) : 0;
     const std::optional<duration> firstEventTime =
         current.timer ? current.timer->firstEventTime() : std::nullopt;
-    constexpr std::array<const char *, 8> words {"delivered",     "not_run",     "failed",
-                                                 "broken",        "caller_left", "timed_out",
-                                                 "caller_broken", "outdated"};
+    constexpr std::array<const char *, 9> words {"delivered", "not_run",       "failed",
+                                                 "withheld",  "broken",        "caller_left",
+                                                 "timed_out", "caller_broken", "outdated"};
     writeEvent(event_line("proxy", "attempt_ended")
                    .add("request", m_fields.requestId)
                    .add("server", current.placed.server)
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -112,7 +112,7 @@
         outcome = current.wasSent ? attempt_outcome::Rejected : attempt_outcome::Unreachable;
     else if (end == attempt_end::Broken)
         outcome = current.isWithdrawn ? attempt_outcome::Abandoned : attempt_outcome::Lost;
-    else if (end == attempt_end::Failed
+    else if (end == attempt_end::Failed || end == attempt_end::Withheld
              || (end == attempt_end::Delivered && m_status >= firstServerFailure))
         outcome = attempt_outcome::Failed;
     else if (end != attempt_end::Delivered)
@@ -161,8 +161,8 @@
 
 void request_runner::recordReleaseEnd(const attempt &current, attempt_end end)
 {
-    const bool isOutcome =
-        end == attempt_end::Delivered || end == attempt_end::Failed || end == attempt_end::Broken;
+    const bool isOutcome = end == attempt_end::Delivered || end == attempt_end::Failed
+        || end == attempt_end::Withheld || end == attempt_end::Broken;
     if (!isOutcome || current.isWithdrawn)
         return;
     const bool failed = end != attempt_end::Delivered || m_status >= firstServerFailure;
--- a/trefoilrouter/src/edge/request_runner.cpp
+++ b/trefoilrouter/src/edge/request_runner.cpp
@@ -367,6 +367,9 @@
                         withJitter(minRetryAfter * 2)};
     if (end == attempt_end::TimedOut)
         return refusal {HTTPResponse::HTTP_GATEWAY_TIMEOUT, "out of time", std::nullopt};
+    if (end == attempt_end::Withheld)
+        return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "the backend server failed the request",
+                        std::nullopt};
     return refusal {HTTPResponse::HTTP_BAD_GATEWAY, "the backend server broke off", std::nullopt};
 }
 
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -60,6 +60,9 @@
         NotRun,
         /// The server answered a repeatable request with an error, which m_answer holds.
         Failed,
+        /// The server ran a request that is not repeatable and answered with a status that states
+        /// "not run" to the caller.
+        Withheld,
         /// The connection to the server broke, stayed silent too long or carried no valid answer.
         Broken,
         /// The caller closed its connection before the answer.
@@ -161,6 +164,11 @@
     bool usesEvacuatedZone(const attempt &current);
     attempt_end readHead(attempt &current);
     attempt_end handleRejection(attempt &current);
+    /// Drops the answer of @p current, whose status states "not run" although the server doesn't.
+    attempt_end withhold(attempt &current);
+    /// Reads the rest of an answer that is not passed on, so that its connection can be used again.
+    /// Gives up after a short time.
+    void discardBody(attempt &current);
     /// Reads until @p body is whole.
     attempt_end readBody(attempt &current, response_body &body);
     /// Waits for more of @p body, unless it is whole. Returns Delivered if there may be more to
