serve: a failure of a request that ran is no promise that it did not

What callers saw: 408, 429 or 503 of a service that had made their booking, without X-Request-Ran. A caller takes each of these for "not run" and comes again. With an idempotency key the repeat got the recorded 503 once more, so that a caller came back under a new key.

For services, `serve` passed any status on; docs/OPERATIONS.md promised "not run" only if the server said so, but a service had no way to say it, and its status said it all the same. The recorded answer of a claim was replayed by the same rule.

Change: a request that may run once and is answered so ends its attempt as Withheld: the caller gets 502 fate-unknown, X-Request-Ran "unknown", no Retry-After, and the claim keeps no answer, so that repeats get 409 already-claimed. A recorded answer of an earlier version with such a status counts as unknown too. A service that rejects a request without running it can say so with "X-Request-Ran: not-run"; the request is then tried elsewhere or refused as not run, and its key stays usable. The field isn't forwarded from callers, whose service might return it. The log and trefoil_answers_withheld_total keep the server's status.

Two builds side by side: instances of before find a claim without an answer and refuse the repeat as unknown, as they do after a lost answer.

Claim.RecordedStatusThatStatesNotRunIsNotReplayed fails without the change of claim.cpp.

--- a/libs/control/include/control/request_coordinator.h
+++ b/libs/control/include/control/request_coordinator.h
@@ -55,6 +55,9 @@
     Timeout,
     /// The server answered with a status of 500 or above.
     ServerError,
+    /// The server ran a request that is not idempotent, or doesn't state that it did not, and
+    /// answered with a status that states "not run" to the caller.
+    Withheld,
     /// The server rejected the request as overloaded and did not run it.
     Busy
 };
--- a/libs/control/src/request_coordinator.cpp
+++ b/libs/control/src/request_coordinator.cpp
@@ -495,7 +495,9 @@
         return refuse_decision {.status = 502,
                                 .code = "fate-unknown",
                                 .message = "backend server \"" + state.choice->server
-                                    + "\" did not answer; the request is not repeated"};
+                                    + (kind == attempt_failure::Withheld
+                                           ? "\" failed the request; it may have run"
+                                           : "\" did not answer; the request is not repeated")};
     const bool isExemptFromBudget = indicatesNotRun(kind);
     if (state.attempts >= maxAttempts
         || (!isExemptFromBudget && !m_budgets[state.request.pool].takeRetry()))
--- a/libs/delivery/include/delivery/claim.h
+++ b/libs/delivery/include/delivery/claim.h
@@ -48,8 +48,8 @@
     Send,
     /// The request ran before: return the recorded answer.
     Replay,
-    /// Another attempt holds the claim and its answer is not known: refuse, and report that the
-    /// request may have run ("unknown").
+    /// Another attempt holds the claim and its answer is not known, or states "not run" although it
+    /// may have run: refuse, and report that the request may have run ("unknown").
     RefuseUnknown,
     /// The key was used for another request: refuse, and report that the request did not run
     /// ("not-run").
--- a/libs/delivery/src/claim.cpp
+++ b/libs/delivery/src/claim.cpp
@@ -1,4 +1,5 @@
 #include <delivery/claim.h>
+#include <delivery/not_run_status.h>
 
 #include <core/digest.h>
 #include <core/json.h>
@@ -97,7 +98,7 @@
         m_step = claim_step::Create;
     } else if (found->body != m_ownRecord.body) {
         m_step = claim_step::RefuseMismatch;
-    } else if (found->answered) {
+    } else if (found->answered && !statesNotRun(found->status)) {
         m_step = claim_step::Replay;
     } else {
         m_step = claim_step::RefuseUnknown;
--- a/libs/delivery/tests/claim_test.cpp
+++ b/libs/delivery/tests/claim_test.cpp
@@ -39,6 +39,25 @@
     EXPECT_EQ(secondClaim.storedRecord(), otherRecord);
 }
 
+// A repeat was answered with the recorded 503 of a request that ran, and came again under a new
+// key. Instances of earlier versions still record such answers.
+TEST(Claim, RecordedStatusThatStatesNotRunIsNotReplayed)
+{
+    for (const int status : {408, 421, 429, 503, 500, 404, 201}) {
+        const claim_record record {.claimant = "b/9",
+                                   .body = "body",
+                                   .answered = true,
+                                   .status = status,
+                                   .answer = "the ledger is away"};
+        claim ownClaim("a/1", "body");
+        ownClaim.onCreated(failure("conflict", ""));
+        ownClaim.onRead(toText(record), 1);
+        const bool isReplayed = status == 500 || status == 404 || status == 201;
+        EXPECT_EQ(ownClaim.step(), isReplayed ? claim_step::Replay : claim_step::RefuseUnknown)
+            << status;
+    }
+}
+
 TEST(Claim, RefusesKeyReusedForAnotherRequest)
 {
     claim ownClaim("a/1", "body");
--- a/standins/src/standin_service.cpp
+++ b/standins/src/standin_service.cpp
@@ -30,6 +30,16 @@
             serveAdmin(request, body, response);
             return;
         }
+        if (m_rejects)
+            response.set("X-Request-Ran", "not-run");
+        else if (request.getMethod() != "GET")
+            recordRun(request, body);
+        if (m_failureStatus != 0) {
+            Json::Value answer(Json::objectValue);
+            answer["failure"] = "the ledger is away";
+            answerTo(request, m_failureStatus, answer, response);
+            return;
+        }
         if (request.getMethod() == "GET") {
             Json::Value answer(Json::objectValue);
             answer["runs"] = Json::UInt64(m_runs.size());
@@ -37,8 +47,6 @@
             answerTo(request, 200, answer, response);
             return;
         }
-        m_runs.push_back(body);
-        m_authorizations.insert(request.get("Authorization", ""));
         if (m_truncatesNextResponse) {
             m_truncatesNextResponse = false;
             // The call has taken effect, but its response is lost.
@@ -53,6 +61,12 @@
     }
 
 private:
+    void recordRun(const Poco::Net::HTTPServerRequest &request, const std::string &body)
+    {
+        m_runs.push_back(body);
+        m_authorizations.insert(request.get("Authorization", ""));
+    }
+
     void answerTo(Poco::Net::HTTPServerRequest &request, int status, const Json::Value &answer,
                   Poco::Net::HTTPServerResponse &response)
     {
@@ -67,6 +81,8 @@
         if (request.getMethod() == "POST") {
             const result<Json::Value> command = parseJson(body, "an admin command");
             m_truncatesNextResponse = command && textOr(*command, "mode") == "cut";
+            m_failureStatus = command ? static_cast<int>(integerOr(*command, "failure_status")) : 0;
+            m_rejects = command && (*command)["rejects"].asBool();
             m_repeater.setMoment(command ? parseRepeatMoment(textOr(*command, "repeat"))
                                          : repeat_moment::Never);
         }
@@ -85,6 +101,10 @@
     std::vector<std::string> m_runs;
     std::set<std::string> m_authorizations;
     bool m_truncatesNextResponse = false;
+    /// Status of the answer to each request; 0 if requests succeed.
+    int m_failureStatus = 0;
+    /// Whether requests that fail don't run, and the answers say so.
+    bool m_rejects = false;
     answer_repeater m_repeater;
 };
 
--- a/trefoilrouter/src/callers_handler.cpp
+++ b/trefoilrouter/src/callers_handler.cpp
@@ -52,6 +52,7 @@
         "idempotency-key",
         "x-attempt",
         "x-prefix-blocks",
+        "x-request-ran",
         "x-resume-from",
     };
     return names;
--- a/trefoilrouter/src/callers_handler.h
+++ b/trefoilrouter/src/callers_handler.h
@@ -16,10 +16,4 @@
 /// How long a caller may cache a response of /v1/entry.
 constexpr duration entryResponseTtl = std::chrono::seconds(5);
 
-/// Header of a refusal that tells whether the request may have run on a backend server, and its
-/// values.
-inline constexpr const char *requestRanHeader = "X-Request-Ran";
-inline constexpr const char *requestNotRun = "not-run";
-inline constexpr const char *requestRanUnknown = "unknown";
-
 } // namespace trefoil
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 #include <core/json.h>
+#include <delivery/not_run_status.h>
 #include <telemetry/log.h>
 
 namespace trefoil {
@@ -160,12 +161,10 @@
         return attempt_result::Failed;
     }
     const int status = exchange->response().status;
-    const bool isBusy = m_request.isModel
-        && (status == HTTPResponse::HTTP_TOO_MANY_REQUESTS
-            || status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
-    if (isBusy
-        || (m_request.incoming.idempotent && status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)) {
-        recordFailure(isBusy ? attempt_failure::Busy : attempt_failure::ServerError);
+    if (const std::optional<attempt_failure> failure = rejectAnswer(exchange->response())) {
+        if (*failure == attempt_failure::Withheld)
+            recordWithheld(sendDecision.server, status);
+        recordFailure(*failure);
         return attempt_result::Failed;
     }
     const bool isStream = m_request.stream && status == HTTPResponse::HTTP_OK
@@ -173,6 +172,33 @@
     return isStream ? relayStream(*exchange) : relayResponse(*exchange);
 }
 
+std::optional<attempt_failure> proxy::rejectAnswer(const response_head &head) const
+{
+    const bool isBusy = m_request.isModel
+        && (head.status == HTTPResponse::HTTP_TOO_MANY_REQUESTS
+            || head.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    const bool isStatedNotRun = head.status >= HTTPResponse::HTTP_BAD_REQUEST
+        && head.headers.value(requestRanHeader) == requestNotRun;
+    if (isBusy || isStatedNotRun)
+        return attempt_failure::Busy;
+    if (m_request.incoming.idempotent && head.status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
+        return attempt_failure::ServerError;
+    if (!m_request.incoming.idempotent && statesNotRun(head.status))
+        return attempt_failure::Withheld;
+    return std::nullopt;
+}
+
+void proxy::recordWithheld(const std::string &server, int status)
+{
+    m_context.metrics
+        .counterOf("trefoil_answers_withheld_total",
+                   "server=\"" + server + "\",status=\"" + std::to_string(status) + "\"")
+        .add();
+    logWarning("traffic",
+               "Backend server \"" + server + "\" answered a request that may have run with status "
+                   + std::to_string(status) + "; the caller gets 502.");
+}
+
 proxy::attempt_result proxy::relayResponse(backend_exchange &exchange)
 {
     std::string body;
--- a/trefoilrouter/src/proxy.h
+++ b/trefoilrouter/src/proxy.h
@@ -20,6 +20,12 @@
 
 namespace trefoil {
 
+/// Header that tells whether a request may have run on a backend server, and its values. Refusals
+/// have it, and answers of servers that did not run the request.
+inline constexpr const char *requestRanHeader = "X-Request-Ran";
+inline constexpr const char *requestNotRun = "not-run";
+inline constexpr const char *requestRanUnknown = "unknown";
+
 /// Writes the response to a caller. Not thread-safe.
 class response_writer
 {
@@ -80,6 +86,10 @@
     enum class attempt_result { Continue, Completed, Failed, CallerGone };
 
     attempt_result attempt(const send_decision &sendDecision);
+    /// Returns why the answer with @p head is not passed on, or nothing if it may be.
+    std::optional<attempt_failure> rejectAnswer(const response_head &head) const;
+    /// Logs and counts that the answer of @p server with @p status was withheld.
+    void recordWithheld(const std::string &server, int status);
     attempt_result relayResponse(backend_exchange &exchange);
     attempt_result relayStream(backend_exchange &exchange);
     attempt_result handleEvent(const sse_event &event);
