serve: a refusal after an attempt that may have run doesn't state "not run"

What callers saw: 503 no-server, with X-Request-Ran "unknown", for a request that a server had failed before; found by the session failed_bookings, with a GET. Argued from the code: 503 no-decision for a booking whose answer had been lost, if the control thread didn't answer in time, and "not-run" after an admission that had expired between two attempts.

Cause: whether an attempt may have run was known in three places, each for its own refusals, and the status was chosen without it.

Change: the proxy, which sees all attempts and all refusals of a request, keeps it and gives such a refusal the status 502. The code, X-Request-Ran and Retry-After stay.

--- a/libs/control/include/control/request_coordinator.h
+++ b/libs/control/include/control/request_coordinator.h
@@ -62,6 +62,10 @@
     Busy
 };
 
+/// Returns whether the request certainly did not run in an attempt that failed for reason @p kind.
+/// Thread-safe.
+bool indicatesNotRun(attempt_failure kind);
+
 /// Reports from the thread that serves request @c id. @{
 struct attempt_failure_report
 {
--- a/libs/control/src/request_coordinator.cpp
+++ b/libs/control/src/request_coordinator.cpp
@@ -33,13 +33,13 @@
         || kind == attempt_failure::Timeout;
 }
 
+} // namespace
+
 bool indicatesNotRun(attempt_failure kind)
 {
     return kind == attempt_failure::NotSent || kind == attempt_failure::Busy;
 }
 
-} // namespace
-
 request_coordinator::request_coordinator(rate_limiter &limits, std::string instance,
                                          std::string zone, std::uint64_t incarnation,
                                          std::uint64_t randomSeed)
--- a/tests/sessions/failed_bookings.sh
+++ b/tests/sessions/failed_bookings.sh
@@ -24,7 +24,7 @@
   echo "$status, key: $(told), runs $(count_runs "{\"keyed\":$status}")"
   send_booking 3 "{\"keyed\":$status}" "key-$status"
   echo "$status, its repeat elsewhere: $(told), runs $(count_runs "{\"keyed\":$status}")"
-  # A GET may run again: the service's own answer stands.
+  # A GET may run again; the service's answers below 500 stand.
   curl -s -m 20 -D "$work/head" -o "$work/answer" -H "Authorization: Bearer $key_reef" http://127.0.0.14:8080/ledger/loans
   echo "$status, GET: $(told)"
 done
--- a/trefoilrouter/src/control_thread.cpp
+++ b/trefoilrouter/src/control_thread.cpp
@@ -95,8 +95,7 @@
     if (decision.wait_for(decisionTimeout) == std::future_status::ready)
         return decision.get();
     m_mailbox.post(request_end_report {.id = id});
-    // mayHaveRun stays false: an idempotency claim may have been created, but no further attempt
-    // was sent.
+    // An idempotency claim may have been created, but no further attempt was sent.
     return {.id = id,
             .action = refuse_decision {.status = 503,
                                        .code = "no-decision",
@@ -118,11 +117,7 @@
     const auto reply = std::make_shared<std::promise<request_decision>>();
     std::future<request_decision> decision = reply->get_future();
     m_mailbox.post(failed_attempt_message {.report = report, .reply = reply});
-    request_decision next = awaitDecision(report.id, std::move(decision));
-    refuse_decision *refusal = std::get_if<refuse_decision>(&next.action);
-    if (refusal && refusal->code == "no-decision")
-        refusal->mayHaveRun = true;
-    return next;
+    return awaitDecision(report.id, std::move(decision));
 }
 
 void control_thread::postPeerAnswer(std::uint64_t id, peer_answer answer)
--- a/trefoilrouter/src/proxy.cpp
+++ b/trefoilrouter/src/proxy.cpp
@@ -65,9 +65,7 @@
     while (true) {
         const std::uint64_t id = m_request.incoming.id;
         if (const refuse_decision *refusal = std::get_if<refuse_decision>(&decision.action)) {
-            m_context.metrics.counterOf("trefoil_refused_total", "code=\"" + refusal->code + "\"")
-                .add();
-            m_writer.refuse(*refusal);
+            refuse(*refusal);
             return;
         }
         if (const replay_decision *replay = std::get_if<replay_decision>(&decision.action)) {
@@ -101,10 +99,20 @@
         m_context.metrics
             .counterOf("trefoil_attempts_failed_total", "server=\"" + sendDecision.server + "\"")
             .add();
+        m_mayHaveRun = m_mayHaveRun || !indicatesNotRun(m_failure);
         decision = m_context.control.reportFailedAttempt({.id = id, .kind = m_failure});
     }
 }
 
+void proxy::refuse(refuse_decision refusal)
+{
+    refusal.mayHaveRun = refusal.mayHaveRun || m_mayHaveRun;
+    if (refusal.mayHaveRun && statesNotRun(refusal.status))
+        refusal.status = HTTPResponse::HTTP_BAD_GATEWAY;
+    m_context.metrics.counterOf("trefoil_refused_total", "code=\"" + refusal.code + "\"").add();
+    m_writer.refuse(refusal);
+}
+
 void proxy::reportEnd(bool answered)
 {
     m_context.control.reportEnd({.id = m_request.incoming.id,
--- a/trefoilrouter/src/proxy.h
+++ b/trefoilrouter/src/proxy.h
@@ -96,6 +96,8 @@
     backend_request makeRequest() const;
     void reportFirstToken(const backend_exchange &exchange);
     void reportEnd(bool answered);
+    /// Refuses the request, with a status that doesn't state "not run" if an attempt may have run.
+    void refuse(refuse_decision refusal);
     void recordFailure(attempt_failure kind) { m_failure = kind; }
     void recordError(const error &reason);
     void exportAttempt(const send_decision &sendDecision, std::uint64_t startedAt,
@@ -108,6 +110,7 @@
     std::uint64_t m_attempt = 0; // attempt number assigned by the assembler
     std::string m_attemptId; // names the attempt to its backend server
     attempt_failure m_failure = attempt_failure::Truncated;
+    bool m_mayHaveRun = false; // in any attempt, also of an earlier admission
     trace_context m_attemptTrace;
     bool m_streamStarted = false;
     bool m_firstTokenReported = false; // in the current attempt
