Weights: log how long a model server has until requests must not start on its weights, late starts and the time of loads

Change: `weights_left_ms` in `placed`, the event `late_start_on_outdated_weights` with its counter, and `weights_loaded`.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -160,6 +160,8 @@
     /// Time after newer target weights were set from which no request is placed on older ones: the
     /// maximum age of stale answers less the time that a request may wait at its server.
     duration staleWeightsLimit = std::chrono::milliseconds(10500);
+    /// Time after newer target weights were set from which no request may start on older ones.
+    duration weightsDeadline = std::chrono::seconds(12);
     /// Fraction of an engine's memory that requests may take before further ones queue.
     double memoryShare = 0.9;
     /// Whether a request is placed on a full server only if all are full. A model engine is full if
@@ -331,6 +333,9 @@
     }
     /// Returns the newest target version of the weights, by model.
     std::map<std::string, std::uint64_t, std::less<>> newestTargetWeights() const;
+    /// Returns the time from which no request may start on @p version of @p model, because newer
+    /// target weights were set long enough before, or nothing if there are none.
+    std::optional<timestamp> weightsLimit(std::string_view model, std::uint64_t version) const;
     /// Returns the distinct releases that the servers of @p service run.
     std::vector<std::string> releasesOf(std::string_view service) const;
     /// Returns the load that all instances together put on @p server.
--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -27,6 +27,16 @@
     std::uint64_t epoch = 0;
 };
 
+/// A load of weights that is complete.
+struct completed_load
+{
+    std::string server;
+    std::string model;
+    std::uint64_t version = 0;
+    /// Time since the order, including that in which the server finished its running requests.
+    duration time {};
+};
+
 /// Answer of a server to an order.
 enum class order_answer {
     /// The server loads the ordered weights.
@@ -89,6 +99,8 @@
         /// Those whose last call failed. They may take the whole timeout again, so the others must
         /// not wait for them.
         std::vector<registered_server> failingServersToPoll;
+        /// Loads found complete since the last call.
+        std::vector<completed_load> completed;
     };
 
     /// Input of the plan.
@@ -130,6 +142,7 @@
         std::uint64_t version = 0;
         bool isOrderCountKnown = false;
         std::uint64_t acceptedOrders = 0;
+        timestamp orderedAt;
         /// Time at which the order was sent or accepted.
         timestamp since;
         /// Time until which the server is neither polled nor sent an order.
--- a/libs/dispatch/src/server_weights.cpp
+++ b/libs/dispatch/src/server_weights.cpp
@@ -79,6 +79,19 @@
     return newest;
 }
 
+std::optional<timestamp> load_balancer::weightsLimit(std::string_view model,
+                                                     std::uint64_t version) const
+{
+    const auto targets = m_targetWeights.find(model);
+    if (targets == m_targetWeights.end())
+        return std::nullopt;
+    // The time counts from the first newer version, even if further ones were set since.
+    const auto newer = targets->second.upper_bound(version);
+    if (newer == targets->second.end())
+        return std::nullopt;
+    return newer->second + m_options.weightsDeadline;
+}
+
 std::vector<registered_server> load_balancer::serversWithNewWeights(timestamp since) const
 {
     std::vector<registered_server> changed;
--- a/libs/dispatch/src/weights_plan.cpp
+++ b/libs/dispatch/src/weights_plan.cpp
@@ -61,7 +61,13 @@
         const std::optional<std::string> model = outdatedModel(server, input.targetWeights);
         if (state.current != stage::Idle) {
             // The ordered version may have been superseded meanwhile.
-            const bool isDone = !model || runsOrdered(server, state.model, state.version);
+            const bool runsVersion = runsOrdered(server, state.model, state.version);
+            const bool isDone = !model || runsVersion;
+            if (runsVersion)
+                due.completed.push_back({.server = server.id,
+                                         .model = state.model,
+                                         .version = state.version,
+                                         .time = now - state.orderedAt});
             const bool isLost = now - state.since > m_options.orderTimeout;
             if (isDone || isLost) {
                 state.current = stage::Idle;
@@ -112,6 +118,7 @@
         state.current = stage::Ordered;
         state.model = model;
         state.version = input.targetWeights.find(model)->second;
+        state.orderedAt = now;
         state.since = now;
         due.orders.push_back({.server = server->id,
                               .address = server->address,
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -43,6 +43,7 @@
     : balancer({.zone = settings.zone,
                 .randomSeed = hash64(settings.name),
                 .staleWeightsLimit = settings.weightsDeadline - maxServerWait,
+                .weightsDeadline = settings.weightsDeadline,
                 .avoidsFullServers = settings.hasContract(contracts::admissionControl),
                 .limitsColdServers = settings.hasContract(contracts::zoneEvacuation),
                 .cold = {.overage = settings.coldOverage,
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -303,6 +303,12 @@
         planInputs.servers = servers;
         planned = m_plan.next(now, m_lease.epoch(), planInputs);
     }
+    for (const completed_load &load : planned.completed)
+        writeEvent(event_line("duty", "weights_loaded")
+                       .add("server", load.server)
+                       .add("model", load.model)
+                       .add("version", load.version)
+                       .add("ms", toMilliseconds(load.time)));
     if (!planned.orders.empty()) {
         m_state.with([&](routing_state &routing) {
             for (const weights_order &each : planned.orders)
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -67,8 +67,10 @@
     const bool hasSharedPart = prompt.size() > 1;
     if (placed.isMovedByLongPrompts)
         m_state.metrics().counterOf("trefoil_placements_moved_by_long_prompts_total").add();
-    writeEvent(placedLine(placed)
-                   .add("request", m_fields.requestId)
+    event_line line = placedLine(placed);
+    if (const std::optional<timestamp> limit = weightsLimit(placed))
+        line.add("weights_left_ms", toMilliseconds(*limit - boot_clock::now()));
+    writeEvent(line.add("request", m_fields.requestId)
                    .add("route", m_admitted.route->name)
                    .add("server", placed.server)
                    .add("attempt", static_cast<int>(m_triedServers.size()) + 1)
@@ -94,6 +96,18 @@
                    .add("silent_ms", toMilliseconds(boot_clock::now() - current.progressAt)));
 }
 
+void request_runner::logLateStart(timestamp now, const attempt &current) const
+{
+    m_state.metrics().counterOf("trefoil_late_starts_on_outdated_weights_total").add();
+    writeEvent(event_line("proxy", "late_start_on_outdated_weights")
+                   .add("request", m_fields.requestId)
+                   .add("server", current.placed.server)
+                   .add("weights", current.placed.weights)
+                   .add("late_ms", toMilliseconds(now - *weightsLimit(current.placed)))
+                   .add("expected_ms", current.placed.expectedMs)
+                   .add("waited_ms", toMilliseconds(now - current.sentAt)));
+}
+
 void request_runner::logAttemptEnd(const attempt &current, attempt_end end) const
 {
     // Successful attempts are logged only where a rollout depends on them.
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -90,6 +90,18 @@
         if (current.head.status < firstRedirect)
             routing.partCrashes.recordStart(now, m_sharedParts);
     });
+    const std::optional<timestamp> limit = weightsLimit(current.placed);
+    if (limit && now >= *limit)
+        logLateStart(now, current);
+}
+
+std::optional<timestamp> request_runner::weightsLimit(const server_placement &placed) const
+{
+    if (placed.weights == 0)
+        return std::nullopt;
+    return m_state.with([&](const routing_state &routing) {
+        return routing.balancer.weightsLimit(m_fields.model, placed.weights);
+    });
 }
 
 void request_runner::recordEvents(attempt &current, std::string_view events)
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -181,6 +181,9 @@
     void countRun(attempt &current);
     /// Records that the server began to answer: its first event, or a complete answer.
     void recordStart(attempt &current);
+    /// Returns the time from which the request must not start on the weights of @p placed, or
+    /// nothing if these are not outdated.
+    std::optional<timestamp> weightsLimit(const server_placement &placed) const;
     void recordEvents(attempt &current, std::string_view events);
     silence_limits silenceLimitsOf(const attempt &current, bool canRetry) const;
     /// Returns whether the attempt ends because its server has been silent for too long. If another
@@ -220,6 +223,8 @@
     void logPlaced(const attempt &current) const;
     void logNotAllowed(timestamp now, int status, std::string_view reason) const;
     void logKept(const attempt &current, std::string_view obstacle) const;
+    /// Logs and counts a start at @p now that came too late for the weights of the server.
+    void logLateStart(timestamp now, const attempt &current) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
     /// Logs that an answer of another request, which @p current holds, is skipped.
     void logSkipped(const attempt &current) const;
