Weights: no request is placed where its expected wait ends past the limit of the server's weights

Cause: a server with older weights was avoided from a fixed 1.5 s before the limit on. A pool that is short of room has queues of 2 to 3.5 s, and the expected wait, which `placed` logged, wasn't compared with the time left. Change: the expected wait, with a factor, and a margin for what takes time on the way are compared with the time left. The fixed time is gone: a server that starts a request at once takes it for longer. Tests: NoRequestIsPlacedWhereItsExpectedWaitEndsPastTheLimitOfTheWeights and RequestThatStartsAtOnceIsPlacedOnOlderWeightsUntilShortlyBeforeTheirLimit, which failed before.

--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -157,11 +157,14 @@
     double staleWeightsCostMs = 100;
     /// Time after newer target weights were set from which stale weights cost staleWeightsCostMs.
     duration staleWeightsDelay = std::chrono::milliseconds(1500);
-    /// Time after newer target weights were set from which no request is placed on older ones: the
-    /// maximum age of stale answers less the time that a request may wait at its server.
-    duration staleWeightsLimit = std::chrono::milliseconds(10500);
     /// Time after newer target weights were set from which no request may start on older ones.
     duration weightsDeadline = std::chrono::seconds(12);
+    /// Part of weightsDeadline that is left unused: this instance may have heard late of the newer
+    /// weights, and a request or its withdrawal takes time to reach the server.
+    duration weightsMargin = std::chrono::milliseconds(400);
+    /// Factor on the expected wait at a server with older weights. The estimate doesn't include
+    /// requests that other instances place there at the same time.
+    double staleWeightsWaitFactor = 1.3;
     /// Fraction of an engine's memory that requests may take before further ones queue.
     double memoryShare = 0.9;
     /// Whether a request is placed on a full server only if all are full. A model engine is full if
@@ -336,6 +339,9 @@
     /// Returns the time from which no request may start on @p version of @p model, because newer
     /// target weights were set long enough before, or nothing if there are none.
     std::optional<timestamp> weightsLimit(std::string_view model, std::uint64_t version) const;
+    /// Returns the time at which a request has to have started on @p version of @p model or is
+    /// withdrawn: weightsLimit() less load_balancer_options::weightsMargin.
+    std::optional<timestamp> latestStart(std::string_view model, std::uint64_t version) const;
     /// Returns the distinct releases that the servers of @p service run.
     std::vector<std::string> releasesOf(std::string_view service) const;
     /// Returns the load that all instances together put on @p server.
@@ -453,8 +459,8 @@
     void addPauses(timestamp now, std::string_view service);
     std::optional<server_placement> chooseAdmitted(timestamp now, const request_profile &request,
                                                    bool includesUnreachable);
-    double staleWeightsCost(timestamp now, const server_state &state,
-                            const request_profile &request) const;
+    double staleWeightsCost(timestamp now, const request_profile &request,
+                            const server_placement &placed) const;
     server_placement estimate(timestamp now, const server_state &state,
                               const request_profile &request, const engine_traits *engine,
                               const prompt_affinity &affinity) const;
--- a/libs/dispatch/src/server_selection.cpp
+++ b/libs/dispatch/src/server_selection.cpp
@@ -48,20 +48,17 @@
     return std::find(request.tried.begin(), request.tried.end(), info.id) == request.tried.end();
 }
 
-double load_balancer::staleWeightsCost(timestamp now, const server_state &state,
-                                       const request_profile &request) const
+double load_balancer::staleWeightsCost(timestamp now, const request_profile &request,
+                                       const server_placement &placed) const
 {
-    const auto targets = m_targetWeights.find(request.model);
-    if (targets == m_targetWeights.end())
+    const std::optional<timestamp> limit = weightsLimit(request.model, placed.weights);
+    if (!limit)
         return 0;
-    const std::uint64_t version = weightsOf(state, request.model);
-    // The time counts from the first newer version, even if further ones were set since.
-    const auto newer = targets->second.upper_bound(version);
-    if (newer == targets->second.end() || now - newer->second < m_options.staleWeightsDelay)
-        return 0;
-    return now - newer->second < m_options.staleWeightsLimit
-        ? m_options.staleWeightsCostMs
-        : std::numeric_limits<double>::infinity();
+    const double waitMs = placed.expectedMs * m_options.staleWeightsWaitFactor;
+    if (now + fromSeconds(waitMs / 1000) >= *limit - m_options.weightsMargin)
+        return std::numeric_limits<double>::infinity();
+    const timestamp setAt = *limit - m_options.weightsDeadline;
+    return now - setAt < m_options.staleWeightsDelay ? 0 : m_options.staleWeightsCostMs;
 }
 
 const std::vector<load_balancer::part_holder> &load_balancer::holdersOf(timestamp now,
@@ -378,7 +375,7 @@
     const bool isEngine = !placed.cacheSalt.empty();
     double cost = placed.expectedMs;
     if (isEngine)
-        cost += staleWeightsCost(now, state, request)
+        cost += staleWeightsCost(now, request, placed)
             + (home == state.info.id ? 0 : m_options.nonHomeCostMs);
     if (state.info.zone != m_options.zone)
         cost += isEngine ? m_options.crossZoneCostMs : m_options.crossZoneCallCostMs;
--- a/libs/dispatch/src/server_weights.cpp
+++ b/libs/dispatch/src/server_weights.cpp
@@ -92,6 +92,13 @@
     return newer->second + m_options.weightsDeadline;
 }
 
+std::optional<timestamp> load_balancer::latestStart(std::string_view model,
+                                                    std::uint64_t version) const
+{
+    const std::optional<timestamp> limit = weightsLimit(model, version);
+    return limit ? std::optional(*limit - m_options.weightsMargin) : std::nullopt;
+}
+
 std::vector<registered_server> load_balancer::serversWithNewWeights(timestamp since) const
 {
     std::vector<registered_server> changed;
--- a/libs/dispatch/tests/load_balancer_test.cpp
+++ b/libs/dispatch/tests/load_balancer_test.cpp
@@ -294,6 +294,45 @@
     EXPECT_FALSE(balancer.choose(now + std::chrono::seconds(8), sharedPromptRequest()));
 }
 
+// A queue at a server with older weights was longer than the time left for starting on them. Its
+// requests started on weights that had been replaced for too long.
+TEST(LoadBalancer, NoRequestIsPlacedWhereItsExpectedWaitEndsPastTheLimitOfTheWeights)
+{
+    load_balancer balancer = makeBalancer(makeServers("llm", 2, true));
+    const timestamp setAt = timestamp {} + 1s;
+    balancer.addTargetWeights("m", 2, setAt);
+    double expectedMs = 0;
+    while (expectedMs < 1600) {
+        const server_placement placed = *balancer.choose(setAt, sharedPromptRequest());
+        expectedMs = placed.expectedMs;
+        balancer.begin(setAt, placed, sharedPromptRequest());
+    }
+    const timestamp soon = setAt + 8s;
+    const timestamp late = setAt + 10s;
+    EXPECT_TRUE(balancer.choose(soon, sharedPromptRequest()));
+    EXPECT_FALSE(balancer.choose(late, sharedPromptRequest()));
+    balancer.onWeightsObserved(late, "llm1", "m", 2);
+    for (int i = 0; i < 20; ++i) {
+        const std::optional<server_placement> placed = balancer.choose(late, sharedPromptRequest());
+        ASSERT_TRUE(placed);
+        EXPECT_EQ(placed->server, "llm1");
+        balancer.begin(late, *placed, sharedPromptRequest());
+    }
+}
+
+// The time that a request may wait was reserved, also at servers that would start it at once.
+TEST(LoadBalancer, RequestThatStartsAtOnceIsPlacedOnOlderWeightsUntilShortlyBeforeTheirLimit)
+{
+    load_balancer balancer = makeBalancer(makeServers("llm", 2, true));
+    const timestamp setAt = timestamp {} + 1s;
+    balancer.addTargetWeights("m", 2, setAt);
+    const std::optional<server_placement> placed =
+        balancer.choose(setAt + 11s, sharedPromptRequest());
+    ASSERT_TRUE(placed);
+    EXPECT_LT(placed->expectedMs, 200);
+    EXPECT_FALSE(balancer.choose(setAt + 11600ms, sharedPromptRequest()));
+}
+
 TEST(LoadBalancer, NewWeightsDoNotAttractAllRequestsToTheFirstUpdatedServer)
 {
     load_balancer balancer = makeBalancer(makeServers("llm", 18, true));
--- a/trefoilrouter/src/edge/edge_state.cpp
+++ b/trefoilrouter/src/edge/edge_state.cpp
@@ -27,9 +27,6 @@
 /// Part of the grace period of a stop in which requests are still taken.
 constexpr double serveShareOfGrace = 0.35;
 
-/// Time that a placed request may wait at its server during a burst before it starts.
-constexpr duration maxServerWait = std::chrono::milliseconds(1500);
-
 windowed_retry_budget_options retryBudgetOptionsOf(const platform_settings &settings)
 {
     return {.length = settings.retryWindow,
@@ -42,7 +39,6 @@
 routing_state::routing_state(const platform_settings &settings)
     : balancer({.zone = settings.zone,
                 .randomSeed = hash64(settings.name),
-                .staleWeightsLimit = settings.weightsDeadline - maxServerWait,
                 .weightsDeadline = settings.weightsDeadline,
                 .avoidsFullServers = settings.hasContract(contracts::admissionControl),
                 .limitsColdServers = settings.hasContract(contracts::zoneEvacuation),
