Weights: a request that hasn't started is withdrawn before the weights of its server are too old for it

Callers saw: as before, answers made on weights that had been replaced for more than `version_ms`. Cause: a request that waits at its server was left there, whatever became of the wait. Newer weights may also be heard of while it waits, or a connection take long to open. One that must run only once and has no stream stays. Before a request is sent, the limit is checked once more. Tests: outdated_weights_test.*; the three about withdrawal failed before.

--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -68,6 +68,9 @@
         countRun(current);
         return attempt_end::Broken;
     }
+    const bool isEventStream =
+        current.head.headers.value("Content-Type").starts_with("text/event-stream");
+    current.isAnswered = !isEventStream;
     m_state.with([&](routing_state &routing) {
         if (current.fields.weights)
             routing.balancer.onWeightsObserved(boot_clock::now(), current.placed.server,
@@ -92,8 +95,6 @@
     const bool isForThisRequest = current.fields.requestId == m_fields.requestId;
     if (isSuccess && (!current.fields.isSigned || !isForThisRequest))
         return attempt_end::Broken;
-    const bool isEventStream =
-        current.head.headers.value("Content-Type").starts_with("text/event-stream");
     if (isSuccess && isEventStream && current.framing.end != body_end::None)
         return forwardStream(current);
     return forwardBuffered(current);
@@ -165,7 +166,9 @@
     const response_limits limits = responseLimits(placed);
     // Nothing that may wait comes between this and the request. The connection may have taken long
     // to open, or the process may have been paused, since the server was chosen.
-    if (termsInForce(boot_clock::now()) != m_terms || usesEvacuatedZone(current)) {
+    const timestamp readyAt = boot_clock::now();
+    if (termsInForce(readyAt) != m_terms || usesEvacuatedZone(current)
+        || isTooLateForWeights(readyAt, placed)) {
         if (current.isReused)
             m_connections.release(current.connectionName, std::move(*current.stream),
                                   defaultIdleTimeout);
@@ -277,6 +280,44 @@
     return obstacle;
 }
 
+std::optional<timestamp> request_runner::latestStart(const attempt &current) const
+{
+    const bool hasStarted = current.hasEvents || current.isAnswered;
+    // Whether a request with a complete answer has started isn't known before the answer.
+    const bool mayBreakOff = m_admitted.route->repeats != repeat_rule::Unsafe;
+    if (hasStarted || current.placed.weights == 0 || !mayBreakOff)
+        return std::nullopt;
+    return m_state.with([&](const routing_state &routing) {
+        return routing.balancer.latestStart(m_fields.model, current.placed.weights);
+    });
+}
+
+bool request_runner::isTooLateForWeights(timestamp now, const server_placement &placed) const
+{
+    if (placed.weights == 0)
+        return false;
+    const std::optional<timestamp> latest = m_state.with([&](const routing_state &routing) {
+        return routing.balancer.latestStart(m_fields.model, placed.weights);
+    });
+    return latest && now >= *latest;
+}
+
+const char *request_runner::withdrawalCause(timestamp now, const attempt &current,
+                                            timestamp &waitUntil)
+{
+    const bool isExpectedToCrash =
+        !current.hasEvents && m_state.with([this](routing_state &routing) {
+            return routing.partCrashes.isExpectedToCrash(m_sharedParts);
+        });
+    if (isExpectedToCrash)
+        return "expected_crash";
+    const std::optional<timestamp> latest = latestStart(current);
+    if (!latest)
+        return "";
+    waitUntil = std::min(waitUntil, *latest);
+    return now >= *latest ? "outdated_weights" : "";
+}
+
 read_outcome request_runner::waitForBytes(attempt &current)
 {
     while (true) {
@@ -290,21 +331,25 @@
         }
         const duration silence = now - current.progressAt;
         const silence_limits limits = silenceLimitsOf(current, mayRunAgain(current));
-        m_state.with([&](routing_state &routing) {
-            if (silence >= limits.suspectAfter)
+        if (silence >= limits.suspectAfter)
+            m_state.with([&](routing_state &routing) {
                 routing.balancer.onServerSilent(now, current.ticket);
-            current.isWithdrawn =
-                !current.hasEvents && routing.partCrashes.isExpectedToCrash(m_sharedParts);
-        });
-        if (current.isWithdrawn) {
-            current.abandonedFor = "expected_crash";
+            });
+        const timestamp end = std::min(m_deadline, current.readUntil);
+        timestamp next = std::min(end, now + silenceCheckInterval);
+        const char *cause = withdrawalCause(now, current, next);
+        if (*cause != 0) {
+            current.isWithdrawn = true;
+            current.abandonedFor = cause;
+            m_state.metrics()
+                .counterOf("trefoil_attempts_withdrawn_total",
+                           "cause=\"" + std::string(cause) + "\"")
+                .add();
             return read_outcome::Broken;
         }
         recordSpeed(now, current);
         if (mustAbandon(now, current))
             return read_outcome::Broken;
-        const timestamp end = std::min(m_deadline, current.readUntil);
-        timestamp next = std::min(end, now + silenceCheckInterval);
         if (limits.abandonAfter != duration::max() && silence < limits.abandonAfter)
             next = std::min(next, current.progressAt + limits.abandonAfter);
         const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -91,7 +91,10 @@
         /// Whether the connection carried other requests before.
         bool isReused = false;
         bool hasEvents = false;
-        /// Whether the attempt was given up since it is expected to crash the server.
+        /// Whether the head of an answer that is no event stream has arrived.
+        bool isAnswered = false;
+        /// Whether the attempt was given up since it is expected to crash the server, or since the
+        /// server's weights would be too old for it.
         bool isWithdrawn = false;
         /// Whether the request's retry on another server was taken from the budget already.
         bool isRetryTaken = false;
@@ -193,6 +196,15 @@
     /// possible, or "".
     std::string_view takeRetry(timestamp now, attempt &current);
     windowed_retry_budget &retryBudget(routing_state &routing) const;
+    /// Returns the time at which the attempt ends if its server hasn't started the request, because
+    /// the weights of the server will be too old. Returns nothing if the request has started or
+    /// must not be broken off.
+    std::optional<timestamp> latestStart(const attempt &current) const;
+    /// Returns whether it is too late for the request to start on the weights of @p placed.
+    bool isTooLateForWeights(timestamp now, const server_placement &placed) const;
+    /// Returns why the attempt must end although its server may still answer, or "". Limits
+    /// @p waitUntil to the time at which that may change.
+    const char *withdrawalCause(timestamp now, const attempt &current, timestamp &waitUntil);
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
     static attempt_end attemptEndOf(read_outcome outcome);
