--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -339,10 +339,6 @@
     /// Returns the time from which no request may start on @p version of @p model, because newer
     /// target weights were set long enough before, or nothing if there are none.
     std::optional<timestamp> weightsLimit(std::string_view model, std::uint64_t version) const;
-    /// Returns the earliest weightsLimit() of the outdated weights of each server that has such.
-    std::map<std::string, timestamp, std::less<>> weightsLimits() const;
-    /// Returns how many of the servers of @p service that may take requests its load doesn't need.
-    int spareServers(timestamp now, std::string_view service);
     /// Returns the time at which a request has to have started on @p version of @p model or is
     /// withdrawn: weightsLimit() less load_balancer_options::weightsMargin.
     std::optional<timestamp> latestStart(std::string_view model, std::uint64_t version) const;
--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -62,18 +62,13 @@
 /// Options of a weights plan.
 struct weights_plan_options
 {
-    /// Share of a pool that may load concurrently while there is time enough. More loads slow each
-    /// other down and leave too few servers for requests.
+    /// Share of a pool that may load concurrently. More loads slow each other down and leave too
+    /// few servers for requests.
     double maxLoadingShare = 0.2;
-    /// Share that may load concurrently if the pool would otherwise not be done before requests
-    /// must no longer start on its weights. More may if the load of the pool doesn't need them.
-    double maxUrgentLoadingShare = 0.5;
     /// Number of servers that may always load concurrently in a pool, however small its share.
     int minConcurrentLoads = 3;
     /// Usual duration of a load, after which the server is polled.
     duration pollDelay = std::chrono::milliseconds(1300);
-    /// Assumed time from an order to the end of its load until one has been measured.
-    duration initialLoadTime = std::chrono::milliseconds(2000);
     /// Time between polls of a loading server.
     duration pollInterval = std::chrono::milliseconds(300);
     /// Time after which an order without a result counts as lost. A server first finishes its
@@ -88,10 +83,7 @@
 /// machine; not thread-safe.
 ///
 /// Handles several target versions set within seconds under load: superseded versions are skipped,
-/// and enough servers stay in service to take the load. In a pool that is short of room, servers
-/// take seconds to finish their running requests before a load: more of them load at a time if
-/// the measured time of a load leaves too few rounds before requests must no longer start on the
-/// weights. A server past that limit takes no requests anyway.
+/// and enough servers stay in service to take the load.
 class weights_plan
 {
 public:
@@ -125,10 +117,6 @@
         std::map<std::string, timestamp, std::less<>> blockedUntil;
         /// Servers that this instance can't reach; they are neither polled nor sent orders.
         std::set<std::string, std::less<>> unreachable;
-        /// Times from which no request may start on the outdated weights of a server, by server.
-        std::map<std::string, timestamp, std::less<>> weightsLimits;
-        /// Number of servers that the load of a service doesn't need, by service.
-        std::map<std::string, int, std::less<>> spareServers;
     };
 
     /// Returns the actions due at @p now. @p epoch goes with each order.
@@ -165,34 +153,11 @@
         bool hasFailed = false;
     };
 
-    /// State of one service's servers during a call of next().
-    struct pool
-    {
-        int size = 0;
-        int loading = 0;
-        /// Time since the orders of the loads in progress.
-        duration loadingFor {};
-        /// Limits of the outdated weights of servers without an order in progress.
-        std::vector<timestamp> limits;
-    };
-
-    /// Returns how many servers of @p service may load concurrently. Sorts the limits of @p state.
-    int maxConcurrentLoads(timestamp now, const std::string &service, const inputs &input,
-                           pool &state) const;
-    /// Returns the expected time of a load of @p service from its order on.
-    duration expectedLoadTime(const std::string &service, const pool &state) const;
-    void recordLoadTime(const std::string &service, duration time);
-    /// Returns whether the order to @p server is in progress, and polls the server if it is due.
-    /// Otherwise ends it as done or lost.
-    bool isInProgress(timestamp now, const registered_server &server, bool isOutdated,
-                      progress &state, actions &due);
     progress &progressOf(const registered_server &server);
     static void poll(const registered_server &server, progress &state, actions &due);
 
     weights_plan_options m_options;
     std::map<std::string, progress, std::less<>> m_progress;
-    /// Moving average of the time of a load, by service.
-    std::map<std::string, duration, std::less<>> m_loadTimes;
 };
 
 } // namespace trefoil
--- a/libs/dispatch/src/server_weights.cpp
+++ b/libs/dispatch/src/server_weights.cpp
@@ -92,22 +92,6 @@
     return newer->second + m_options.weightsDeadline;
 }
 
-std::map<std::string, timestamp, std::less<>> load_balancer::weightsLimits() const
-{
-    std::map<std::string, timestamp, std::less<>> limits;
-    for (auto server = m_servers.begin(); server != m_servers.end(); ++server) {
-        const registered_server &info = server->second.info;
-        for (auto it = info.weights.begin(); it != info.weights.end(); ++it) {
-            const std::optional<timestamp> limit = weightsLimit(it->first, it->second);
-            if (!limit)
-                continue;
-            timestamp &earliest = limits.try_emplace(info.id, *limit).first->second;
-            earliest = std::min(earliest, *limit);
-        }
-    }
-    return limits;
-}
-
 std::optional<timestamp> load_balancer::latestStart(std::string_view model,
                                                     std::uint64_t version) const
 {
--- a/libs/dispatch/src/service_load.cpp
+++ b/libs/dispatch/src/service_load.cpp
@@ -21,16 +21,6 @@
     return known->second;
 }
 
-int load_balancer::spareServers(timestamp now, std::string_view service)
-{
-    const service_load &load = serviceLoad(now, service);
-    const double slotShare = load.slots > 0 ? static_cast<double>(load.running) / load.slots : 1;
-    const double memoryShare =
-        load.usableMemoryTokens > 0 ? load.memoryTokens / load.usableMemoryTokens : 0;
-    const double spareShare = std::max(0.0, 1 - std::max(slotShare, memoryShare));
-    return static_cast<int>(load.servers * spareShare);
-}
-
 service_load load_balancer::sumLoad(timestamp now, std::string_view service) const
 {
     service_load sum {.at = now,
--- a/libs/dispatch/src/weights_plan.cpp
+++ b/libs/dispatch/src/weights_plan.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/// Weight of the newest load in the average time of a load.
-constexpr double loadTimeWeight = 0.3;
-/// Ratio of the expected time of loads in progress to their average age.
-constexpr double ageFactor = 1.5;
-
 /// Returns a model whose weights on @p server are older than in @p targetWeights, or nothing.
 std::optional<std::string>
 outdatedModel(const registered_server &server,
@@ -52,99 +47,43 @@
     (state.hasFailed ? due.failingServersToPoll : due.serversToPoll).push_back(server);
 }
 
-void weights_plan::recordLoadTime(const std::string &service, duration time)
-{
-    duration &average = m_loadTimes.try_emplace(service, time).first->second;
-    average =
-        fromSeconds(toSeconds(average) * (1 - loadTimeWeight) + toSeconds(time) * loadTimeWeight);
-}
-
-duration weights_plan::expectedLoadTime(const std::string &service, const pool &state) const
-{
-    const auto measured = m_loadTimes.find(service);
-    const duration average =
-        measured == m_loadTimes.end() ? m_options.initialLoadTime : measured->second;
-    if (state.loading == 0)
-        return average;
-    // Loads in progress that take longer than earlier ones tell so before their end.
-    const duration age = state.loadingFor / state.loading;
-    return std::max<duration>(average, fromSeconds(toSeconds(age) * ageFactor));
-}
-
-int weights_plan::maxConcurrentLoads(timestamp now, const std::string &service, const inputs &input,
-                                     pool &state) const
-{
-    const auto shareOf = [&state](double share) {
-        return static_cast<int>(std::ceil(state.size * share));
-    };
-    const int usual = std::max(m_options.minConcurrentLoads, shareOf(m_options.maxLoadingShare));
-    const auto spare = input.spareServers.find(service);
-    const int spareServers = spare == input.spareServers.end() ? 0 : spare->second;
-    const int most = std::max({usual, shareOf(m_options.maxUrgentLoadingShare),
-                               std::min(state.loading + spareServers, state.size)});
-    // The first servers by their limits have to be done in as many rounds as fit before it.
-    const duration loadTime = expectedLoadTime(service, state);
-    std::sort(state.limits.begin(), state.limits.end());
-    int needed = 0;
-    for (std::size_t i = 0; i < state.limits.size(); ++i) {
-        const double rounds = std::floor(toSeconds(state.limits[i] - now) / toSeconds(loadTime));
-        const int atOnce =
-            static_cast<int>(std::ceil(static_cast<double>(i + 1) / std::max(rounds, 1.0)));
-        // In the last round no load in progress makes room for another one.
-        needed = std::max(needed, rounds < 2 ? state.loading + atOnce : atOnce);
-    }
-    return std::clamp(needed, usual, most);
-}
-
-bool weights_plan::isInProgress(timestamp now, const registered_server &server, bool isOutdated,
-                                progress &state, actions &due)
-{
-    const bool isLoaded = runsOrdered(server, state.model, state.version);
-    // The ordered version may have been superseded meanwhile.
-    const bool isDone = !isOutdated || isLoaded;
-    const bool isLost = now - state.since > m_options.orderTimeout;
-    const duration time = now - state.orderedAt;
-    if (!isDone && !isLost) {
-        if (state.current == stage::Loading && !state.isPolling
-            && now >= std::max(state.notBefore, state.since + m_options.pollDelay))
-            poll(server, state, due);
-        return true;
-    }
-    if (isLoaded)
-        due.completed.push_back(
-            {.server = server.id, .model = state.model, .version = state.version, .time = time});
-    // A load without an end took that long at least.
-    if (isLoaded || state.current == stage::Loading)
-        recordLoadTime(server.service, time);
-    state.current = stage::Idle;
-    state.isOrderCountKnown = isDone && state.isOrderCountKnown;
-    return false;
-}
-
 weights_plan::actions weights_plan::next(timestamp now, std::uint64_t epoch, const inputs &input)
 {
     actions due;
-    std::map<std::string, pool> pools;
+    std::map<std::string, int> loadingCount;
+    std::map<std::string, int> poolSize;
     std::vector<const registered_server *> waiting;
     for (const registered_server &server : input.servers) {
         if (server.weights.empty())
             continue;
-        pool &servers = pools[server.service];
-        servers.size += server.isLeaving ? 0 : 1;
+        poolSize[server.service] += server.isLeaving ? 0 : 1;
         progress &state = progressOf(server);
         const std::optional<std::string> model = outdatedModel(server, input.targetWeights);
-        if (state.current != stage::Idle
-            && isInProgress(now, server, model.has_value(), state, due)) {
-            servers.loading += 1;
-            servers.loadingFor += now - state.orderedAt;
-            continue;
+        if (state.current != stage::Idle) {
+            // The ordered version may have been superseded meanwhile.
+            const bool runsVersion = runsOrdered(server, state.model, state.version);
+            const bool isDone = !model || runsVersion;
+            if (runsVersion)
+                due.completed.push_back({.server = server.id,
+                                         .model = state.model,
+                                         .version = state.version,
+                                         .time = now - state.orderedAt});
+            const bool isLost = now - state.since > m_options.orderTimeout;
+            if (isDone || isLost) {
+                state.current = stage::Idle;
+                state.isOrderCountKnown = isDone && state.isOrderCountKnown;
+            } else {
+                loadingCount[server.service] += 1;
+                if (state.current == stage::Loading && !state.isPolling
+                    && now >= std::max(state.notBefore, state.since + m_options.pollDelay)) {
+                    poll(server, state, due);
+                }
+                continue;
+            }
         }
         // A leaving server gets no new requests, so it doesn't need new weights.
         if (server.isLeaving || now < state.notBefore || input.unreachable.contains(server.id))
             continue;
-        const auto limit = input.weightsLimits.find(server.id);
-        if (model && limit != input.weightsLimits.end())
-            servers.limits.push_back(limit->second);
         // Polled in advance, so that the first order for new weights can be sent immediately.
         if (!state.isOrderCountKnown && !state.isPolling && (model || !state.wasPolled)) {
             state.wasPolled = true;
@@ -167,14 +106,13 @@
                      [&sortKey](const registered_server *left, const registered_server *right) {
                          return sortKey(left) < sortKey(right);
                      });
-    std::map<std::string, int> maxLoads;
-    for (auto it = pools.begin(); it != pools.end(); ++it)
-        maxLoads[it->first] = maxConcurrentLoads(now, it->first, input, it->second);
     for (const registered_server *server : waiting) {
-        pool &servers = pools[server->service];
-        if (servers.loading >= maxLoads[server->service])
+        const int maxLoading = std::max(
+            m_options.minConcurrentLoads,
+            static_cast<int>(std::ceil(poolSize[server->service] * m_options.maxLoadingShare)));
+        if (loadingCount[server->service] >= maxLoading)
             continue;
-        servers.loading += 1;
+        loadingCount[server->service] += 1;
         const std::string model = *outdatedModel(*server, input.targetWeights);
         progress &state = progressOf(*server);
         state.current = stage::Ordered;
--- a/trefoilrouter/src/edge/leader_runner.cpp
+++ b/trefoilrouter/src/edge/leader_runner.cpp
@@ -296,13 +296,6 @@
                 planInputs.unreachable.insert(std::move(server));
             for (const registered_server &server : servers)
                 planInputs.running[server.id] = routing.balancer.totalLoad(now, server.id).running;
-            planInputs.weightsLimits = routing.balancer.weightsLimits();
-            for (const registered_server &server : servers) {
-                if (planInputs.weightsLimits.contains(server.id)
-                    && !planInputs.spareServers.contains(server.service))
-                    planInputs.spareServers[server.service] =
-                        routing.balancer.spareServers(now, server.service);
-            }
             for (auto it = routing.loadsByOtherLeaders.begin();
                  it != routing.loadsByOtherLeaders.end(); ++it)
                 planInputs.blockedUntil[it->first] = it->second + quietTime;
