--- a/libs/dispatch/include/dispatch/weights_plan.h
+++ b/libs/dispatch/include/dispatch/weights_plan.h
@@ -142,6 +142,7 @@
         std::uint64_t version = 0;
         bool isOrderCountKnown = false;
         std::uint64_t acceptedOrders = 0;
+        /// Time at which the order was sent.
         timestamp orderedAt;
         /// Time at which the order was sent or accepted.
         timestamp since;
