--- a/libs/dispatch/include/dispatch/load_balancer.h
+++ b/libs/dispatch/include/dispatch/load_balancer.h
@@ -339,8 +339,8 @@
     /// Returns the time from which no request may start on @p version of @p model, because newer
     /// target weights were set long enough before, or nothing if there are none.
     std::optional<timestamp> weightsLimit(std::string_view model, std::uint64_t version) const;
-    /// Returns the time at which a request has to have started on @p version of @p model or is
-    /// withdrawn: weightsLimit() less load_balancer_options::weightsMargin.
+    /// Returns the time by which a request must have started on @p version of @p model and after
+    /// which it has to be withdrawn: weightsLimit() less load_balancer_options::weightsMargin.
     std::optional<timestamp> latestStart(std::string_view model, std::uint64_t version) const;
     /// Returns the distinct releases that the servers of @p service run.
     std::vector<std::string> releasesOf(std::string_view service) const;
--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -167,8 +167,9 @@
     // Nothing that may wait comes between this and the request. The connection may have taken long
     // to open, or the process may have been paused, since the server was chosen.
     const timestamp readyAt = boot_clock::now();
-    if (termsInForce(readyAt) != m_terms || usesEvacuatedZone(current)
-        || isTooLateForWeights(readyAt, placed)) {
+    const std::optional<timestamp> latest = latestStart(placed);
+    const bool isTooLate = latest && readyAt >= *latest;
+    if (termsInForce(readyAt) != m_terms || usesEvacuatedZone(current) || isTooLate) {
         if (current.isReused)
             m_connections.release(current.connectionName, std::move(*current.stream),
                                   defaultIdleTimeout);
@@ -280,30 +281,24 @@
     return obstacle;
 }
 
-std::optional<timestamp> request_runner::latestStart(const attempt &current) const
+std::optional<timestamp> request_runner::latestStart(const server_placement &placed) const
 {
-    const bool hasStarted = current.hasEvents || current.isAnswered;
-    // Whether a request with a complete answer has started isn't known before the answer.
-    const bool mayBreakOff = m_admitted.route->repeats != repeat_rule::Unsafe;
-    if (hasStarted || current.placed.weights == 0 || !mayBreakOff)
+    if (placed.weights == 0)
         return std::nullopt;
     return m_state.with([&](const routing_state &routing) {
-        return routing.balancer.latestStart(m_fields.model, current.placed.weights);
+        return routing.balancer.latestStart(m_fields.model, placed.weights);
     });
 }
 
-bool request_runner::isTooLateForWeights(timestamp now, const server_placement &placed) const
+bool request_runner::mayWithdraw(const attempt &current) const
 {
-    if (placed.weights == 0)
-        return false;
-    const std::optional<timestamp> latest = m_state.with([&](const routing_state &routing) {
-        return routing.balancer.latestStart(m_fields.model, placed.weights);
-    });
-    return latest && now >= *latest;
+    // A request that is not repeatable and has no stream may have started unnoticed.
+    return !current.hasEvents && !current.isAnswered
+        && m_admitted.route->repeats != repeat_rule::Unsafe;
 }
 
 const char *request_runner::withdrawalCause(timestamp now, const attempt &current,
-                                            timestamp &waitUntil)
+                                            std::optional<timestamp> latestStart)
 {
     const bool isExpectedToCrash =
         !current.hasEvents && m_state.with([this](routing_state &routing) {
@@ -311,11 +306,7 @@
         });
     if (isExpectedToCrash)
         return "expected_crash";
-    const std::optional<timestamp> latest = latestStart(current);
-    if (!latest)
-        return "";
-    waitUntil = std::min(waitUntil, *latest);
-    return now >= *latest ? "outdated_weights" : "";
+    return latestStart && now >= *latestStart ? "outdated_weights" : "";
 }
 
 read_outcome request_runner::waitForBytes(attempt &current)
@@ -337,7 +328,10 @@
             });
         const timestamp end = std::min(m_deadline, current.readUntil);
         timestamp next = std::min(end, now + silenceCheckInterval);
-        const char *cause = withdrawalCause(now, current, next);
+        std::optional<timestamp> latest;
+        if (mayWithdraw(current))
+            latest = latestStart(current.placed);
+        const char *cause = withdrawalCause(now, current, latest);
         if (*cause != 0) {
             current.isWithdrawn = true;
             current.abandonedFor = cause;
@@ -352,6 +346,8 @@
             return read_outcome::Broken;
         if (limits.abandonAfter != duration::max() && silence < limits.abandonAfter)
             next = std::min(next, current.progressAt + limits.abandonAfter);
+        if (latest)
+            next = std::min(next, *latest);
         const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
         if (outcome != read_outcome::TimedOut || next >= end)
             return outcome;
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -196,15 +196,15 @@
     /// possible, or "".
     std::string_view takeRetry(timestamp now, attempt &current);
     windowed_retry_budget &retryBudget(routing_state &routing) const;
-    /// Returns the time at which the attempt ends if its server hasn't started the request, because
-    /// the weights of the server will be too old. Returns nothing if the request has started or
-    /// must not be broken off.
-    std::optional<timestamp> latestStart(const attempt &current) const;
-    /// Returns whether it is too late for the request to start on the weights of @p placed.
-    bool isTooLateForWeights(timestamp now, const server_placement &placed) const;
-    /// Returns why the attempt must end although its server may still answer, or "". Limits
-    /// @p waitUntil to the time at which that may change.
-    const char *withdrawalCause(timestamp now, const attempt &current, timestamp &waitUntil);
+    /// Returns the time by which the request must have started at @p placed, or nothing if the
+    /// weights there are not outdated. It is before weightsLimit().
+    std::optional<timestamp> latestStart(const server_placement &placed) const;
+    /// Returns whether the attempt may end because its server hasn't started the request.
+    bool mayWithdraw(const attempt &current) const;
+    /// Returns why the attempt must end although its server may still answer, or "".
+    /// @p latestStart is the time at which a request that hasn't started is withdrawn, if any.
+    const char *withdrawalCause(timestamp now, const attempt &current,
+                                std::optional<timestamp> latestStart);
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
     static attempt_end attemptEndOf(read_outcome outcome);
