edge: only a stream tells when its request started

Cause: late_start_on_outdated_weights was logged also when an answer without a stream arrived past the limit of the weights, though its request may have started long before. Change: such answers are left out. The lateness is computed once; names that hid others are changed.

--- a/trefoilrouter/src/edge/request_attempt.cpp
+++ b/trefoilrouter/src/edge/request_attempt.cpp
@@ -167,8 +167,8 @@
     // Nothing that may wait comes between this and the request. The connection may have taken long
     // to open, or the process may have been paused, since the server was chosen.
     const timestamp readyAt = boot_clock::now();
-    const std::optional<timestamp> latest = latestStart(placed);
-    const bool isTooLate = latest && readyAt >= *latest;
+    const std::optional<timestamp> startBy = latestStart(placed);
+    const bool isTooLate = startBy && readyAt >= *startBy;
     if (termsInForce(readyAt) != m_terms || usesEvacuatedZone(current) || isTooLate) {
         if (current.isReused)
             m_connections.release(current.connectionName, std::move(*current.stream),
@@ -298,7 +298,7 @@
 }
 
 const char *request_runner::withdrawalCause(timestamp now, const attempt &current,
-                                            std::optional<timestamp> latestStart)
+                                            std::optional<timestamp> startBy)
 {
     const bool isExpectedToCrash =
         !current.hasEvents && m_state.with([this](routing_state &routing) {
@@ -306,7 +306,7 @@
         });
     if (isExpectedToCrash)
         return "expected_crash";
-    return latestStart && now >= *latestStart ? "outdated_weights" : "";
+    return startBy && now >= *startBy ? "outdated_weights" : "";
 }
 
 read_outcome request_runner::waitForBytes(attempt &current)
@@ -328,10 +328,9 @@
             });
         const timestamp end = std::min(m_deadline, current.readUntil);
         timestamp next = std::min(end, now + silenceCheckInterval);
-        std::optional<timestamp> latest;
-        if (mayWithdraw(current))
-            latest = latestStart(current.placed);
-        const char *cause = withdrawalCause(now, current, latest);
+        const std::optional<timestamp> startBy =
+            mayWithdraw(current) ? latestStart(current.placed) : std::nullopt;
+        const char *cause = withdrawalCause(now, current, startBy);
         if (*cause != 0) {
             current.isWithdrawn = true;
             current.abandonedFor = cause;
@@ -346,8 +345,8 @@
             return read_outcome::Broken;
         if (limits.abandonAfter != duration::max() && silence < limits.abandonAfter)
             next = std::min(next, current.progressAt + limits.abandonAfter);
-        if (latest)
-            next = std::min(next, *latest);
+        if (startBy)
+            next = std::min(next, *startBy);
         const read_outcome outcome = current.stream->readMore(next, &m_response.connection());
         if (outcome != read_outcome::TimedOut || next >= end)
             return outcome;
--- a/trefoilrouter/src/edge/request_log.cpp
+++ b/trefoilrouter/src/edge/request_log.cpp
@@ -96,16 +96,16 @@
                    .add("silent_ms", toMilliseconds(boot_clock::now() - current.progressAt)));
 }
 
-void request_runner::logLateStart(timestamp now, const attempt &current) const
+void request_runner::logLateStart(const attempt &current, duration lateBy) const
 {
     m_state.metrics().counterOf("trefoil_late_starts_on_outdated_weights_total").add();
     writeEvent(event_line("proxy", "late_start_on_outdated_weights")
                    .add("request", m_fields.requestId)
                    .add("server", current.placed.server)
                    .add("weights", current.placed.weights)
-                   .add("late_ms", toMilliseconds(now - *weightsLimit(current.placed)))
+                   .add("late_ms", toMilliseconds(lateBy))
                    .add("expected_ms", current.placed.expectedMs)
-                   .add("waited_ms", toMilliseconds(now - current.sentAt)));
+                   .add("waited_ms", toMilliseconds(boot_clock::now() - current.sentAt)));
 }
 
 void request_runner::logAttemptEnd(const attempt &current, attempt_end end) const
--- a/trefoilrouter/src/edge/request_outcome.cpp
+++ b/trefoilrouter/src/edge/request_outcome.cpp
@@ -90,9 +90,11 @@
         if (current.head.status < firstRedirect)
             routing.partCrashes.recordStart(now, m_sharedParts);
     });
-    const std::optional<timestamp> limit = weightsLimit(current.placed);
+    // An answer without a stream arrives when the request is done, and tells nothing of its start.
+    const std::optional<timestamp> limit =
+        current.isAnswered ? std::nullopt : weightsLimit(current.placed);
     if (limit && now >= *limit)
-        logLateStart(now, current);
+        logLateStart(current, now - *limit);
 }
 
 std::optional<timestamp> request_runner::weightsLimit(const server_placement &placed) const
--- a/trefoilrouter/src/edge/request_runner.h
+++ b/trefoilrouter/src/edge/request_runner.h
@@ -202,9 +202,9 @@
     /// Returns whether the attempt may end because its server hasn't started the request.
     bool mayWithdraw(const attempt &current) const;
     /// Returns why the attempt must end although its server may still answer, or "".
-    /// @p latestStart is the time at which a request that hasn't started is withdrawn, if any.
+    /// @p startBy is the time at which a request that hasn't started is withdrawn, if any.
     const char *withdrawalCause(timestamp now, const attempt &current,
-                                std::optional<timestamp> latestStart);
+                                std::optional<timestamp> startBy);
     read_outcome waitForBytes(attempt &current);
     /// Maps a read outcome other than Bytes to the end of the attempt.
     static attempt_end attemptEndOf(read_outcome outcome);
@@ -235,8 +235,9 @@
     void logPlaced(const attempt &current) const;
     void logNotAllowed(timestamp now, int status, std::string_view reason) const;
     void logKept(const attempt &current, std::string_view obstacle) const;
-    /// Logs and counts a start at @p now that came too late for the weights of the server.
-    void logLateStart(timestamp now, const attempt &current) const;
+    /// Logs and counts that the stream of @p current started @p lateBy after the limit of the
+    /// server's weights.
+    void logLateStart(const attempt &current, duration lateBy) const;
     void logAttemptEnd(const attempt &current, attempt_end end) const;
     /// Logs that an answer of another request, which @p current holds, is skipped.
     void logSkipped(const attempt &current) const;
